--- /dev/null
+++ b/cmd/kumquathitch/config.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/configuration"
+	"kumquathitch.example/kumquathitch/platform"
+)
+
+const configUsage = `
+config check --file FILE                 report every problem of a configuration
+config apply --platform ADDR --file FILE make it the next generation
+config show --platform ADDR              print the configuration in the store
+
+Example:
+  kumquathitch config apply --platform 10.0.0.2:7000 --file site.json
+`
+
+// storeTimeout bounds one call of the store by the operators' command.
+const storeTimeout = 5 * time.Second
+
+type configCommand struct {
+	Check *configCheck `arg:"subcommand:check" help:"report every problem of a configuration"`
+	Apply *configApply `arg:"subcommand:apply" help:"make a configuration the next generation"`
+	Show  *configShow  `arg:"subcommand:show" help:"print the configuration in the store"`
+}
+
+type configCheck struct {
+	File string `arg:"--file,required" help:"configuration in JSON"`
+}
+
+type configApply struct {
+	File     string `arg:"--file,required" help:"configuration in JSON"`
+	Platform string `arg:"--platform,required,env:KUMQUATHITCH_PLATFORM" help:"IP number and port of the platform's key-value service"`
+}
+
+type configShow struct {
+	Platform string `arg:"--platform,required,env:KUMQUATHITCH_PLATFORM" help:"IP number and port of the platform's key-value service"`
+}
+
+func (c *configCommand) run(ctx context.Context, out io.Writer) error {
+	switch {
+	case c.Check != nil:
+		return c.Check.run(ctx, out)
+	case c.Apply != nil:
+		return c.Apply.run(ctx, out)
+	case c.Show != nil:
+		return c.Show.run(ctx, out)
+	}
+	return eris.New("config: one of check, apply and show is required")
+}
+
+func (c *configCheck) run(_ context.Context, out io.Writer) error {
+	config, err := readConfiguration(c.File)
+	if err != nil {
+		return err
+	}
+	config.Defaults()
+	if err := config.Validate(); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: %d accounts, %d models, %d adapters, %d upstreams, %d routes: no problems\n", c.File,
+		len(config.Accounts), len(config.Models), len(config.Adapters), len(config.Upstreams), len(config.Routes))
+	return err
+}
+
+func (c *configApply) run(ctx context.Context, out io.Writer) error {
+	config, err := readConfiguration(c.File)
+	if err != nil {
+		return err
+	}
+	repository := &configuration.Repository{Store: platform.NewClient(c.Platform, storeTimeout)}
+	written, err := repository.Write(ctx, config)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "generation %d accepted\n", written.Generation)
+	return err
+}
+
+func (c *configShow) run(ctx context.Context, out io.Writer) error {
+	repository := &configuration.Repository{Store: platform.NewClient(c.Platform, storeTimeout)}
+	config, err := repository.Read(ctx)
+	var missing *kumquathitch.NotFoundError
+	if errors.As(err, &missing) {
+		return eris.New("config show: the store holds no configuration yet")
+	}
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(config)
+}
+
+func readConfiguration(file string) (kumquathitch.Configuration, error) {
+	var config kumquathitch.Configuration
+	text, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return config, err
+	}
+	if err := json.Unmarshal(text, &config); err != nil {
+		var problems kumquathitch.Problems
+		problems.Add("--file", file, "a configuration in JSON: "+err.Error())
+		return config, problems.Err()
+	}
+	return config, nil
+}
--- /dev/null
+++ b/cmd/kumquathitch/main.go
@@ -0,0 +1,73 @@
+// Command kumquathitch is the operators' command.
+//
+// # Usage
+//
+//	kumquathitch demo
+//	kumquathitch config apply --platform 10.0.0.2:7000 --file site.json
+//
+// Exit codes: 0 success, 1 failure, 2 bad input, 3 conflict with another operator.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitBadInput = 2
+	exitConflict = 3
+)
+
+// command is a subcommand with its arguments.
+type command interface {
+	run(ctx context.Context, out io.Writer) error
+}
+
+type args struct {
+	Demo   *demoCommand   `arg:"subcommand:demo" help:"run everything in one process on stand-ins"`
+	Config *configCommand `arg:"subcommand:config" help:"check, apply and show the configuration"`
+}
+
+// Epilogue ends the help text.
+func (args) Epilogue() string {
+	return demoUsage + configUsage
+}
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.Fail("a subcommand is required; see --help")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := chosen.run(ctx, os.Stdout)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var invalid *kumquathitch.ValidationError
+	var conflict *kumquathitch.ConflictError
+	switch {
+	case errors.As(err, &invalid):
+		return exitBadInput
+	case errors.As(err, &conflict):
+		return exitConflict
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/configuration.go
@@ -0,0 +1,179 @@
+package kumquathitch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Measures that a deployment can weigh most.
+const (
+	WeighWorstServed = "worst-served"
+	WeighRefusals    = "refusals"
+)
+
+// Configuration is everything that operators decide. A generation, once
+// accepted, is immutable; a change makes a new one with a higher number.
+type Configuration struct {
+	Generation  uint64      `json:"generation"`
+	DataCentres DataCentres `json:"data-centres"`
+	Accounts    Accounts    `json:"accounts"`
+	Models      Models      `json:"models"`
+	Adapters    Adapters    `json:"adapters"`
+	Upstreams   Upstreams   `json:"upstreams"`
+	Routes      Routes      `json:"routes"`
+	WeightStore WeightStore `json:"weight-store"`
+	RateSlots   int         `json:"rate-slots"`  // Equal parts of every rate, a multiple of the number of data centres.
+	FloorShare  float64     `json:"floor-share"` // Part of each slot that outlives store outages, in [0, 1].
+	WeighsMost  string      `json:"weighs-most"` // WeighWorstServed or WeighRefusals.
+}
+
+// DataCentre is a failure domain with its own entry VMs and upstreams.
+type DataCentre struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+// DataCentres is a list of data centres.
+type DataCentres []DataCentre
+
+// WeightStore states the limits of the store that engines load weights from,
+// for the whole fleet.
+type WeightStore struct {
+	LoadsPerSecond   float64 `json:"loads-per-second"`
+	LoadsAtOnce      int     `json:"loads-at-once"`
+	AdaptersInFlight int     `json:"adapters-in-flight"` // Above this, adapter loads slow down.
+}
+
+// Defaults fills every field that was left empty, in all parts.
+func (c *Configuration) Defaults() {
+	if c.RateSlots == 0 {
+		c.RateSlots = 16 * max(1, len(c.DataCentres))
+	}
+	if c.FloorShare == 0 {
+		c.FloorShare = 0.5
+	}
+	if c.WeighsMost == "" {
+		c.WeighsMost = WeighWorstServed
+	}
+	if c.WeightStore == (WeightStore{}) {
+		c.WeightStore = WeightStore{LoadsPerSecond: 1.6, LoadsAtOnce: 9, AdaptersInFlight: 70}
+	}
+	for i := range c.Accounts {
+		c.Accounts[i].Defaults()
+	}
+	for i := range c.Models {
+		c.Models[i].Defaults()
+	}
+	for i := range c.Upstreams {
+		c.Upstreams[i].Defaults()
+	}
+	for i := range c.Routes {
+		c.Routes[i].Defaults()
+	}
+}
+
+// Validate returns a *ValidationError with every problem of the configuration, or nil.
+func (c *Configuration) Validate() error {
+	var problems Problems
+	c.validateSettings(&problems)
+	c.validateParts(&problems)
+	c.validateReferences(&problems)
+	return problems.Err()
+}
+
+func (c *Configuration) validateSettings(problems *Problems) {
+	if len(c.DataCentres) == 0 {
+		problems.Add("data-centres", "", "at least one data centre")
+		return
+	}
+	if c.RateSlots <= 0 || c.RateSlots%len(c.DataCentres) != 0 {
+		problems.Add("rate-slots", c.RateSlots, fmt.Sprintf("a positive multiple of the %d data centres", len(c.DataCentres)))
+	}
+	if c.FloorShare < 0 || c.FloorShare > 1 {
+		problems.Add("floor-share", c.FloorShare, "a number from 0 to 1")
+	}
+	if c.WeighsMost != WeighWorstServed && c.WeighsMost != WeighRefusals {
+		problems.Add("weighs-most", c.WeighsMost, "worst-served or refusals")
+	}
+	w := c.WeightStore
+	if w.LoadsPerSecond <= 0 || w.LoadsAtOnce <= 0 || w.AdaptersInFlight <= 0 {
+		problems.Add("weight-store", fmt.Sprintf("%+v", w), "three limits above 0")
+	}
+}
+
+func (c *Configuration) validateParts(problems *Problems) {
+	for i := range c.Accounts {
+		c.Accounts[i].Validate(fmt.Sprintf("accounts[%d]", i), problems)
+	}
+	for i := range c.Models {
+		c.Models[i].Validate(fmt.Sprintf("models[%d]", i), problems)
+	}
+	for i := range c.Upstreams {
+		c.Upstreams[i].Validate(fmt.Sprintf("upstreams[%d]", i), problems)
+	}
+	for i := range c.Routes {
+		c.Routes[i].Validate(fmt.Sprintf("routes[%d]", i), problems)
+	}
+}
+
+func (c *Configuration) validateReferences(problems *Problems) {
+	names := map[string]bool{}
+	unique := func(field, name string) {
+		if names[field+name] {
+			problems.Add(field, name, "a name that is used once")
+		}
+		names[field+name] = true
+	}
+	for _, d := range c.DataCentres {
+		unique("data-centres.name", d.Name)
+	}
+	for i, a := range c.Accounts {
+		unique("accounts.name", a.Name)
+		for _, k := range a.Keys {
+			unique("accounts.keys.id", k.ID)
+		}
+		for _, m := range a.Models {
+			if m != "*" && !c.Lists(m) {
+				problems.Add(fmt.Sprintf("accounts[%d].models", i), m, "the name of a listed model or adapter")
+			}
+		}
+	}
+	for _, m := range c.Models {
+		unique("models.name", m.Name)
+	}
+	for i, a := range c.Adapters {
+		unique("models.name", a.Name) // Callers name models and adapters in the same field.
+		if c.Models.Find(a.Model) == nil {
+			problems.Add(fmt.Sprintf("adapters[%d].model", i), a.Model, "the name of a listed model")
+		}
+	}
+	for i, u := range c.Upstreams {
+		unique("upstreams.name", u.Name)
+		if !slices.ContainsFunc(c.DataCentres, func(d DataCentre) bool { return d.Name == u.DataCentre }) {
+			problems.Add(fmt.Sprintf("upstreams[%d].data-centre", i), u.DataCentre, "the name of a listed data centre")
+		}
+		for _, m := range u.Models {
+			if !c.Lists(m) {
+				problems.Add(fmt.Sprintf("upstreams[%d].models", i), m, "the name of a listed model or adapter")
+			}
+		}
+	}
+	for i, r := range c.Routes {
+		unique("routes", r.Method+" "+r.Path)
+		if r.Service != "" && len(c.Upstreams.OfService(r.Service)) == 0 {
+			problems.Add(fmt.Sprintf("routes[%d].service", i), r.Service, "a service with at least one upstream")
+		}
+	}
+}
+
+// Lists reports whether a name belongs to a listed model or adapter.
+func (c *Configuration) Lists(name string) bool {
+	return c.Models.Find(name) != nil || c.Adapters.Find(name) != nil
+}
+
+func validateName(field, name string, problems *Problems) {
+	if name == "" || strings.ContainsAny(name, " \t\n\"=") {
+		problems.Add(field, name, "a non-empty name without spaces, quotes and equals signs")
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,170 @@
+// Package daemon is the library behind kumquathitchd: it builds the process of
+// one entry VM from its settings and runs it.
+//
+// # Usage
+//
+//	settings := daemon.Settings{Name: "entry-1", DataCentre: "montreal-1", Platform: "10.0.0.2:7000"}
+//	settings.Defaults()
+//	parsed, err := settings.Parse()
+//	if err != nil {
+//		return err // *kumquathitch.ValidationError
+//	}
+//	d, err := daemon.New(ctx, parsed, os.Stderr)
+//	if err != nil {
+//		return err
+//	}
+//	return d.Run(ctx) // Until ctx ends and the last request is answered.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/account"
+	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/configuration"
+	"kumquathitch.example/kumquathitch/gateway"
+	"kumquathitch.example/kumquathitch/peer"
+	"kumquathitch.example/kumquathitch/platform"
+	"kumquathitch.example/kumquathitch/rate"
+	"kumquathitch.example/kumquathitch/route"
+	"kumquathitch.example/kumquathitch/telemetry"
+	"kumquathitch.example/kumquathitch/upstream"
+)
+
+// Daemon is the process of one entry VM.
+type Daemon struct {
+	Settings Parsed
+	Logger   *zap.Logger
+	Metrics  *metrics.Set
+	Clock    kumquathitch.Clock
+	Store    kumquathitch.Store
+
+	Accounts   *account.Directory
+	Rates      *rate.Ledger
+	Upstreams  *upstream.Fleet
+	Routes     *route.Table
+	Gateway    *gateway.Server
+	Current    *configuration.Current
+	Peers      *peer.Client
+	PeerServer *peer.Server
+
+	tracing      *telemetry.Tracing
+	listener     net.Listener
+	peerListener net.Listener
+}
+
+// New builds a daemon and opens its listeners.
+func New(ctx context.Context, settings Parsed, logs io.Writer) (*Daemon, error) {
+	tracing, err := telemetry.NewTracing(ctx, "kumquathitchd", settings.OTLPEndpoint)
+	if err != nil {
+		return nil, eris.Wrap(err, "daemon.New")
+	}
+	d := &Daemon{
+		Settings:   settings,
+		Logger:     telemetry.NewLogger(logs, settings.LogLevel).With(zap.String("vm", settings.Name)),
+		Metrics:    metrics.NewSet(),
+		Clock:      clock.NewSystem(),
+		Store:      platform.NewClient(settings.Platform.String(), settings.StoreTimeout),
+		Accounts:   account.NewDirectory(),
+		Rates:      rate.NewLedger(settings.ClockDrift),
+		Upstreams:  upstream.NewFleet(),
+		Peers:      peer.NewClient(tracing),
+		PeerServer: peer.NewServer(tracing),
+		tracing:    tracing,
+	}
+	d.Routes = route.NewTable(d.Upstreams, d.Clock, settings.DataCentre)
+	d.Gateway = gateway.NewServer(&gateway.Server{
+		Accounts:  d.Accounts,
+		Limits:    &rate.Limiter{Ledger: d.Rates, Clock: d.Clock},
+		Upstreams: d.Routes,
+		Reports:   reportSink{fleet: d.Upstreams, clock: d.Clock},
+		Clock:     d.Clock,
+		Tracing:   tracing,
+		Logger:    d.Logger,
+		Metrics:   d.Metrics,
+	}, nil)
+	d.Current = configuration.NewCurrent(d.Accounts, rateApplier{d}, d.Upstreams, d.Routes, d.Gateway)
+	return d, d.listen(ctx)
+}
+
+func (d *Daemon) listen(ctx context.Context) error {
+	var err error
+	var config net.ListenConfig
+	if d.listener, err = config.Listen(ctx, "tcp", d.Settings.Listen.String()); err != nil {
+		return eris.Wrap(err, "daemon.New")
+	}
+	if d.peerListener, err = config.Listen(ctx, "tcp", d.Settings.PeerListen.String()); err != nil {
+		_ = d.listener.Close()
+		return eris.Wrap(err, "daemon.New")
+	}
+	return nil
+}
+
+// Address returns the address at which callers reach the daemon.
+func (d *Daemon) Address() string {
+	return d.listener.Addr().String()
+}
+
+// PeerAddress returns the address at which other VMs reach the daemon.
+func (d *Daemon) PeerAddress() string {
+	return d.peerListener.Addr().String()
+}
+
+// Run serves until ctx ends. It then takes no new requests, waits for those
+// that run, at most for the drain timeout, and returns nil.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.Logger.Info("started", zap.String("listen", d.Address()), zap.String("peer-listen", d.PeerAddress()),
+		zap.String("data-centre", d.Settings.DataCentre))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	all := newTasks()
+	all.Start(ctx, "callers", func(ctx context.Context) error {
+		defer stop() // Control work goes on until the last request is answered.
+		return d.serveCallers(ctx)
+	})
+	all.Start(work, "peers", func(ctx context.Context) error { return <-d.PeerServer.Serve(ctx, d.peerListener) })
+	all.Start(work, "configuration", d.followConfiguration)
+	end := all.Wait(stop)
+	d.Peers.Close()
+	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
+	d.Logger.Info("stopped")
+	return eris.Wrap(end.Err, end.Name)
+}
+
+// serveCallers serves HTTP until ctx ends, then drains.
+func (d *Daemon) serveCallers(ctx context.Context) error {
+	server := &http.Server{Handler: d.Gateway, ReadHeaderTimeout: 10 * time.Second}
+	drained := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		d.Gateway.SetReady(false)
+		d.Logger.Info("draining")
+		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Settings.DrainTimeout)
+		defer cancel()
+		drained <- server.Shutdown(limit)
+	}()
+	if err := server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "Daemon.serveCallers")
+	}
+	return eris.Wrap(<-drained, "Daemon.serveCallers")
+}
+
+// reportSink stamps load reports with the time of their arrival.
+type reportSink struct {
+	fleet *upstream.Fleet
+	clock kumquathitch.Clock
+}
+
+func (r reportSink) Report(name string, report kumquathitch.LoadReport) {
+	r.fleet.Report(name, report, r.clock.Now())
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,122 @@
+// Package peer implements kumquathitch.Peers: calls between entry VMs over jsonrpc2 on TCP.
+//
+// # Usage
+//
+//	server := peer.NewServer(tracing)
+//	peer.Handle(server, "entry.heartbeat", func(ctx context.Context, b Beat) (Answer, error) {
+//		return members.Receive(b, clock.Now()), nil
+//	})
+//	end := server.Serve(ctx, listener) // Reports its end when ctx is cancelled.
+//
+//	client := peer.NewClient(tracing)
+//	err := client.Call(ctx, "10.0.0.3:7100", "entry.heartbeat", beat, &answer)
+//
+// Handlers are typed; the codec encodes their values as JSON with kebab-case
+// names. Each message carries the trace context of the caller.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.opentelemetry.io/otel/propagation"
+
+	"kumquathitch.example/kumquathitch/telemetry"
+)
+
+// envelope carries a message and its trace context.
+type envelope[T any] struct {
+	Trace propagation.MapCarrier `json:"trace,omitempty"`
+	Body  T                      `json:"body"`
+}
+
+type handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server answers calls of peers. Handlers are added before Serve.
+type Server struct {
+	tracing  *telemetry.Tracing
+	handlers map[string]handler
+}
+
+// NewServer returns a server without handlers.
+func NewServer(tracing *telemetry.Tracing) *Server {
+	return &Server{tracing: tracing, handlers: map[string]handler{}}
+}
+
+// Handle adds the handler of a method.
+func Handle[P, R any](s *Server, method string, handle func(ctx context.Context, params P) (R, error)) {
+	s.handlers[method] = func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var message envelope[P]
+		if err := json.Unmarshal(raw, &message); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		ctx = s.tracing.Propagator.Extract(ctx, message.Trace)
+		ctx, span := s.tracing.Tracer.Start(ctx, "peer "+method)
+		defer span.End()
+		return handle(ctx, message.Body)
+	}
+}
+
+// Serve accepts connections until ctx ends. The returned channel gets one
+// value when every connection is closed: nil after ctx ended, else the error of the listener.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) <-chan error {
+	end := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	go func() {
+		defer stop()
+		end <- s.accept(ctx, listener)
+	}()
+	return end
+}
+
+func (s *Server) accept(ctx context.Context, listener net.Listener) error {
+	var open []<-chan struct{}
+	defer func() {
+		for _, closed := range open {
+			<-closed
+		}
+	}()
+	for {
+		accepted, err := listener.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "Server.Serve")
+		}
+		conn := jsonrpc2.NewConn(ctx, newStream(accepted), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch)))
+		context.AfterFunc(ctx, func() { _ = conn.Close() })
+		open = append(dropClosed(open), conn.DisconnectNotify())
+	}
+}
+
+func dropClosed(open []<-chan struct{}) []<-chan struct{} {
+	kept := open[:0]
+	for _, closed := range open {
+		select {
+		case <-closed:
+		default:
+			kept = append(kept, closed)
+		}
+	}
+	return kept
+}
+
+func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+	handle, ok := s.handlers[request.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + request.Method}
+	}
+	if request.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "params are required"}
+	}
+	return handle(ctx, *request.Params)
+}
+
+func newStream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,52 @@
+package kumquathitch
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Whether a refused or failed request ran on an upstream.
+const (
+	RunNot     = "not-run" // No byte of the request left for an upstream.
+	RunUnknown = "unknown" // The request may have run.
+)
+
+// RefusalError is an answer of kumquathitch itself in place of an upstream's.
+type RefusalError struct {
+	Status     int       // HTTP status code.
+	Code       string    // Machine-readable reason, kebab case.
+	Message    string    // One sentence for a person.
+	Run        string    // RunNot or RunUnknown.
+	RetryAfter time.Time // Earliest useful repeat; zero when none is known.
+}
+
+func (e *RefusalError) Error() string {
+	return fmt.Sprintf("%d %s (%s): %s", e.Status, e.Code, e.Run, e.Message)
+}
+
+// Type returns the error type of the OpenAI error form for the status.
+func (e *RefusalError) Type() string {
+	switch e.Status {
+	case http.StatusUnauthorized:
+		return "authentication_error"
+	case http.StatusForbidden:
+		return "permission_error"
+	case http.StatusTooManyRequests:
+		return "rate_limit_error"
+	}
+	if e.Status >= http.StatusInternalServerError {
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
+
+// NotRun returns a refusal of a request of which no byte left for an upstream.
+func NotRun(status int, code, message string) *RefusalError {
+	return &RefusalError{Status: status, Code: code, Message: message, Run: RunNot}
+}
+
+// Unknown returns the failure of a request that may have run.
+func Unknown(status int, code, message string) *RefusalError {
+	return &RefusalError{Status: status, Code: code, Message: message, Run: RunUnknown}
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,70 @@
+package kumquathitch
+
+import (
+	"context"
+	"time"
+)
+
+// Demand is what the choice of an upstream needs to know of a request.
+type Demand struct {
+	Account     string
+	Model       string // Model or adapter; empty for a service.
+	Service     string // Plain service; empty for a model.
+	Class       string
+	PrefixHash  uint64    // Hash of the start of the prompt; 0 when unknown.
+	Tokens      int64     // Prompt tokens plus allowed output.
+	Fingerprint uint64    // Hash of account and body, for crash suspects.
+	Exclude     []string  // Upstreams already tried.
+	FirstToken  time.Time // Deadline for the first byte of the answer.
+	Deadline    time.Time // Deadline for the whole answer.
+}
+
+// Choice is the upstream chosen for a request.
+type Choice struct {
+	Upstream Upstream
+	Demand   Demand
+	Sent     time.Time
+}
+
+// Result tells how a request on a chosen upstream ended.
+type Result struct {
+	Tokens  int64     // Tokens used, 0 when not known.
+	Failed  bool      // The upstream failed the request.
+	Crashed bool      // The connection broke while the request ran: the upstream may have died.
+	First   time.Time // When the first byte of the answer arrived; zero when none did.
+}
+
+// Charge is an admission of a request against an account's rate. It is settled exactly once.
+type Charge struct {
+	Account string
+	Tokens  float64
+}
+
+// Authenticator checks callers. Implementations are safe for concurrent use.
+type Authenticator interface {
+	// Authenticate returns the caller of a presented key, or a *RefusalError with status 401.
+	Authenticate(presented string) (Caller, error)
+	// Authorize returns a *RefusalError with status 403 or 404 when the caller may not use the model.
+	Authorize(caller Caller, model string) error
+	// Track registers an active request. The returned context is cancelled with
+	// a *RefusalError as its cause when the key is withdrawn; release ends the registration.
+	Track(ctx context.Context, caller Caller) (tracked context.Context, release func())
+}
+
+// Limiter keeps rates. Implementations are safe for concurrent use.
+type Limiter interface {
+	// Admit charges tokens to an account, waiting a bounded time for them. It
+	// returns a *RefusalError with status 429 when they are not to be had.
+	Admit(ctx context.Context, account string, tokens float64) (Charge, error)
+	// Settle ends a charge: what was charged above used is given back.
+	Settle(charge Charge, used float64)
+}
+
+// Picker chooses upstreams. Implementations are safe for concurrent use.
+type Picker interface {
+	// Pick returns the upstream for a request, or a *RefusalError with status 404, 422, 429 or 503.
+	// Every choice is ended by one call of Done.
+	Pick(demand Demand) (Choice, error)
+	// Done ends a choice.
+	Done(choice Choice, result Result)
+}
--- /dev/null
+++ b/shard.go
@@ -0,0 +1,20 @@
+package kumquathitch
+
+import "github.com/cespare/xxhash/v2"
+
+// ShardOf returns the shard, in [0, shards), that holds the state of a key.
+// It panics when shards is not positive.
+func ShardOf(key string, shards int) int {
+	return int(xxhash.Sum64String(key) % uint64(shards)) //nolint:gosec // The remainder is below shards, an int.
+}
+
+// RendezvousWeight returns the weight of a node for a key in rendezvous
+// (highest random weight) hashing: the node with the highest weight owns the key.
+func RendezvousWeight(key, node string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0}) // Keeps ("ab", "c") apart from ("a", "bc").
+	_, _ = digest.WriteString(node)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,314 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// EngineSettings describes a stand-in engine.
+type EngineSettings struct {
+	Name          string
+	ChecksFencing bool          // Refuses orders with an old fencing number and expired ones.
+	TokenInterval time.Duration // Time between two tokens; 0 streams as fast as it can.
+	Resident      []string      // Models and adapters loaded at the start.
+	Accelerators  kumquathitch.Accelerators
+	OnCrash       func() // Called when a request holds the crash marker; a process exits here.
+}
+
+// EngineFaults is how an engine misbehaves.
+type EngineFaults struct {
+	TruncateAfter int    `json:"truncate-after"` // Ends streams after this many tokens; 0 for never.
+	CrashOn       string `json:"crash-on"`       // A request whose body holds this text crashes the engine.
+	DropOrders    bool   `json:"drop-orders"`    // Accepts orders and does not execute them.
+	Leaving       bool   `json:"leaving"`
+}
+
+// Request is what an engine or service saw of one request.
+type Request struct {
+	Method string      `json:"method"`
+	Path   string      `json:"path"`
+	Query  string      `json:"query"`
+	Header http.Header `json:"header"`
+	Body   string      `json:"body"`
+}
+
+// maxSeen bounds how many requests a stand-in remembers.
+const maxSeen = 256
+
+// Engine is a model engine with an OpenAI-compatible interface. Its answers
+// are a fixed function of the request's body.
+type Engine struct {
+	settings EngineSettings
+	clock    kumquathitch.Clock
+	running  atomic.Int64
+	tokens   atomic.Int64
+	crashed  atomic.Bool
+
+	mutex       sync.Mutex
+	sequence    uint64
+	faults      EngineFaults
+	seen        []Request
+	resident    map[string]resident
+	lastFence   uint64
+	lastOrders  []string
+	overcommits int
+}
+
+type resident struct {
+	Accelerator int
+	Bytes       int64
+}
+
+// NewEngine returns an engine.
+func NewEngine(settings EngineSettings, clock kumquathitch.Clock) *Engine {
+	e := &Engine{settings: settings, clock: clock, resident: map[string]resident{}}
+	for _, name := range settings.Resident {
+		e.resident[name] = resident{}
+	}
+	return e
+}
+
+// SetFaults replaces how the engine misbehaves.
+func (e *Engine) SetFaults(faults EngineFaults) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.faults = faults
+}
+
+// Seen returns the requests that the engine remembers, oldest first.
+func (e *Engine) Seen() []Request {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.seen)
+}
+
+// Overcommits returns how many orders made an accelerator hold more than its memory.
+func (e *Engine) Overcommits() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.overcommits
+}
+
+// Handler serves the engine:
+//
+//	POST /v1/chat/completions   chat completions, streamed or whole
+//	GET /load                   a kumquathitch.LoadReport
+//	POST /orders                a kumquathitch.Order; 409 for an old fencing number
+//	PUT /standin/faults         an EngineFaults
+//	GET /standin/requests       the requests seen
+func (e *Engine) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Use(e.refuseAfterCrash)
+	router.Post("/v1/chat/completions", e.serveChat)
+	router.Get("/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.report()) })
+	router.Post("/orders", e.serveOrder)
+	router.Put("/standin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults EngineFaults
+		if readJSON(w, r, &faults) {
+			e.SetFaults(faults)
+		}
+	})
+	router.Get("/standin/requests", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Seen()) })
+	return router
+}
+
+func (e *Engine) refuseAfterCrash(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.crashed.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Restart brings a crashed engine back without its state.
+func (e *Engine) Restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.sequence = 0
+	e.crashed.Store(false)
+}
+
+type chatRequest struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	faults := e.remember(r, body)
+	if faults.CrashOn != "" && strings.Contains(string(body), faults.CrashOn) {
+		e.crashed.Store(true)
+		if e.settings.OnCrash != nil {
+			e.settings.OnCrash()
+		}
+		panic(http.ErrAbortHandler)
+	}
+	var chat chatRequest
+	if err := json.Unmarshal(body, &chat); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.holds(chat.Model) {
+		http.Error(w, "the model is not resident", http.StatusServiceUnavailable)
+		return
+	}
+	tokens := Tokens(body, chat.MaxTokens)
+	e.running.Add(1)
+	e.tokens.Add(int64(len(tokens)))
+	defer func() {
+		e.running.Add(-1)
+		e.tokens.Add(-int64(len(tokens)))
+	}()
+	report, _ := json.Marshal(e.report())
+	w.Header().Set("Engine-Load", string(report))
+	if chat.Stream {
+		e.stream(w, r, chat.Model, tokens, len(body), faults)
+		return
+	}
+	for range tokens {
+		if !e.pause(r) {
+			return
+		}
+	}
+	writeJSON(w, http.StatusOK, json.RawMessage(wholeAnswer(chat.Model, tokens, len(body))))
+}
+
+// defaultTokens is how many tokens an engine generates when the request sets no limit.
+const defaultTokens = 16
+
+// Tokens returns the answer to a request body: a fixed function of it.
+func Tokens(body []byte, limit int) []string {
+	if limit <= 0 {
+		limit = defaultTokens
+	}
+	seed := xxhash.Sum64(body)
+	tokens := make([]string, limit)
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf("%04x-%d ", (seed>>(i%48))&0xffff, i)
+	}
+	return tokens
+}
+
+// Stream returns the server-sent events that answer a request body.
+func Stream(model string, tokens []string, promptBytes int) string {
+	var b strings.Builder
+	for _, t := range tokens {
+		b.WriteString(tokenEvent(model, t))
+	}
+	b.WriteString(usageEvent(model, len(tokens), promptBytes))
+	b.WriteString("data: [DONE]\n\n")
+	return b.String()
+}
+
+func tokenEvent(model, token string) string {
+	return fmt.Sprintf("data: {\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
+		model, token)
+}
+
+func usageEvent(model string, tokens, promptBytes int) string {
+	return fmt.Sprintf("data: {\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[],\"usage\":{\"completion_tokens\":%d,\"total_tokens\":%d}}\n\n",
+		model, tokens, tokens+promptBytes/4)
+}
+
+func wholeAnswer(model string, tokens []string, promptBytes int) string {
+	return fmt.Sprintf("{\"object\":\"chat.completion\",\"model\":%q,\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\",\"content\":%q}}],"+
+		"\"usage\":{\"completion_tokens\":%d,\"total_tokens\":%d}}",
+		model, strings.Join(tokens, ""), len(tokens), len(tokens)+promptBytes/4)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, model string, tokens []string, promptBytes int, faults EngineFaults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for i, t := range tokens {
+		if faults.TruncateAfter > 0 && i == faults.TruncateAfter {
+			return
+		}
+		if !e.pause(r) {
+			return
+		}
+		_, _ = io.WriteString(w, tokenEvent(model, t))
+		_ = controller.Flush()
+	}
+	_, _ = io.WriteString(w, usageEvent(model, len(tokens), promptBytes)+"data: [DONE]\n\n")
+}
+
+// pause waits for the next token and reports whether the caller still listens.
+func (e *Engine) pause(r *http.Request) bool {
+	if e.settings.TokenInterval <= 0 {
+		return r.Context().Err() == nil
+	}
+	select {
+	case <-time.After(e.settings.TokenInterval):
+		return !e.crashed.Load()
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (e *Engine) remember(r *http.Request, body []byte) EngineFaults {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.seen = appendSeen(e.seen, r, body)
+	return e.faults
+}
+
+func appendSeen(seen []Request, r *http.Request, body []byte) []Request {
+	if len(seen) == maxSeen {
+		seen = slices.Delete(seen, 0, 1)
+	}
+	return append(seen, Request{
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header.Clone(), Body: string(body),
+	})
+}
+
+func (e *Engine) holds(model string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	_, ok := e.resident[model]
+	return ok
+}
+
+func (e *Engine) report() kumquathitch.LoadReport {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.sequence++
+	report := kumquathitch.LoadReport{
+		Sequence: e.sequence, Taken: e.clock.Now(), Running: int(e.running.Load()), Tokens: e.tokens.Load(),
+		Leaving: e.faults.Leaving, LastFence: e.lastFence, LastOrders: slices.Clone(e.lastOrders),
+	}
+	for name := range e.resident {
+		report.Resident = append(report.Resident, name)
+	}
+	slices.Sort(report.Resident)
+	for i := range e.settings.Accelerators {
+		report.FreeBytes = append(report.FreeBytes, e.freeBytes(i))
+	}
+	return report
+}
+
+func (e *Engine) freeBytes(accelerator int) int64 {
+	free := e.settings.Accelerators[accelerator].Bytes
+	for _, r := range e.resident {
+		if r.Accelerator == accelerator {
+			free -= r.Bytes
+		}
+	}
+	return free
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,89 @@
+// Package telemetry builds the logger, the tracer and the metrics of a process.
+//
+// # Usage
+//
+//	logger := telemetry.NewLogger(os.Stderr, "info")
+//	tracing, err := telemetry.NewTracing(ctx, "kumquathitchd", "")
+//	if err != nil {
+//		return err
+//	}
+//	defer tracing.Shutdown(ctx)
+//	set := metrics.NewSet()
+//
+// Logs are one line of key=value pairs for each event.
+package telemetry
+
+import (
+	"context"
+	"io"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	semconv "go.opentelemetry.io/otel/semconv/v1.37.0"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns a logger that writes logfmt lines. An unknown level means "info".
+func NewLogger(w io.Writer, level string) *zap.Logger {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		parsed = zapcore.InfoLevel
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "time"
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(w)), parsed))
+}
+
+// Tracing makes spans and carries their context between processes.
+type Tracing struct {
+	Tracer     trace.Tracer
+	Propagator propagation.TextMapPropagator
+	shutdown   func(context.Context) error
+}
+
+// NewTracing returns tracing that exports spans to an OTLP endpoint over HTTP,
+// such as "127.0.0.1:4318". With an empty endpoint no span is recorded, and the
+// context of callers is still passed on.
+func NewTracing(ctx context.Context, service, endpoint string) (*Tracing, error) {
+	t := &Tracing{
+		Tracer:     noop.NewTracerProvider().Tracer(service),
+		Propagator: propagation.TraceContext{},
+		shutdown:   func(context.Context) error { return nil },
+	}
+	if endpoint == "" {
+		return t, nil
+	}
+	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(endpoint), otlptracehttp.WithInsecure())
+	if err != nil {
+		return nil, eris.Wrap(err, "telemetry.NewTracing")
+	}
+	t.use(service, sdktrace.WithBatcher(exporter))
+	return t, nil
+}
+
+// NewTracingTo returns tracing that hands each ended span to a processor.
+func NewTracingTo(service string, processor sdktrace.SpanProcessor) *Tracing {
+	t := &Tracing{Propagator: propagation.TraceContext{}}
+	t.use(service, sdktrace.WithSpanProcessor(processor))
+	return t
+}
+
+func (t *Tracing) use(service string, option sdktrace.TracerProviderOption) {
+	named := resource.NewSchemaless(semconv.ServiceName(service))
+	provider := sdktrace.NewTracerProvider(option, sdktrace.WithResource(named))
+	t.Tracer = provider.Tracer(service)
+	t.shutdown = provider.Shutdown
+}
+
+// Shutdown exports the spans that are still held.
+func (t *Tracing) Shutdown(ctx context.Context) error {
+	return t.shutdown(ctx)
+}
