--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"kumquathitch.example/kumquathitch/account"
 	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/configuration"
+	"kumquathitch.example/kumquathitch/entry"
 	"kumquathitch.example/kumquathitch/gateway"
 	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/platform"
@@ -55,6 +56,7 @@
 	Routes     *route.Table
 	Gateway    *gateway.Server
 	Current    *configuration.Current
+	Members    *entry.Registry
 	Peers      *peer.Client
 	PeerServer *peer.Server
 
@@ -70,14 +72,17 @@
 		return nil, eris.Wrap(err, "daemon.New")
 	}
 	d := &Daemon{
-		Settings:   settings,
-		Logger:     telemetry.NewLogger(logs, settings.LogLevel).With(zap.String("vm", settings.Name)),
-		Metrics:    metrics.NewSet(),
-		Clock:      clock.NewSystem(),
-		Store:      platform.NewClient(settings.Platform.String(), settings.StoreTimeout),
-		Accounts:   account.NewDirectory(),
-		Rates:      rate.NewLedger(settings.ClockDrift),
-		Upstreams:  upstream.NewFleet(),
+		Settings:  settings,
+		Logger:    telemetry.NewLogger(logs, settings.LogLevel).With(zap.String("vm", settings.Name)),
+		Metrics:   metrics.NewSet(),
+		Clock:     clock.NewSystem(),
+		Store:     platform.NewClient(settings.Platform.String(), settings.StoreTimeout),
+		Accounts:  account.NewDirectory(),
+		Rates:     rate.NewLedger(settings.ClockDrift),
+		Upstreams: upstream.NewFleet(),
+		Members: entry.NewRegistry(kumquathitch.EntryVM{
+			Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.PeerListen.String(),
+		}),
 		Peers:      peer.NewClient(tracing),
 		PeerServer: peer.NewServer(tracing),
 		tracing:    tracing,
--- a/entry.go
+++ b/entry.go
@@ -41,3 +41,16 @@
 func (e *PeerError) Unwrap() error {
 	return e.Cause
 }
+
+// Members is this VM's view of the entry VMs. Two VMs may hold different views
+// for a while, so duties given out by it must be harmless when held twice.
+type Members interface {
+	// Self returns this VM.
+	Self() EntryVM
+	// Live returns the other VMs of a data centre that are not dead or leaving,
+	// in order of names; an empty data centre means all that are known.
+	Live(dataCentre string, now time.Time) EntryVMs
+	// Ranked returns the n live VMs of a data centre, this VM included, with the
+	// highest rendezvous weight for a key, highest first.
+	Ranked(key, dataCentre string, n int, now time.Time) EntryVMs
+}
