Add the questionnaire with the answers of two deployments

Cause: a new team had to write its configuration by hand. Conclusion: a site starts from answers instead of a configuration file.

--- a/cmd/kumquathitch/config.go
+++ b/cmd/kumquathitch/config.go
@@ -97,9 +97,7 @@
 	if err != nil {
 		return err
 	}
-	encoder := json.NewEncoder(out)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(config)
+	return printJSON(out, config)
 }
 
 func readConfiguration(file string) (kumquathitch.Configuration, error) {
--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -37,11 +37,13 @@
 type args struct {
 	Demo   *demoCommand   `arg:"subcommand:demo" help:"run everything in one process on stand-ins"`
 	Config *configCommand `arg:"subcommand:config" help:"check, apply and show the configuration"`
+
+	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"make a configuration from answers"`
 }
 
 // Epilogue ends the help text.
 func (args) Epilogue() string {
-	return demoUsage + configUsage
+	return demoUsage + questionnaireUsage + configUsage
 }
 
 func main() {
--- /dev/null
+++ b/questionnaire/answers.go
@@ -0,0 +1,162 @@
+// Package questionnaire turns a new team's answers about its client accounts,
+// models, adapters, rates, services and upstreams into a configuration.
+//
+// # Usage
+//
+//	answers, err := questionnaire.Read(file) // Or questionnaire.Ask(in, out).
+//	if err != nil {
+//		return err
+//	}
+//	config, err := answers.Generate()
+//	if err != nil {
+//		return err // *kumquathitch.ValidationError, every problem beside its question
+//	}
+//
+// Answers are a JSON file with kebab-case names; see the examples folder.
+package questionnaire
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// Answers is everything that the questionnaire asks for.
+type Answers struct {
+	Site        string                   `json:"site"`
+	DataCentres kumquathitch.DataCentres `json:"data-centres"`
+	EntryVMs    int                      `json:"entry-vms"` // In all data centres together.
+	Engines     []Engines                `json:"engines"`
+	Models      []Model                  `json:"models"`
+	Adapters    []Adapter                `json:"adapters"`
+	Services    []Service                `json:"services"`
+	Accounts    []Account                `json:"accounts"`
+	WeightStore kumquathitch.WeightStore `json:"weight-store"`
+	WeighsMost  string                   `json:"weighs-most"`
+}
+
+// Engines is a group of equal servers that run model engines.
+type Engines struct {
+	Name           string              `json:"name"`
+	Addresses      map[string][]string `json:"addresses"` // IP numbers and ports by data centre.
+	Accelerators   int                 `json:"accelerators"`
+	AcceleratorGiB float64             `json:"accelerator-gib"`
+	AdapterPoolGiB float64             `json:"adapter-pool-gib"`
+	ChecksFencing  bool                `json:"checks-fencing"`
+}
+
+// Model is a model as teams describe it.
+type Model struct {
+	Name            string  `json:"name"`
+	GiB             float64 `json:"gib"`
+	CacheReserveGiB float64 `json:"cache-reserve-gib"`
+	Class           string  `json:"class"`
+}
+
+// Adapter is a group of adapters of one model that have the same size.
+type Adapter struct {
+	Model string   `json:"model"`
+	MiB   float64  `json:"mib"`
+	Names []string `json:"names"`
+}
+
+// Service is a plain service with its calls.
+type Service struct {
+	Name      string              `json:"name"`
+	Addresses map[string][]string `json:"addresses"`
+	Calls     []Call              `json:"calls"`
+}
+
+// Call is one call of a plain service.
+type Call struct {
+	Method         string `json:"method"`
+	Path           string `json:"path"`
+	Idempotent     bool   `json:"idempotent"`
+	RequireKey     bool   `json:"require-idempotency-key"`
+	Open           bool   `json:"open"`
+	Class          string `json:"class"`
+	RequestTokens  int64  `json:"request-tokens"`
+	FirstByteAfter int    `json:"first-byte-ms"`
+}
+
+// Account is a client account; its keys are created later.
+type Account struct {
+	Name   string   `json:"name"`
+	Class  string   `json:"class"`
+	Rate   float64  `json:"rate"`
+	Burst  float64  `json:"burst"`
+	Models []string `json:"models"`
+}
+
+// Read decodes answers. An unknown field is an error, because it is most often a misspelt one.
+func Read(r io.Reader) (Answers, error) {
+	var answers Answers
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&answers); err != nil {
+		return answers, eris.Wrap(err, "questionnaire.Read")
+	}
+	return answers, nil
+}
+
+// Validate returns a *kumquathitch.ValidationError with every answer that
+// cannot be used. What Generate makes is checked once more as a configuration.
+func (a *Answers) Validate() error {
+	var problems kumquathitch.Problems
+	if a.Site == "" {
+		problems.Add("site", a.Site, "a name")
+	}
+	if len(a.DataCentres) == 0 {
+		problems.Add("data-centres", "", "at least one data centre")
+	}
+	if a.EntryVMs <= 0 {
+		problems.Add("entry-vms", a.EntryVMs, "the number of entry VMs in all data centres, above 0")
+	}
+	for i, e := range a.Engines {
+		e.validate(fmt.Sprintf("engines[%d]", i), a.DataCentres, &problems)
+	}
+	for i, s := range a.Services {
+		validateAddresses(fmt.Sprintf("services[%d].addresses", i), s.Addresses, a.DataCentres, &problems)
+	}
+	for i, m := range a.Models {
+		if m.GiB <= 0 {
+			problems.Add(fmt.Sprintf("models[%d].gib", i), m.GiB, "the memory of the weights in GiB, above 0")
+		}
+	}
+	if len(a.Accounts) == 0 {
+		problems.Add("accounts", "", "at least one client account")
+	}
+	return problems.Err()
+}
+
+func (e *Engines) validate(field string, centres kumquathitch.DataCentres, problems *kumquathitch.Problems) {
+	if e.Accelerators <= 0 {
+		problems.Add(field+".accelerators", e.Accelerators, "accelerators in each server, above 0")
+	}
+	if e.AcceleratorGiB <= 0 || e.AdapterPoolGiB < 0 || e.AdapterPoolGiB >= e.AcceleratorGiB {
+		problems.Add(field+".accelerator-gib", e.AcceleratorGiB, "the memory of an accelerator in GiB, more than the adapter pool")
+	}
+	validateAddresses(field+".addresses", e.Addresses, centres, problems)
+}
+
+func validateAddresses(field string, addresses map[string][]string, centres kumquathitch.DataCentres, problems *kumquathitch.Problems) {
+	if len(addresses) == 0 {
+		problems.Add(field, "", "at least one address")
+	}
+	for centre, list := range addresses {
+		if !slices.ContainsFunc(centres, func(d kumquathitch.DataCentre) bool { return d.Name == centre }) {
+			problems.Add(field, centre, "the name of one of the data centres")
+		}
+		for _, text := range list {
+			if _, err := netip.ParseAddrPort(text); err != nil {
+				problems.Add(field+"."+centre, text, "an IP number and a port, such as 10.0.0.7:8000")
+			}
+		}
+	}
+}
