--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -39,11 +39,12 @@
 	Config *configCommand `arg:"subcommand:config" help:"check, apply and show the configuration"`
 
 	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"make a configuration from answers"`
+	Replay        *replayCommand        `arg:"subcommand:replay" help:"run a trace through the decisions and compare"`
 }
 
 // Epilogue ends the help text.
 func (args) Epilogue() string {
-	return demoUsage + questionnaireUsage + configUsage
+	return demoUsage + questionnaireUsage + configUsage + replayUsage
 }
 
 func main() {
--- a/cmd/kumquathitch/print.go
+++ b/cmd/kumquathitch/print.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
+	"text/tabwriter"
 )
 
 // printJSON prints a value as indented JSON.
@@ -11,3 +14,14 @@
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(value)
 }
+
+// table prints rows in aligned columns; the first row is the heading.
+func table(out io.Writer, rows [][]string) error {
+	writer := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(writer, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return writer.Flush()
+}
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,37 @@
+package replay_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/questionnaire"
+	"kumquathitch.example/kumquathitch/replay"
+	"kumquathitch.example/kumquathitch/trace"
+)
+
+const traceSeed = 20261204
+
+func site(t *testing.T, name string) *kumquathitch.Configuration {
+	t.Helper()
+	file, err := os.Open(filepath.Join("..", "examples", name+".json"))
+	must.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	answers, err := questionnaire.Read(file)
+	must.NoError(t, err)
+	config, err := answers.Generate()
+	must.NoError(t, err)
+	return &config
+}
+
+// TestReplayIsRepeatable guards against results that depend on map order or the machine's clock.
+func TestReplayIsRepeatable(t *testing.T) {
+	config := site(t, "laurentide")
+	lines := trace.Make(config, trace.Settings{Scenario: "upstream-lost", Seconds: 60, Load: 0.5, Seed: traceSeed})
+	for _, policy := range []replay.NewPolicy{replay.NewRoundRobin, replay.NewLeastLoaded} {
+		must.Eq(t, replay.Run(config, lines, policy), replay.Run(config, lines, policy))
+	}
+}
