--- a/account/directory.go
+++ b/account/directory.go
@@ -192,3 +192,17 @@
 func withdrawn() error {
 	return kumquathitch.Unknown(401, "key-withdrawn", "The API key was withdrawn while the request ran.")
 }
+
+// Active returns the number of active requests that are tracked.
+func (d *Directory) Active() int {
+	active := 0
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mutex.Lock()
+		for _, requests := range s.active {
+			active += len(requests)
+		}
+		s.mutex.Unlock()
+	}
+	return active
+}
