Spread configuration generations over a membership of entry VMs

Cause: each VM watched the store for itself, a configuration was one record of at most a megabyte, a lost answer was reported as a failure, and no VM knew another.

Change: - entry: registry of VMs with incarnations, counted heartbeats, digests of 7 bytes a VM with the age of the evidence, leads from the store's list, delegates between data centres. - configuration: root record with digests of content-addressed sections, lost answers settled by the write id, conflict with the differences, withdrawn keys kept, replica that takes deltas of peers. - daemon: two watchers of each data centre push, heartbeats carry the generation, VMs behind pull; leaving is announced before the drain.

Each test was seen to fail with a mechanism off, among them: reading back of the write id, check of tombstones, digest of the root, order of generations, pull by heartbeats, heartbeats between data centres, takeover from silent watchers, age of evidence in records, beats that do not rise, raising of the incarnation, cancellation of requests.

Waiting watches: 2 a data centre, before one a VM.

--- /dev/null
+++ b/change.go
@@ -0,0 +1,180 @@
+package kumquathitch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Kinds of the parts of a configuration.
+const (
+	KindAccounts  = "accounts"
+	KindModels    = "models"
+	KindAdapters  = "adapters"
+	KindUpstreams = "upstreams"
+	KindRoutes    = "routes"
+	KindSettings  = "settings"
+)
+
+// Changes that a Difference can tell.
+const (
+	ChangeAdded   = "added"
+	ChangeRemoved = "removed"
+	ChangeChanged = "changed"
+)
+
+// Difference is one part in which two configurations differ.
+type Difference struct {
+	Kind   string `json:"kind"`   // KindAccounts and so on.
+	Name   string `json:"name"`   // Name of the part; method and path of a route; field name of a setting.
+	Change string `json:"change"` // ChangeAdded, ChangeRemoved or ChangeChanged.
+}
+
+// Differences is a list of differences, in order of kinds and names.
+type Differences []Difference
+
+// String returns one line for each difference.
+func (d Differences) String() string {
+	lines := make([]string, 0, len(d))
+	for _, one := range d {
+		lines = append(lines, fmt.Sprintf("%s %s %q", one.Change, one.Kind, one.Name))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Item is a named part of a configuration in its encoded form.
+type Item struct {
+	Kind  string
+	Name  string
+	Value json.RawMessage
+}
+
+// Items is a list of encoded parts.
+type Items []Item
+
+// Items returns the parts of a configuration: one for each account, model,
+// adapter, upstream and route, and one for each other field but the generation.
+func (c *Configuration) Items() (Items, error) {
+	var items Items
+	var failed error
+	add := func(kind, name string, value any) {
+		encoded, err := json.Marshal(value)
+		if err != nil && failed == nil {
+			failed = fmt.Errorf("Configuration.Items: %s %q: %w", kind, name, err)
+		}
+		items = append(items, Item{Kind: kind, Name: name, Value: encoded})
+	}
+	for _, a := range c.Accounts {
+		add(KindAccounts, a.Name, a)
+	}
+	for _, m := range c.Models {
+		add(KindModels, m.Name, m)
+	}
+	for _, a := range c.Adapters {
+		add(KindAdapters, a.Name, a)
+	}
+	for _, u := range c.Upstreams {
+		add(KindUpstreams, u.Name, u)
+	}
+	for _, r := range c.Routes {
+		add(KindRoutes, r.Method+" "+r.Path, r)
+	}
+	settings, err := c.settings()
+	if err != nil {
+		return nil, err
+	}
+	return append(items, settings...), failed
+}
+
+// settings returns the fields that are not lists of named parts, by their
+// encoded names, so that a field added later is not forgotten here.
+func (c *Configuration) settings() (Items, error) {
+	rest := *c
+	rest.Generation = 0
+	rest.Accounts, rest.Models, rest.Adapters, rest.Upstreams, rest.Routes = nil, nil, nil, nil, nil
+	encoded, err := json.Marshal(rest)
+	if err != nil {
+		return nil, fmt.Errorf("Configuration.Items: %w", err)
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(encoded, &fields); err != nil {
+		return nil, fmt.Errorf("Configuration.Items: %w", err)
+	}
+	var items Items
+	for name, value := range fields {
+		if !slices.Contains([]string{"generation", KindAccounts, KindModels, KindAdapters, KindUpstreams, KindRoutes}, name) {
+			items = append(items, Item{Kind: KindSettings, Name: name, Value: value})
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Name, b.Name) })
+	return items, nil
+}
+
+// DiffConfigurations returns the parts in which a configuration differs from an earlier one.
+func DiffConfigurations(from, to *Configuration) (Differences, error) {
+	before, err := from.Items()
+	if err != nil {
+		return nil, err
+	}
+	after, err := to.Items()
+	if err != nil {
+		return nil, err
+	}
+	type place struct{ kind, name string }
+	old := make(map[place]json.RawMessage, len(before))
+	for _, item := range before {
+		old[place{item.Kind, item.Name}] = item.Value
+	}
+	var differences Differences
+	for _, item := range after {
+		at := place{item.Kind, item.Name}
+		value, known := old[at]
+		delete(old, at)
+		switch {
+		case !known:
+			differences = append(differences, Difference{Kind: item.Kind, Name: item.Name, Change: ChangeAdded})
+		case !bytes.Equal(value, item.Value):
+			differences = append(differences, Difference{Kind: item.Kind, Name: item.Name, Change: ChangeChanged})
+		}
+	}
+	for at := range old {
+		differences = append(differences, Difference{Kind: at.kind, Name: at.name, Change: ChangeRemoved})
+	}
+	slices.SortFunc(differences, func(a, b Difference) int {
+		return strings.Compare(a.Kind+"\x00"+a.Name, b.Kind+"\x00"+b.Name)
+	})
+	return differences, nil
+}
+
+// ConfigurationConflictError reports that another operator's change came first.
+// Nothing of the refused change is in force.
+type ConfigurationConflictError struct {
+	Base        uint64      // Generation that the refused change started from.
+	Current     uint64      // Generation in the store.
+	Differences Differences // What the refused change would alter in the current generation.
+}
+
+func (e *ConfigurationConflictError) Error() string {
+	return fmt.Sprintf("Repository.Write: the change starts from generation %d, but generation %d is in force; the change would have\n%s",
+		e.Base, e.Current, e.Differences)
+}
+
+// ConfigurationUnknownError reports that the answer to a change was lost and
+// could not be settled. The change may be in force, now or a little later.
+type ConfigurationUnknownError struct {
+	Generation uint64 // Generation that the change makes when it takes effect.
+	WriteID    string
+	Cause      error
+}
+
+func (e *ConfigurationUnknownError) Error() string {
+	return fmt.Sprintf("Repository.Write: it is not known whether generation %d (write id %s) was accepted; read the configuration before trying again: %v",
+		e.Generation, e.WriteID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ConfigurationUnknownError) Unwrap() error {
+	return e.Cause
+}
--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -5,7 +5,8 @@
 //	kumquathitch demo
 //	kumquathitch config apply --platform 10.0.0.2:7000 --file site.json
 //
-// Exit codes: 0 success, 1 failure, 2 bad input, 3 conflict with another operator.
+// Exit codes: 0 success, 1 failure, 2 bad input, 3 conflict with another operator,
+// 4 unknown outcome.
 package main
 
 import (
@@ -27,6 +28,7 @@
 	exitFailure  = 1
 	exitBadInput = 2
 	exitConflict = 3
+	exitUnknown  = 4
 )
 
 // command is a subcommand with its arguments.
@@ -62,12 +64,15 @@
 
 func exitCode(err error) int {
 	var invalid *kumquathitch.ValidationError
-	var conflict *kumquathitch.ConflictError
+	var conflict *kumquathitch.ConfigurationConflictError
+	var unknown *kumquathitch.ConfigurationUnknownError
 	switch {
 	case errors.As(err, &invalid):
 		return exitBadInput
 	case errors.As(err, &conflict):
 		return exitConflict
+	case errors.As(err, &unknown):
+		return exitUnknown
 	}
 	return exitFailure
 }
--- /dev/null
+++ b/configuration/repository_test.go
@@ -0,0 +1,231 @@
+package configuration_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/configuration"
+	"kumquathitch.example/kumquathitch/standin"
+)
+
+func site() kumquathitch.Configuration {
+	return kumquathitch.Configuration{
+		DataCentres: kumquathitch.DataCentres{{Name: "montreal-1", Region: "quebec"}},
+		Models:      kumquathitch.Models{{Name: "rigging", Bytes: 1}},
+		Accounts: kumquathitch.Accounts{{
+			Name: "crew-a", Rate: 5, Keys: kumquathitch.Keys{{ID: "k1", SecretHash: kumquathitch.HashSecret("a")}},
+		}},
+	}
+}
+
+// countingStore counts swaps of the root and can hide the answers of reads.
+type countingStore struct {
+	*standin.Store
+	swaps int
+	race  func() // Runs once, before the first swap of the root.
+}
+
+func (s *countingStore) CompareAndSwap(ctx context.Context, record kumquathitch.Record) (kumquathitch.Record, error) {
+	if record.Key == configuration.RootKey {
+		s.swaps++
+		if race := s.race; race != nil {
+			s.race = nil
+			race()
+		}
+	}
+	return s.Store.CompareAndSwap(ctx, record)
+}
+
+// TestLostAnswerIsSettledByReading guards against a second swap after a lost
+// answer, and against a success that is reported as a failure.
+func TestLostAnswerIsSettledByReading(t *testing.T) {
+	store := &countingStore{Store: standin.NewStore(clock.NewSystem())}
+	repository := &configuration.Repository{Store: store}
+	store.race = func() { store.SetFaults(standin.StoreFaults{LoseAnswers: 1}) }
+	written, err := repository.Write(t.Context(), site())
+	must.NoError(t, err)
+	must.Eq(t, 1, store.swaps)
+	read, err := repository.Read(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, written, read)
+}
+
+// silentStore takes no swap of the root and answers it with an unknown outcome.
+type silentStore struct{ *standin.Store }
+
+func (s silentStore) CompareAndSwap(ctx context.Context, record kumquathitch.Record) (kumquathitch.Record, error) {
+	if record.Key == configuration.RootKey {
+		return kumquathitch.Record{}, &kumquathitch.StoreError{Key: record.Key, Unknown: true, Cause: errors.New("no answer")}
+	}
+	return s.Store.CompareAndSwap(ctx, record)
+}
+
+// TestUnsettledWriteIsReportedUnknown guards against a claim that a write
+// failed while it may still be on its way.
+func TestUnsettledWriteIsReportedUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		repository := &configuration.Repository{Store: silentStore{standin.NewStore(clock.NewSystem())}}
+		_, err := repository.Write(t.Context(), site())
+		var unknown *kumquathitch.ConfigurationUnknownError
+		must.True(t, errors.As(err, &unknown))
+		must.Eq(t, 1, unknown.Generation)
+	})
+}
+
+// TestLoserOfRaceLearnsDifference guards against two operators who both believe
+// that they succeeded, and against a conflict that says nothing.
+func TestLoserOfRaceLearnsDifference(t *testing.T) {
+	store := &countingStore{Store: standin.NewStore(clock.NewSystem())}
+	repository := &configuration.Repository{Store: store}
+	base, err := repository.Write(t.Context(), site())
+	must.NoError(t, err)
+	first, second := base, base
+	first.Models = append(kumquathitch.Models{}, kumquathitch.Model{Name: "rigging", Bytes: 2}, kumquathitch.Model{Name: "wind", Bytes: 1})
+	second.FloorShare = 0.25
+	store.race = func() {
+		_, err := (&configuration.Repository{Store: store.Store}).Write(t.Context(), first)
+		must.NoError(t, err)
+	}
+	_, err = repository.Write(t.Context(), second)
+	var conflict *kumquathitch.ConfigurationConflictError
+	must.True(t, errors.As(err, &conflict))
+	must.Eq(t, &kumquathitch.ConfigurationConflictError{Base: 1, Current: 2, Differences: kumquathitch.Differences{
+		{Kind: "models", Name: "rigging", Change: "changed"},
+		{Kind: "models", Name: "wind", Change: "removed"},
+		{Kind: "settings", Name: "floor-share", Change: "changed"},
+	}}, conflict)
+}
+
+// TestWithdrawnKeyStaysWithdrawn guards against a generation that drops a
+// tombstone or restores a withdrawn key.
+func TestWithdrawnKeyStaysWithdrawn(t *testing.T) {
+	repository := &configuration.Repository{Store: standin.NewStore(clock.NewSystem())}
+	config, err := repository.Write(t.Context(), site())
+	must.NoError(t, err)
+	config.Accounts[0].Keys = kumquathitch.Keys{{ID: "k1", SecretHash: kumquathitch.HashSecret("a"), Withdrawn: true}}
+	config, err = repository.Write(t.Context(), config)
+	must.NoError(t, err)
+	for _, keys := range []kumquathitch.Keys{nil, {{ID: "k1", SecretHash: kumquathitch.HashSecret("a")}}} {
+		config.Accounts = kumquathitch.Accounts{{Name: "crew-a", Rate: 5, Keys: keys}}
+		_, err = repository.Write(t.Context(), config)
+		var invalid *kumquathitch.ValidationError
+		must.True(t, errors.As(err, &invalid))
+		must.Eq(t, "k1", invalid.Problems[0].Value)
+	}
+	read, err := repository.Read(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, 2, read.Generation)
+	must.True(t, read.Accounts[0].Keys[0].Withdrawn)
+}
+
+// TestLargeConfigurationKeepsUnchangedSections guards against records above the
+// store's megabyte and against a change of one part that rewrites the others.
+func TestLargeConfigurationKeepsUnchangedSections(t *testing.T) {
+	config := site()
+	for i := range 12_000 {
+		config.Upstreams = append(config.Upstreams, kumquathitch.Upstream{
+			Name: fmt.Sprintf("planner-llm-%d", i), Kind: "engine", DataCentre: "montreal-1", Address: "10.0.0.1:80",
+			Models: []string{strings.Repeat("m", 100)},
+		})
+	}
+	config.Generation = 1
+	root, sections, err := configuration.Encode(config, configuration.Root{})
+	must.NoError(t, err)
+	for _, section := range sections {
+		must.Less(t, kumquathitch.MaxRecordBytes, len(section))
+	}
+	decoded, err := configuration.Decode(root, sections)
+	must.NoError(t, err)
+	differences, err := kumquathitch.DiffConfigurations(&config, &decoded)
+	must.NoError(t, err)
+	must.SliceEmpty(t, differences)
+	config.Generation = 2
+	config.Upstreams[7].Address = "10.0.0.2:80"
+	_, next, err := configuration.Encode(config, root)
+	must.NoError(t, err)
+	changed := 0
+	for digest := range next {
+		if sections[digest] == nil {
+			changed++
+		}
+	}
+	must.Eq(t, 1, changed)
+}
+
+// TestReplicaNeverRevertsOrTakesAltered guards against a replica that takes a
+// lower generation, one with a wrong digest, or one that lacks sections.
+func TestReplicaNeverRevertsOrTakesAltered(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		source := configuration.NewReplica(configuration.NewCurrent())
+		current := configuration.NewCurrent()
+		replica := configuration.NewReplica(current)
+		var deltas []configuration.Delta
+		var root configuration.Root
+		for generation := uint64(1); generation <= 8; generation++ {
+			config := site()
+			config.Generation = generation
+			config.RateSlots = rapid.IntRange(1, 9).Draw(rt, "rate-slots")
+			fresh, sections, err := configuration.Encode(config, root)
+			must.NoError(rt, err)
+			root = fresh
+			_, err = source.Accept(root, sections)
+			must.NoError(rt, err)
+			deltas = append(deltas, source.Since(0), source.Since(generation-1))
+		}
+		highest := uint64(0)
+		for range rapid.IntRange(1, 200).Draw(rt, "messages") {
+			d := rapid.SampledFrom(deltas).Draw(rt, "delta")
+			altered := rapid.Bool().Draw(rt, "altered")
+			if altered {
+				d.Generation += uint64(rapid.IntRange(1, 3).Draw(rt, "raised by"))
+			}
+			offered, err := replica.Offer(d)
+			must.NoError(rt, err)
+			if altered && offered.Applied {
+				rt.Fatalf("an altered delta was applied: %+v", offered)
+			}
+			if now := current.Load().Generation; now < highest || (offered.Applied && now != d.Generation) {
+				rt.Fatalf("generation %d after %d", now, highest)
+			}
+			must.Eq(rt, current.Load().Generation, replica.Generation())
+			highest = current.Load().Generation
+		}
+		d := source.Since(0)
+		sections := d.Sections
+		d.Sections = nil
+		if highest < d.Generation {
+			offered, err := replica.Offer(d)
+			must.NoError(rt, err)
+			d.Sections = sections
+			if offered.Applied && replica.Generation() != d.Generation {
+				rt.Fatal("applied without its sections")
+			}
+			_, err = replica.Offer(d)
+			must.NoError(rt, err)
+		}
+		must.Eq(rt, source.Generation(), current.Load().Generation)
+	})
+}
+
+// TestUnchangedSectionIsNotWrittenAgain guards against store writes that grow with the configuration.
+func TestUnchangedSectionIsNotWrittenAgain(t *testing.T) {
+	store := standin.NewStore(clock.NewManual(time.Unix(0, 0)))
+	repository := &configuration.Repository{Store: store}
+	config, err := repository.Write(t.Context(), site())
+	must.NoError(t, err)
+	before := store.Calls().Writes
+	config.FloorShare = 0.25
+	_, err = repository.Write(t.Context(), config)
+	must.NoError(t, err)
+	must.Eq(t, before+2, store.Calls().Writes) // One section and the root.
+}
--- /dev/null
+++ b/configuration/root.go
@@ -0,0 +1,245 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"slices"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// RootKey is the key of the record that names the configuration in force.
+	RootKey = "configuration/root"
+	// sectionPrefix starts the keys of section records; the digest follows.
+	sectionPrefix = "configuration/sections/"
+	// partBytes is the size at which a section is split. At 65,000 changes a
+	// day, pushing the one changed part of 4 kB takes 3 KB/s of each VM.
+	partBytes = 4 << 10
+	// maxPartBytes keeps each record under the store's megabyte.
+	maxPartBytes = 900_000
+	// digestBytes is enough of a SHA-256 that no two sections share a digest.
+	digestBytes = 16
+	// keptWriteIDs is 22 minutes of write ids at 65,000 changes a day.
+	keptWriteIDs = 1024
+)
+
+// Root names everything in one generation.
+type Root struct {
+	Generation uint64   `json:"generation"`
+	WriteID    string   `json:"write-id"`
+	Kinds      []Kind   `json:"kinds"`               // In the order of kinds.
+	WriteIDs   []string `json:"write-ids,omitempty"` // The last 1,024, oldest first, WriteID included.
+}
+
+// Kind lists the sections of one kind of parts. Parts are spread over the
+// sections by the hash of their names, so that a change alters one section.
+type Kind struct {
+	Name    string   `json:"name"`
+	Digests []string `json:"digests"`
+}
+
+// Section is the encoded form of some parts of one kind: a JSON list.
+type Section = json.RawMessage
+
+// Sections holds encoded sections by digest.
+type Sections map[string]Section
+
+var kinds = []string{
+	kumquathitch.KindAccounts, kumquathitch.KindModels, kumquathitch.KindAdapters,
+	kumquathitch.KindUpstreams, kumquathitch.KindRoutes, kumquathitch.KindSettings,
+}
+
+// DigestOf returns the digest of a section.
+func DigestOf(section Section) string {
+	sum := sha256.Sum256(section)
+	return base64.RawURLEncoding.EncodeToString(sum[:digestBytes])
+}
+
+// Digest binds the generation to its sections.
+func (r *Root) Digest() string {
+	encoded, _ := json.Marshal(r.Kinds) // Strings always encode.
+	return DigestOf(strconv.AppendUint(encoded, r.Generation, 10))
+}
+
+// count returns the number of sections of a kind, 0 when there is none.
+func (r *Root) count(kind string) int {
+	for _, k := range r.Kinds {
+		if k.Name == kind {
+			return len(k.Digests)
+		}
+	}
+	return 0
+}
+
+// digests returns the digests of all sections.
+func (r *Root) digests() []string {
+	var all []string
+	for _, k := range r.Kinds {
+		all = append(all, k.Digests...)
+	}
+	return all
+}
+
+// Encode splits a configuration into sections. The previous root keeps the
+// number of sections of each kind steady while the sizes change little.
+func Encode(config kumquathitch.Configuration, previous Root) (Root, Sections, error) {
+	items, err := config.Items()
+	if err != nil {
+		return Root{}, nil, err
+	}
+	root := Root{Generation: config.Generation}
+	sections := Sections{}
+	for _, kind := range kinds {
+		values := itemsOf(kind, items)
+		encoded, err := split(values, sectionCount(values, previous.count(kind)))
+		if err != nil {
+			return Root{}, nil, err
+		}
+		fresh := Kind{Name: kind}
+		for _, section := range encoded {
+			digest := DigestOf(section)
+			sections[digest] = section
+			fresh.Digests = append(fresh.Digests, digest)
+		}
+		root.Kinds = append(root.Kinds, fresh)
+	}
+	return root, sections, nil
+}
+
+func itemsOf(kind string, items kumquathitch.Items) kumquathitch.Items {
+	var found kumquathitch.Items
+	for _, item := range items {
+		if item.Kind == kind {
+			found = append(found, item)
+		}
+	}
+	return found
+}
+
+// sectionCount returns a power of two.
+func sectionCount(items kumquathitch.Items, previous int) int {
+	size := 0
+	for _, item := range items {
+		size += len(item.Value)
+	}
+	if previous > 0 && size < 2*partBytes*previous && (previous == 1 || size > partBytes*previous/4) {
+		return previous
+	}
+	count := 1
+	for size > partBytes*count {
+		count *= 2
+	}
+	return count
+}
+
+func split(items kumquathitch.Items, count int) ([]Section, error) {
+	buckets := make([][]kumquathitch.Item, count)
+	for _, item := range items {
+		at := kumquathitch.ShardOf(item.Name, count)
+		buckets[at] = append(buckets[at], item)
+	}
+	sections := make([]Section, 0, count)
+	for _, bucket := range buckets {
+		values := make([]sectionItem, 0, len(bucket))
+		for _, item := range bucket {
+			values = append(values, sectionItem{Name: item.Name, Value: item.Value})
+		}
+		section, err := json.Marshal(values)
+		if err != nil {
+			return nil, eris.Wrap(err, "configuration.Encode")
+		}
+		if len(section) > maxPartBytes {
+			var problems kumquathitch.Problems
+			problems.Add(bucket[0].Kind, bucket[0].Name, "a part that encodes to less than 900 kB")
+			return nil, problems.Err()
+		}
+		sections = append(sections, section)
+	}
+	return sections, nil
+}
+
+// sectionItem is one part in a section.
+type sectionItem struct {
+	Name  string          `json:"name"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Decode puts a configuration together. It returns an error when a section is
+// missing or does not have its digest. Parts keep their order within a section.
+func Decode(root Root, sections Sections) (kumquathitch.Configuration, error) {
+	var config kumquathitch.Configuration
+	settings := map[string]json.RawMessage{}
+	for _, kind := range root.Kinds {
+		for _, digest := range kind.Digests {
+			section, ok := sections[digest]
+			if !ok || DigestOf(section) != digest {
+				return config, &SectionError{Kind: kind.Name, Digest: digest, Missing: !ok}
+			}
+			if err := decodeSection(kind.Name, section, &config, settings); err != nil {
+				return config, err
+			}
+		}
+	}
+	encoded, err := json.Marshal(settings)
+	if err != nil {
+		return config, eris.Wrap(err, "configuration.Decode")
+	}
+	if err := json.Unmarshal(encoded, &config); err != nil {
+		return config, eris.Wrap(err, "configuration.Decode")
+	}
+	config.Generation = root.Generation
+	return config, nil
+}
+
+func decodeSection(kind string, section Section, config *kumquathitch.Configuration, settings map[string]json.RawMessage) error {
+	var items []sectionItem
+	if err := json.Unmarshal(section, &items); err != nil {
+		return eris.Wrapf(err, "configuration.Decode: %s", kind)
+	}
+	var err error
+	switch kind {
+	case kumquathitch.KindAccounts:
+		config.Accounts, err = appendItems(config.Accounts, items)
+	case kumquathitch.KindModels:
+		config.Models, err = appendItems(config.Models, items)
+	case kumquathitch.KindAdapters:
+		config.Adapters, err = appendItems(config.Adapters, items)
+	case kumquathitch.KindUpstreams:
+		config.Upstreams, err = appendItems(config.Upstreams, items)
+	case kumquathitch.KindRoutes:
+		config.Routes, err = appendItems(config.Routes, items)
+	case kumquathitch.KindSettings:
+		for _, item := range items {
+			settings[item.Name] = item.Value
+		}
+	}
+	return err
+}
+
+func appendItems[T any](list []T, items []sectionItem) ([]T, error) {
+	list = slices.Grow(list, len(items))
+	for _, item := range items {
+		var value T
+		if err := json.Unmarshal(item.Value, &value); err != nil {
+			return nil, eris.Wrapf(err, "configuration.Decode: %s", item.Name)
+		}
+		list = append(list, value)
+	}
+	return list, nil
+}
+
+// SectionError reports a section that is missing or was altered.
+type SectionError struct {
+	Kind    string
+	Digest  string
+	Missing bool
+}
+
+func (e *SectionError) Error() string {
+	return "configuration.Decode: section " + e.Digest + " of " + e.Kind + ": missing=" + strconv.FormatBool(e.Missing)
+}
--- /dev/null
+++ b/daemon/control_test.go
@@ -0,0 +1,175 @@
+package daemon_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/configuration"
+)
+
+// controlBudget is what a daemon may send for control in all, bytes a second;
+// heartbeats may take half of it.
+const controlBudget = 5_000
+
+var fleetSizes = flag.String("fleet-sizes", "1x3,3x3,1x39",
+	"fleets for TestControlTraffic, each data centres x VMs of a data centre")
+
+// TestControlTraffic guards against heartbeats that use up the budget for
+// control, and against a change that is late without faults. It prints the
+// figures of each fleet.
+func TestControlTraffic(t *testing.T) {
+	for size := range strings.SplitSeq(*fleetSizes, ",") {
+		centres, vms, _ := strings.Cut(size, "x")
+		c, err := strconv.Atoi(centres)
+		must.NoError(t, err)
+		v, err := strconv.Atoi(vms)
+		must.NoError(t, err)
+		synctest.Test(t, func(t *testing.T) { measure(t, c, v) })
+	}
+}
+
+func measure(t *testing.T, centres, vms int) {
+	m := &machine{fleet: newFleet(1), withdrawn: map[int]uint64{}}
+	defer m.killAll()
+	for d := range centres {
+		m.dataCentres = append(m.dataCentres, fmt.Sprintf("quebec-%d", d))
+	}
+	for i := range centres * vms {
+		m.start(fmt.Sprintf("entry-%d", i), m.dataCentres[i%centres], "entry-0")
+		_ = sleep(context.Background(), 7*time.Millisecond)
+	}
+	must.NoError(t, m.write(func(*kumquathitch.Configuration) {}))
+	_ = sleep(context.Background(), 20*time.Second)
+
+	const window = 20 * time.Second
+	m.resetCounts()
+	calls := m.store.Calls()
+	_ = sleep(context.Background(), window)
+	seconds := window.Seconds()
+	sent, received := m.largest(m.bytes)/seconds, m.largest(m.received)/seconds
+	after := m.store.Calls()
+	t.Logf("%d data centres of %d VMs: most bytes a second of one daemon: sent %.0f, received %.0f; "+
+		"mean sent %.0f; messages a second of one daemon, both ways: %.1f; store writes a second %.2f, reads %.2f, watches begun %.2f, waiting about %d",
+		centres, vms, sent, received, m.mean(m.bytes)/seconds, 2*float64(m.messages)/float64(centres*vms)/seconds,
+		float64(after.Writes-calls.Writes)/seconds, float64(after.Reads-calls.Reads)/seconds,
+		float64(after.Watches-calls.Watches)/seconds, m.watchers())
+	must.Less(t, controlBudget, sent)
+
+	m.resetCounts()
+	begun := time.Now()
+	must.NoError(t, m.write(func(c *kumquathitch.Configuration) { c.RateSlots += centres }))
+	want := uint64(len(m.accepted))
+	behind := func() int {
+		n := 0
+		for _, v := range m.running() {
+			if v.generation() < want {
+				n++
+			}
+		}
+		return n
+	}
+	for behind() > 0 && time.Since(begun) < time.Minute {
+		_ = sleep(context.Background(), 5*time.Millisecond)
+	}
+	t.Logf("%d data centres of %d VMs, %s a message: in force on all after %s", centres, vms, messageDelay, time.Since(begun))
+	must.Less(t, inForce, time.Since(begun))
+}
+
+func (f *fleet) resetCounts() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	clear(f.bytes)
+	clear(f.received)
+	f.messages = 0
+}
+
+func (f *fleet) largest(of map[string]int) float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	most := 0
+	for _, n := range of {
+		most = max(most, n)
+	}
+	return float64(most)
+}
+
+func (f *fleet) mean(of map[string]int) float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	sum := 0
+	for _, n := range of {
+		sum += n
+	}
+	return float64(sum) / float64(len(of))
+}
+
+// watchers returns how many VMs hold the duty of watching.
+func (f *fleet) watchers() int {
+	now := time.Now()
+	return len(slices.DeleteFunc(f.running(), func(v *vm) bool { return !v.registry.Holds("configuration", 2, now) }))
+}
+
+// TestDeadWatcherDelaysNothing guards against a change that waits for a watcher
+// that has just died: the other one, or another data centre, must bring it in time.
+func TestDeadWatcherDelaysNothing(t *testing.T) {
+	for _, dead := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			m := &machine{fleet: newFleet(3), withdrawn: map[int]uint64{}, dataCentres: []string{"a", "b"}}
+			defer m.killAll()
+			for i := range 12 {
+				m.start(fmt.Sprintf("entry-%d", i), m.dataCentres[i%2], "entry-0", "entry-1")
+			}
+			must.NoError(t, m.write(func(*kumquathitch.Configuration) {}))
+			_ = sleep(context.Background(), settled)
+			killed := 0
+			for _, v := range m.running() {
+				if v.self.DataCentre == "a" && killed < dead && v.registry.Holds("configuration", 2, time.Now()) {
+					v.kill()
+					killed++
+				}
+			}
+			must.Eq(t, dead, killed)
+			must.NoError(t, m.write(func(c *kumquathitch.Configuration) { c.RateSlots += 2 }))
+			_ = sleep(context.Background(), inForce)
+			for _, v := range m.running() {
+				must.Eq(t, 2, v.generation(), must.Sprint(v.self.Name))
+			}
+		})
+	}
+}
+
+// TestLargeChangeIsPulledInParts guards against a push whose
+// sections do not fit in one message: VMs must pull the rest.
+func TestLargeChangeIsPulledInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &machine{fleet: newFleet(5), withdrawn: map[int]uint64{}, dataCentres: []string{"a"}}
+		defer m.killAll()
+		for i := range 5 {
+			m.start(fmt.Sprintf("entry-%d", i), "a", "entry-0")
+		}
+		_ = sleep(context.Background(), settled)
+		config := m.latest()
+		for i := range 12_000 {
+			config.Upstreams = append(config.Upstreams, kumquathitch.Upstream{
+				Name: fmt.Sprintf("planner-llm-%d", i), DataCentre: "a", Address: "10.0.0.1:80", Models: []string{"rigging"},
+			})
+		}
+		config.Models = kumquathitch.Models{{Name: "rigging", Bytes: 1}}
+		_, err := (&configuration.Repository{Store: m.store}).Write(t.Context(), config)
+		must.NoError(t, err)
+		_ = sleep(context.Background(), inForce)
+		for _, v := range m.running() {
+			must.Eq(t, 12_000, len(v.current.Load().Upstreams), must.Sprint(v.self.Name))
+		}
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,6 +60,9 @@
 	Peers      *peer.Client
 	PeerServer *peer.Server
 
+	Membership   *Membership
+	Distribution *Distribution
+
 	tracing      *telemetry.Tracing
 	listener     net.Listener
 	peerListener net.Listener
@@ -82,7 +85,7 @@
 		Upstreams: upstream.NewFleet(),
 		Members: entry.NewRegistry(kumquathitch.EntryVM{
 			Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.PeerListen.String(),
-		}),
+		}, entry.Settings{Heartbeat: settings.Heartbeat, SuspectAfter: settings.SuspectAfter, DeadAfter: settings.DeadAfter}),
 		Peers:      peer.NewClient(tracing),
 		PeerServer: peer.NewServer(tracing),
 		tracing:    tracing,
@@ -98,7 +101,9 @@
 		Logger:    d.Logger,
 		Metrics:   d.Metrics,
 	}, nil)
-	d.Current = configuration.NewCurrent(d.Accounts, rateApplier{d}, d.Upstreams, d.Routes, d.Gateway)
+	d.Current = configuration.NewCurrent(d.Accounts, rateApplier{d}, d.Upstreams, d.Routes, d.Members, d.Gateway)
+	d.addMembership()
+	d.addDistribution()
 	return d, d.listen(ctx)
 }
 
@@ -112,6 +117,7 @@
 		_ = d.listener.Close()
 		return eris.Wrap(err, "daemon.New")
 	}
+	d.Members.SetAddress(d.PeerAddress())
 	return nil
 }
 
@@ -138,7 +144,8 @@
 		return d.serveCallers(ctx)
 	})
 	all.Start(work, "peers", func(ctx context.Context) error { return <-d.PeerServer.Serve(ctx, d.peerListener) })
-	all.Start(work, "configuration", d.followConfiguration)
+	all.Start(work, "membership", d.Membership.Run)
+	all.Start(work, "configuration", d.Distribution.Run)
 	end := all.Wait(stop)
 	d.Peers.Close()
 	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
@@ -153,6 +160,7 @@
 	go func() {
 		<-ctx.Done()
 		d.Gateway.SetReady(false)
+		d.Membership.Leave(context.WithoutCancel(ctx))
 		d.Logger.Info("draining")
 		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Settings.DrainTimeout)
 		defer cancel()
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -53,6 +53,7 @@
 	engines  []string
 	service  string
 	entries  []string
+	peers    []string // Addresses of the entry VMs for each other.
 	daemons  []*exec.Cmd
 	key      string
 	other    string // Key of an account that may use no model.
@@ -135,10 +136,17 @@
 
 func (s *site) startEntry(t *testing.T, name string) {
 	t.Helper()
-	address := freeAddress(t)
-	s.daemons = append(s.daemons, start(t, "kumquathitchd", "--name", name, "--data-centre", "montreal-1",
-		"--listen", address, "--peer-listen", freeAddress(t), "--platform", s.platform))
+	address, peerAddress := freeAddress(t), freeAddress(t)
+	arguments := []string{
+		"--name", name, "--data-centre", "montreal-1",
+		"--listen", address, "--peer-listen", peerAddress, "--platform", s.platform,
+	}
+	for _, peer := range s.peers {
+		arguments = append(arguments, "--peer", peer)
+	}
+	s.daemons = append(s.daemons, start(t, "kumquathitchd", arguments...))
 	s.entries = append(s.entries, address)
+	s.peers = append(s.peers, peerAddress)
 	await(t, name, answers("http://"+address+"/-/ready", http.StatusNoContent))
 }
 
