--- a/cmd/kumquathitch/config.go
+++ b/cmd/kumquathitch/config.go
@@ -19,6 +19,7 @@
 const configUsage = `
 config check --file FILE                 report every problem of a configuration
 config apply --platform ADDR --file FILE make it the next generation
+config diff --platform ADDR --file FILE  what applying the file would alter
 config show --platform ADDR              print the configuration in the store
 
 Example:
@@ -31,6 +32,7 @@
 type configCommand struct {
 	Check *configCheck `arg:"subcommand:check" help:"report every problem of a configuration"`
 	Apply *configApply `arg:"subcommand:apply" help:"make a configuration the next generation"`
+	Diff  *configDiff  `arg:"subcommand:diff" help:"print what applying a configuration would alter"`
 	Show  *configShow  `arg:"subcommand:show" help:"print the configuration in the store"`
 }
 
@@ -43,20 +45,13 @@
 	Platform string `arg:"--platform,required,env:KUMQUATHITCH_PLATFORM" help:"IP number and port of the platform's key-value service"`
 }
 
-type configShow struct {
-	Platform string `arg:"--platform,required,env:KUMQUATHITCH_PLATFORM" help:"IP number and port of the platform's key-value service"`
+type configDiff struct {
+	storeFlags
+	File string `arg:"--file,required" help:"configuration in JSON"`
 }
 
-func (c *configCommand) run(ctx context.Context, out io.Writer) error {
-	switch {
-	case c.Check != nil:
-		return c.Check.run(ctx, out)
-	case c.Apply != nil:
-		return c.Apply.run(ctx, out)
-	case c.Show != nil:
-		return c.Show.run(ctx, out)
-	}
-	return eris.New("config: one of check, apply and show is required")
+type configShow struct {
+	Platform string `arg:"--platform,required,env:KUMQUATHITCH_PLATFORM" help:"IP number and port of the platform's key-value service"`
 }
 
 func (c *configCheck) run(_ context.Context, out io.Writer) error {
@@ -87,6 +82,27 @@
 	return err
 }
 
+func (c *configDiff) run(ctx context.Context, out io.Writer) error {
+	config, err := readConfiguration(c.File)
+	if err != nil {
+		return err
+	}
+	config.Defaults()
+	current, err := c.repository().Read(ctx)
+	if err != nil {
+		return err
+	}
+	changes, err := kumquathitch.DiffConfigurations(&current, &config)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, changes)
+	}
+	_, err = fmt.Fprintln(out, changes)
+	return err
+}
+
 func (c *configShow) run(ctx context.Context, out io.Writer) error {
 	repository := &configuration.Repository{Store: platform.NewClient(c.Platform, storeTimeout)}
 	config, err := repository.Read(ctx)
--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -40,13 +40,20 @@
 	Demo   *demoCommand   `arg:"subcommand:demo" help:"run everything in one process on stand-ins"`
 	Config *configCommand `arg:"subcommand:config" help:"check, apply and show the configuration"`
 
+	Account       *accountCommand       `arg:"subcommand:account" help:"client accounts"`
+	Key           *keyCommand           `arg:"subcommand:key" help:"keys of client accounts"`
+	Rate          *rateCommand          `arg:"subcommand:rate" help:"rates of client accounts"`
+	Model         *modelCommand         `arg:"subcommand:model" help:"models and adapters"`
+	Route         *routeCommand         `arg:"subcommand:route" help:"routes"`
+	Upstream      *upstreamCommand      `arg:"subcommand:upstream" help:"upstreams"`
 	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"make a configuration from answers"`
 	Replay        *replayCommand        `arg:"subcommand:replay" help:"run a trace through the decisions and compare"`
 }
 
 // Epilogue ends the help text.
 func (args) Epilogue() string {
-	return demoUsage + questionnaireUsage + configUsage + replayUsage
+	return demoUsage + questionnaireUsage + configUsage + accountUsage + keyUsage + rateUsage + modelUsage + routeUsage +
+		upstreamUsage + replayUsage
 }
 
 func main() {
--- a/configuration.go
+++ b/configuration.go
@@ -26,6 +26,10 @@
 	RateSlots   int         `json:"rate-slots"`  // Equal parts of every rate, a multiple of the number of data centres.
 	FloorShare  float64     `json:"floor-share"` // Part of each slot that outlives store outages, in [0, 1].
 	WeighsMost  string      `json:"weighs-most"` // WeighWorstServed or WeighRefusals.
+
+	// RetiredKeys are the ids of the keys of removed accounts, so that a
+	// configuration from an old file cannot bring one back.
+	RetiredKeys []string `json:"retired-keys,omitempty"`
 }
 
 // DataCentre is a failure domain with its own entry VMs and upstreams.
@@ -132,6 +136,9 @@
 		unique("accounts.name", a.Name)
 		for _, k := range a.Keys {
 			unique("accounts.keys.id", k.ID)
+			if !k.Withdrawn && slices.Contains(c.RetiredKeys, k.ID) {
+				problems.Add(fmt.Sprintf("accounts[%d].keys", i), k.ID, "a key that was not retired with its account; create a new one")
+			}
 		}
 		for _, m := range a.Models {
 			if m != "*" && !c.Lists(m) {
--- a/configuration/repository.go
+++ b/configuration/repository.go
@@ -149,7 +149,15 @@
 			withdrawn[k.ID] = k.Withdrawn
 		}
 	}
+	for _, id := range next.RetiredKeys {
+		withdrawn[id] = true
+	}
 	var problems kumquathitch.Problems
+	for _, id := range current.RetiredKeys {
+		if !withdrawn[id] {
+			problems.Add("retired-keys", id, "the key to stay listed, so that no older copy can restore it")
+		}
+	}
 	for _, a := range current.Accounts {
 		for _, k := range a.Keys {
 			kept, listed := withdrawn[k.ID]
