--- /dev/null
+++ b/standin/link.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// Link is a store as one client reaches it, over a network that can fail for
+// this client alone. It is not safe for concurrent use.
+type Link struct {
+	*Store
+	Cut         bool                        // Every call fails and has no effect.
+	LoseAnswer  bool                        // The next write takes effect and answers with an error.
+	DelayWrite  bool                        // The next write answers with an error and is kept in Late.
+	Late        []func(ctx context.Context) // Writes that the network still carries; each takes effect if its version still fits.
+	BeforeWrite func()                      // Called once, before the next write is sent, as when the client is paused there.
+}
+
+// Get returns a record, or a *kumquathitch.NotFoundError.
+func (l *Link) Get(ctx context.Context, key string) (kumquathitch.Record, error) {
+	if l.Cut {
+		return kumquathitch.Record{}, l.failure("Get", key)
+	}
+	return l.Store.Get(ctx, key)
+}
+
+// CompareAndSwap writes a record when its current version is record.Version.
+func (l *Link) CompareAndSwap(ctx context.Context, record kumquathitch.Record) (kumquathitch.Record, error) {
+	if before := l.BeforeWrite; before != nil {
+		l.BeforeWrite = nil
+		before()
+	}
+	if l.Cut {
+		return kumquathitch.Record{}, l.failure("CompareAndSwap", record.Key)
+	}
+	if l.DelayWrite {
+		l.DelayWrite = false
+		l.Late = append(l.Late, func(ctx context.Context) { _, _ = l.Store.CompareAndSwap(ctx, record) })
+		return kumquathitch.Record{}, l.failure("CompareAndSwap", record.Key)
+	}
+	written, err := l.Store.CompareAndSwap(ctx, record)
+	if l.LoseAnswer && err == nil {
+		l.LoseAnswer = false
+		return kumquathitch.Record{}, l.failure("CompareAndSwap", record.Key)
+	}
+	return written, err
+}
+
+// Deliver lets all late writes arrive, in order.
+func (l *Link) Deliver(ctx context.Context) {
+	for _, write := range l.Late {
+		write(ctx)
+	}
+	l.Late = nil
+}
+
+func (l *Link) failure(operation, key string) error {
+	return &kumquathitch.StoreError{Operation: operation, Key: key, Unknown: operation != "Get", Cause: eris.New("the link failed")}
+}
