Add vm forget to the operators' command

Cause: the floor half of a dead VM's slots stays reserved for 24 h unless its address is used again.

Change: kumquathitch vm forget calls rate.ForgetVM, which ends the VM's halves in all tables after one loan term and two clock errors.

Conclusion: ForgetVM is driven by the property test of package rate; the subcommand itself has no test yet.

--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -37,11 +37,12 @@
 type args struct {
 	Demo   *demoCommand   `arg:"subcommand:demo" help:"run everything in one process on stand-ins"`
 	Config *configCommand `arg:"subcommand:config" help:"check, apply and show the configuration"`
+	VM     *vmCommand     `arg:"subcommand:vm" help:"tell the system about VMs"`
 }
 
 // Epilogue ends the help text.
 func (args) Epilogue() string {
-	return demoUsage + configUsage
+	return demoUsage + configUsage + vmUsage
 }
 
 func main() {
--- /dev/null
+++ b/cmd/kumquathitch/vm.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/platform"
+	"kumquathitch.example/kumquathitch/rate"
+)
+
+const vmUsage = `
+vm forget --platform ADDR --name NAME    give the rate slots of a dead VM to the others at once
+
+Only forget a VM whose process has ended: one that is merely cut off goes on
+spending its slots. A VM that is forgotten by mistake takes its slots back.
+
+Example:
+  kumquathitch vm forget --platform 10.0.0.2:7000 --name entry-3
+`
+
+type vmCommand struct {
+	Forget *vmForget `arg:"subcommand:forget" help:"give the rate slots of a dead VM to the others at once"`
+}
+
+type vmForget struct {
+	Platform   string        `arg:"--platform,required,env:KUMQUATHITCH_PLATFORM" help:"IP number and port of the platform's key-value service"`
+	Name       string        `arg:"--name,required" help:"name of the VM"`
+	ClockError time.Duration `arg:"--clock-error,env:KUMQUATHITCH_CLOCK_ERROR" default:"1s" help:"as set on the VMs"`
+	LoanTerm   time.Duration `arg:"--loan-term,env:KUMQUATHITCH_LOAN_TERM" default:"5s" help:"as set on the VMs"`
+}
+
+func (c *vmCommand) run(ctx context.Context, out io.Writer) error {
+	if c.Forget == nil {
+		return eris.New("vm: forget is required")
+	}
+	return c.Forget.run(ctx, out)
+}
+
+func (c *vmForget) run(ctx context.Context, out io.Writer) error {
+	settings := rate.Settings{ClockError: c.ClockError, LoanTerm: c.LoanTerm}
+	store := platform.NewClient(c.Platform, storeTimeout)
+	halves, err := rate.ForgetVM(ctx, store, c.Name, settings, clock.NewSystem())
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s held %d halves of slots, free in %s\n", c.Name, halves, c.LoanTerm+2*c.ClockError)
+	return err
+}
