Settle refunds as if never charged, and guard proofs of death

Cause: a refund up to the burst rights lets callers spend more than the burst in one instant: charge, wait until the bucket is full, spend the burst, settle the old charge and spend its refund. And two machines that both listen on the default 127.0.0.1:7100 have the same address text, so that one would have taken the other's slots as a dead process's.

Change: Charge carries its time. A refund is at most the least headroom since then, kept as at most 64 entries for each account. Holder.Replaces asks for the same name where the address is loopback or unspecified.

Store calls unchanged.

--- a/rate/holding.go
+++ b/rate/holding.go
@@ -31,6 +31,7 @@
 	updated time.Time // When level and rights were last brought up to date.
 	rights  Rights    // From updated until next.
 	next    time.Time // When the next part or loan ends; zero for never.
+	room    []room    // In order of time and of headroom.
 
 	demandSlow   float64 // Sum of the tokens asked for, decayed by slowDemand.
 	demandFast   float64 // The same, decayed by fastDemand.
@@ -40,6 +41,15 @@
 	refillFactor float64 // Below 1, so that a fast clock does not refill too much.
 }
 
+// room is the least headroom, burst rights less level, since some time.
+type room struct {
+	at   time.Time
+	room float64 // Tokens.
+}
+
+// roomEntries bounds the headrooms kept. Older ones are merged, which only lowers refunds.
+const roomEntries = 64
+
 // ended reports whether a deadline has come; a zero deadline never does.
 func ended(deadline, now time.Time) bool {
 	return !deadline.IsZero() && !now.Before(deadline)
@@ -63,6 +73,35 @@
 		h.recompute()
 	}
 	h.refill(now)
+	h.noteRoom()
+}
+
+// noteRoom remembers the present headroom, in place of earlier ones that were not smaller.
+func (h *holding) noteRoom() {
+	now := room{at: h.updated, room: h.rights.Burst - h.level}
+	kept := len(h.room)
+	for kept > 0 && h.room[kept-1].room >= now.room {
+		kept--
+	}
+	h.room = append(h.room[:kept], now)
+	if len(h.room) > roomEntries {
+		h.room[1].room = h.room[0].room
+		h.room = append(h.room[:0], h.room[1:]...)
+	}
+}
+
+// refund gives back tokens charged at a time, as if they had never been
+// charged: what would have overflowed since then is lost. A refund up to the burst rights
+// alone would let callers spend a burst, and the refund on top of it.
+func (h *holding) refund(tokens float64, charged time.Time) {
+	for _, r := range h.room {
+		if r.at.After(charged) {
+			tokens = min(tokens, r.room)
+			break
+		}
+	}
+	h.level += max(0, min(tokens, h.rights.Burst-h.level))
+	h.noteRoom()
 }
 
 func (h *holding) refill(until time.Time) {
@@ -100,6 +139,7 @@
 		}
 	}
 	h.level = min(h.level, h.rights.Burst)
+	h.noteRoom()
 }
 
 // free returns the own rights that last beyond a time, less all loans lent.
--- a/rate/ledger.go
+++ b/rate/ledger.go
@@ -17,7 +17,7 @@
 //	if short, ok := ledger.Charge("crew-a", 700, now); !ok {
 //		// short tokens are missing
 //	}
-//	ledger.Refund("crew-a", 120, now)
+//	ledger.Refund("crew-a", 120, charged, now)
 //
 // Decisions take the time as a value. State is held in shards by account, each
 // under its own lock.
@@ -140,12 +140,12 @@
 	return 0, true
 }
 
-// Refund gives back tokens that were charged and not used, up to the burst rights.
-func (l *Ledger) Refund(account string, tokens float64, now time.Time) {
+// Refund gives back tokens that were charged at a time and not used, as if
+// they had never been charged: what would have gone above the burst rights since then is lost.
+func (l *Ledger) Refund(account string, tokens float64, charged, now time.Time) {
 	l.with(account, now, func(h *holding) {
-		refund := max(0, tokens)
-		h.level = min(h.level+refund, h.rights.Burst)
-		h.addDemand(-refund, now)
+		h.refund(max(0, tokens), charged)
+		h.addDemand(-max(0, tokens), now)
 	})
 }
 
@@ -253,6 +253,7 @@
 			h.borrowed = append(h.borrowed, loan)
 			h.recompute()
 			h.level = min(h.level+loan.Level, h.rights.Burst)
+			h.noteRoom()
 			gained = true
 		})
 	}
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -41,13 +41,13 @@
 	if !ok {
 		return kumquathitch.Charge{}, l.refusal(account, short)
 	}
-	return kumquathitch.Charge{Account: account, Tokens: tokens}, nil
+	return kumquathitch.Charge{Account: account, Tokens: tokens, At: l.Clock.Now()}, nil
 }
 
 // Settle gives back what was charged and not used.
 func (l *Limiter) Settle(charge kumquathitch.Charge, used float64) {
 	if used < charge.Tokens {
-		l.Ledger.Refund(charge.Account, charge.Tokens-max(0, used), l.Clock.Now())
+		l.Ledger.Refund(charge.Account, charge.Tokens-max(0, used), charge.At, l.Clock.Now())
 	}
 }
 
--- a/rate/slots.go
+++ b/rate/slots.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -28,6 +29,18 @@
 	return fmt.Sprintf("%s/%d", h.Name, h.Incarnation)
 }
 
+// Replaces reports whether this process, being alive, proves that another one
+// is dead: it has a higher incarnation at the same address. Machines that listen on
+// loopback or on all addresses may have the same text, so that there the names must be the same too.
+func (h Holder) Replaces(other Holder) bool {
+	if h.Address != other.Address || h.Incarnation <= other.Incarnation {
+		return false
+	}
+	address, err := netip.ParseAddrPort(h.Address)
+	shared := err == nil && (address.Addr().IsLoopback() || address.Addr().IsUnspecified())
+	return h.Name == other.Name || !shared
+}
+
 // Half is one half of a slot. The zero value is free.
 type Half struct {
 	Holder   Holder    `json:"holder,omitzero"`
@@ -130,16 +143,13 @@
 // loans have ended.
 func (t *Table) Register(self Holder, writeID string, settings Settings, now time.Time) {
 	t.VMs = slices.DeleteFunc(t.VMs, func(r Registration) bool {
-		replaced := r.Address == self.Address && r.Incarnation < self.Incarnation
-		return replaced || r.Holder == self || !now.Before(r.Until.Add(settings.ClockError))
+		return self.Replaces(r.Holder) || r.Holder == self || !now.Before(r.Until.Add(settings.ClockError))
 	})
 	t.VMs = append(t.VMs, Registration{Holder: self, Until: now.Add(settings.SlotLease), WriteID: writeID})
 	slices.SortFunc(t.VMs, func(a, b Registration) int {
 		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	t.endHalves(settings, now, func(h Holder) bool {
-		return h.Address == self.Address && h.Incarnation < self.Incarnation
-	})
+	t.endHalves(settings, now, self.Replaces)
 }
 
 // Forget ends the halves of a VM that an operator declares dead, as soon as
--- a/request.go
+++ b/request.go
@@ -38,6 +38,7 @@
 type Charge struct {
 	Account string
 	Tokens  float64
+	At      time.Time
 }
 
 // Authenticator checks callers. Implementations are safe for concurrent use.
