--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -48,12 +48,13 @@
 	Upstream      *upstreamCommand      `arg:"subcommand:upstream" help:"upstreams"`
 	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"make a configuration from answers"`
 	Replay        *replayCommand        `arg:"subcommand:replay" help:"run a trace through the decisions and compare"`
+	VM            *vmCommand            `arg:"subcommand:vm" help:"tell the system about VMs"`
 }
 
 // Epilogue ends the help text.
 func (args) Epilogue() string {
 	return demoUsage + questionnaireUsage + configUsage + accountUsage + keyUsage + rateUsage + modelUsage + routeUsage +
-		upstreamUsage + replayUsage
+		upstreamUsage + vmUsage + replayUsage
 }
 
 func main() {
