--- /dev/null
+++ b/request/record_test.go
@@ -0,0 +1,123 @@
+package request_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/request"
+)
+
+var epoch = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func newClaim(key string, body uint64, now time.Time) kumquathitch.Claim {
+	claim := kumquathitch.NewClaim("crew-a", key, body, now.Add(claimPeriod))
+	claim.Holder = "entry-1"
+	return claim
+}
+
+// TestDecisions guards against a wrong answer to a repeat in each state of an entry.
+func TestDecisions(t *testing.T) {
+	terms := request.Terms{TTL: time.Hour, ClockError: time.Second, MaxBytes: 1 << 20}
+	late := epoch.Add(claimPeriod + 2*time.Second)
+	gone := epoch.Add(claimPeriod + time.Hour + 2*time.Second)
+	cases := []struct {
+		name   string
+		change func(r *request.Record, first kumquathitch.Claim)
+		body   uint64
+		now    time.Time
+		want   request.Decision
+	}{
+		{"running", nil, 1, epoch, request.StillRunning},
+		{"other body", nil, 2, epoch, request.OtherBody},
+		{"deadline passed", nil, 1, late, request.OutcomeLost},
+		{"expired", nil, 1, gone, request.Run},
+		{"abandoned", func(r *request.Record, c kumquathitch.Claim) { r.Abandon(c) }, 1, epoch, request.OutcomeLost},
+		{"withdrawn", func(r *request.Record, c kumquathitch.Claim) { r.Withdraw(c) }, 1, epoch, request.Run},
+		{"done", func(r *request.Record, c kumquathitch.Claim) { r.Complete(c, kumquathitch.Outcome{Status: 201}, terms) }, 1, epoch, request.Repeat},
+		{"done after unknown", func(r *request.Record, c kumquathitch.Claim) {
+			r.Abandon(c)
+			r.Complete(c, kumquathitch.Outcome{Status: 201}, terms)
+		}, 1, late, request.Repeat},
+		{"withdrawn by another claim", func(r *request.Record, c kumquathitch.Claim) {
+			c.WriteID++
+			r.Withdraw(c)
+		}, 1, epoch, request.StillRunning},
+		{"withdrawn after the outcome", func(r *request.Record, c kumquathitch.Claim) {
+			r.Complete(c, kumquathitch.Outcome{Status: 201}, terms)
+			r.Withdraw(c)
+		}, 1, epoch, request.Repeat},
+	}
+	for _, c := range cases {
+		r := request.NewRecord()
+		first := newClaim("key", 1, epoch)
+		decision, _, changed := r.Claim(first, terms, epoch)
+		must.Eq(t, request.Run, decision)
+		must.True(t, changed)
+		if c.change != nil {
+			c.change(r, first)
+		}
+		got, _ := r.Decide(newClaim("key", c.body, c.now), terms, c.now)
+		must.Eq(t, c.want, got, must.Sprint(c.name))
+	}
+}
+
+// TestRecordStaysBelowLimit guards against a record that the store refuses, a
+// wrong order of dropped bodies, and a size that differs from the encoded one.
+func TestRecordStaysBelowLimit(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		terms := request.Terms{TTL: time.Hour, ClockError: time.Second, MaxBytes: rapid.IntRange(500, 6000).Draw(r, "limit")}
+		record, now := request.NewRecord(), epoch
+		var claims []kumquathitch.Claim
+		for i := range rapid.IntRange(1, 80).Draw(r, "claims") {
+			claim := newClaim(fmt.Sprint(i), 1, now)
+			if decision, _, _ := record.Claim(claim, terms, now); decision == request.Full {
+				must.True(r, record.Bytes()+200 > terms.MaxBytes-1100, must.Sprint("refused with room left"))
+			} else {
+				claims = append(claims, claim)
+			}
+			if len(claims) > 0 && rapid.Bool().Draw(r, "complete") {
+				at := rapid.IntRange(0, len(claims)-1).Draw(r, "which")
+				record.Complete(claims[at], kumquathitch.Outcome{
+					Status: 200, Body: make([]byte, rapid.IntRange(0, 9000).Draw(r, "body")), ContentType: fmt.Sprintf("text/%d", i%5),
+				}, terms)
+			}
+			if rapid.IntRange(0, 9).Draw(r, "prune") == 0 {
+				now = now.Add(40 * time.Minute)
+				record.Prune(terms, now)
+			}
+			checkRecord(r, record, terms)
+		}
+	})
+}
+
+func checkRecord(t *rapid.T, record *request.Record, terms request.Terms) {
+	value := request.Encode(record)
+	must.LessEq(t, terms.MaxBytes, len(value))
+	must.LessEq(t, record.Bytes(), len(value))
+	decoded, err := request.Decode(value)
+	must.NoError(t, err)
+	must.Eq(t, record.Entries, decoded.Entries)
+	kept := false
+	for _, e := range record.Entries {
+		must.False(t, kept && e.Outcome.BodyDropped && len(e.Outcome.Body) > 0)
+		kept = kept || len(e.Outcome.Body) > 0
+	}
+}
+
+// TestDecodeRejectsDamage guards against a damaged record that reads as one with fewer claims.
+func TestDecodeRejectsDamage(t *testing.T) {
+	terms := request.Terms{TTL: time.Hour, MaxBytes: 1 << 20}
+	record := request.NewRecord()
+	record.Claim(newClaim("a", 1, epoch), terms, epoch)
+	record.Claim(newClaim("b", 1, epoch), terms, epoch)
+	value := request.Encode(record)
+	for cut := 1; cut < len(value); cut++ {
+		_, err := request.Decode(value[:cut])
+		must.Error(t, err, must.Sprint(cut))
+	}
+}
