Claim non-idempotent calls and check suspects in the gateway

Cause: the header Idempotency-Key was ignored, a call ended with its caller, and a request that crashed an upstream went on to the next. Change: the service path claims a keyed call before a byte leaves, lets it run to its end without its caller, records the outcome and answers repeats from the record. Suspects are checked before each attempt and registered around the send. Redirects are handed to the caller. The daemon wires both parts. Faults mended on the way: http.Client sent a call again after status 307, when its body was empty; an idempotent call whose first attempt may have run said "not run" when the second could not connect; an answer above 16 MiB counted as a crash of its upstream; a refused connection must not count as one for the request. Conclusion: a booking whose answer is lost runs once, also when it is repeated at another entry VM.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,7 @@
 	Members    *entry.Registry
 	Peers      *peer.Client
 	PeerServer *peer.Server
+	Requests   *Requests
 
 	tracing      *telemetry.Tracing
 	listener     net.Listener
@@ -88,10 +89,13 @@
 		tracing:    tracing,
 	}
 	d.Routes = route.NewTable(d.Upstreams, d.Clock, settings.DataCentre)
+	d.Requests = d.newRequests()
 	d.Gateway = gateway.NewServer(&gateway.Server{
 		Accounts:  d.Accounts,
 		Limits:    &rate.Limiter{Ledger: d.Rates, Clock: d.Clock},
 		Upstreams: d.Routes,
+		Outcomes:  d.Requests.Outcomes,
+		Suspects:  d.Requests.Suspects,
 		Reports:   reportSink{fleet: d.Upstreams, clock: d.Clock},
 		Clock:     d.Clock,
 		Tracing:   tracing,
@@ -139,6 +143,7 @@
 	})
 	all.Start(work, "peers", func(ctx context.Context) error { return <-d.PeerServer.Serve(ctx, d.peerListener) })
 	all.Start(work, "configuration", d.followConfiguration)
+	d.startRequests(work, all)
 	end := all.Wait(stop)
 	d.Peers.Close()
 	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
--- /dev/null
+++ b/daemon/request.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/peer"
+	"kumquathitch.example/kumquathitch/request"
+)
+
+// outcomeLinger is how long an outcome waits for a claim to share a store
+// write with. A VM that dies meanwhile leaves the outcome unknown.
+const outcomeLinger = time.Second
+
+// Requests holds what keeps requests from running twice and from crashing upstreams.
+type Requests struct {
+	Outcomes *request.Coordinator
+	Suspects *request.Suspects
+	Notifier *request.Notifier
+}
+
+// newRequests builds the parts and adds their handlers for messages of other VMs.
+func (d *Daemon) newRequests() *Requests {
+	notifier := request.NewNotifier(d.Clock, d.Members, d.Peers)
+	r := &Requests{
+		Outcomes: request.NewCoordinator(d.Store, d.Clock, d.Members, d.Peers, request.Settings{
+			Terms:        request.Terms{TTL: d.Settings.OutcomeTTL, ClockError: d.Settings.ClockError},
+			StoreTimeout: d.Settings.StoreTimeout,
+			Linger:       outcomeLinger,
+		}),
+		Suspects: request.NewSuspects(d.Settings.Name, d.Settings.FingerprintTTL, 2*d.Settings.ClockError, notifier.Notify),
+		Notifier: notifier,
+	}
+	peer.Handle(d.PeerServer, request.ClaimMethod, r.Outcomes.Receive)
+	peer.Handle(d.PeerServer, request.SuspectsMethod,
+		func(_ context.Context, suspicions request.Suspicions) (request.Received, error) {
+			r.Suspects.Receive(suspicions, d.Clock.Now())
+			return request.Received{}, nil
+		})
+	return r
+}
+
+// startRequests starts the goroutines of the parts.
+func (d *Daemon) startRequests(ctx context.Context, all *tasks) {
+	all.Start(ctx, "outcomes", d.Requests.Outcomes.Run)
+	all.Start(ctx, "suspects", d.Requests.Notifier.Run)
+}
+
+var (
+	_ kumquathitch.Outcomes   = (*request.Coordinator)(nil)
+	_ kumquathitch.Quarantine = (*request.Suspects)(nil)
+)
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -96,3 +96,32 @@
 	must.Eq(t, standin.Stream("rigging", standin.Tokens([]byte(long), 300), len(long)), whole.body)
 	must.NoError(t, s.daemons[0].Wait())
 }
+
+// TestLostBookingRunsOnce guards against a booking that runs twice when its
+// answer is lost at the service and its caller repeats it at another entry VM.
+func TestLostBookingRunsOnce(t *testing.T) {
+	s := startSite(t, 2)
+	book := func(entry int, body string) answer {
+		return send(t, http.MethodPost, "http://"+s.entries[entry]+"/bookings", s.key, body, "Idempotency-Key", body)
+	}
+	putJSON(t, "http://"+s.service+"/standin/faults", standin.ServiceFaults{LoseAnswers: 1})
+	lost := book(0, `{"site":"laval"}`)
+	must.Eq(t, http.StatusBadGateway, lost.status)
+	must.Eq(t, "unknown", lost.header.Get("kumquathitch-run"))
+	for range 3 {
+		again := book(1, `{"site":"laval"}`)
+		must.Eq(t, http.StatusConflict, again.status)
+		must.Eq(t, "unknown", again.header.Get("kumquathitch-run"))
+	}
+	first := book(1, `{"site":"hull"}`)
+	must.Eq(t, http.StatusOK, first.status)
+	var again answer
+	await(t, "outcome at the other entry VM", func() bool {
+		again = book(0, `{"site":"hull"}`)
+		return again.status == http.StatusOK
+	})
+	must.Eq(t, "true", again.header.Get("kumquathitch-repeat"))
+	must.Eq(t, first.body, again.body)
+	executions := send(t, http.MethodGet, "http://"+s.service+"/standin/executions", "", "").body
+	must.Eq(t, `{"{\"site\":\"hull\"}":1,"{\"site\":\"laval\"}":1}`, strings.TrimSpace(executions))
+}
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -188,13 +188,17 @@
 	err    error // Error while the body was read: the answer is not whole.
 }
 
-func send(t *testing.T, method, url, key, body string) answer {
+// send sends a request; headers are names and values in turn.
+func send(t *testing.T, method, url, key, body string, headers ...string) answer {
 	t.Helper()
 	request, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewBufferString(body))
 	must.NoError(t, err)
 	if key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
 	response, err := http.DefaultClient.Do(request)
 	must.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -79,8 +79,10 @@
 		seconds := math.Ceil(refusal.RetryAfter.Sub(now).Seconds())
 		w.Header().Set("Retry-After", strconv.Itoa(int(max(1, seconds))))
 	}
+	body := encodeRefusal(refusal)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body))) // Whole for the caller before the handler returns.
 	w.WriteHeader(refusal.Status)
-	_, _ = w.Write(encodeRefusal(refusal))
+	_, _ = w.Write(body)
 }
 
 func encodeRefusal(refusal *kumquathitch.RefusalError) []byte {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	server := &gateway.Server{
-//		Accounts: directory, Limits: limiter, Upstreams: table,
+//		Accounts: directory, Limits: limiter, Upstreams: table, Outcomes: coordinator, Suspects: suspects,
 //		Clock: clock, Tracing: tracing, Logger: logger, Metrics: set,
 //	}
 //	server.Apply(config)
@@ -33,6 +33,8 @@
 	Accounts  kumquathitch.Authenticator
 	Limits    kumquathitch.Limiter
 	Upstreams kumquathitch.Picker
+	Outcomes  kumquathitch.Outcomes
+	Suspects  kumquathitch.Quarantine
 	Reports   ReportSink
 	Clock     kumquathitch.Clock
 	Tracing   *telemetry.Tracing
@@ -53,13 +55,19 @@
 
 // NewServer completes a server. Its operators handler, which may be nil, serves paths below /-/.
 func NewServer(s *Server, operators http.Handler) *Server {
-	s.client = &http.Client{Transport: newTransport()}
-	s.oneShot = &http.Client{Transport: newOneShotTransport()}
+	s.client = &http.Client{Transport: newTransport(), CheckRedirect: keepRedirect}
+	s.oneShot = &http.Client{Transport: newOneShotTransport(), CheckRedirect: keepRedirect}
 	s.operators = operators
 	s.router.Store(s.newRouter(kumquathitch.Routes{}))
 	return s
 }
 
+// keepRedirect hands a redirect to the caller: http.Client would follow it and
+// send a call with an empty body a second time after status 307 or 308.
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
 // Apply replaces the routes by those of a configuration and makes the server ready.
 func (s *Server) Apply(config kumquathitch.Configuration) {
 	s.router.Store(s.newRouter(config.Routes))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -11,29 +11,97 @@
 
 // serveService relays a call of a plain service.
 func (s *Server) serveService(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
-	tokens := float64(x.route.RequestTokens)
-	if !x.route.Open {
-		charge, err := s.Limits.Admit(ctx, x.caller.Account, tokens)
+	key, err := idempotencyKey(r.Header, x.route)
+	if err != nil {
+		return err
+	}
+	charge, err := s.admitService(ctx, x)
+	if err != nil {
+		return err
+	}
+	used := 0.0
+	defer func() { s.settleService(x, charge, used) }()
+	call := newServiceCall(ctx, r, x)
+	if key != "" {
+		claim := kumquathitch.NewClaim(x.caller.Account, key, call.demand.Fingerprint, call.demand.Deadline)
+		first, err := s.Outcomes.Claim(ctx, claim)
 		if err != nil {
 			return err
 		}
-		defer s.Limits.Settle(charge, tokens)
+		if first != nil {
+			writeRepeat(w, first)
+			return nil
+		}
+		call.claim = &claim
 	}
+	used = float64(x.route.RequestTokens)
+	return s.runService(ctx, w, call)
+}
+
+func (s *Server) admitService(ctx context.Context, x *exchange) (kumquathitch.Charge, error) {
+	if x.route.Open {
+		return kumquathitch.Charge{}, nil
+	}
+	return s.Limits.Admit(ctx, x.caller.Account, float64(x.route.RequestTokens))
+}
+
+func (s *Server) settleService(x *exchange, charge kumquathitch.Charge, used float64) {
+	if !x.route.Open {
+		s.Limits.Settle(charge, used)
+	}
+}
+
+func newServiceCall(ctx context.Context, r *http.Request, x *exchange) *serviceCall {
 	deadline, _ := ctx.Deadline()
-	answer, err := s.attemptService(ctx, r, x, kumquathitch.Demand{
+	return &serviceCall{request: r, x: x, demand: kumquathitch.Demand{
 		Account:     x.caller.Account,
 		Service:     x.route.Service,
 		Class:       x.route.Class,
 		Tokens:      x.route.RequestTokens,
-		Fingerprint: fingerprint(x.caller.Account, x.body),
+		Fingerprint: callFingerprint(x.caller.Account, r, x.body),
 		Deadline:    deadline,
-	})
-	if err != nil {
-		return withCause(ctx, err)
+	}}
+}
+
+// serviceEnd is how a call of a plain service ended.
+type serviceEnd struct {
+	answer serviceAnswer
+	err    error
+}
+
+// runService runs a call and writes its answer. A claimed call goes on to its
+// end when the caller goes away or its key is withdrawn, so that its outcome is recorded.
+func (s *Server) runService(ctx context.Context, w http.ResponseWriter, call *serviceCall) error {
+	if call.claim == nil {
+		answer, err := s.attemptService(ctx, call)
+		if err != nil {
+			return withCause(ctx, err)
+		}
+		writeAnswer(w, answer)
+		return nil
+	}
+	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), call.demand.Deadline)
+	defer cancel()
+	ended := make(chan serviceEnd, 1)
+	go func() {
+		answer, err := s.attemptService(run, call)
+		s.end(call, answer, err)
+		ended <- serviceEnd{answer, err}
+	}()
+	select {
+	case end := <-ended:
+		if end.err != nil {
+			return end.err
+		}
+		writeAnswer(w, end.answer)
+		return nil
+	case <-ctx.Done():
 	}
-	w.Header().Set("Content-Type", answer.contentType)
-	w.WriteHeader(answer.status)
-	_, _ = w.Write(answer.body) // A caller that has gone away needs no answer.
+	if !errors.Is(context.Cause(ctx), context.Canceled) { // Else the caller has gone away.
+		s.refuse(w, call.x, withCause(ctx, kumquathitch.Unknown(504, "deadline-exceeded", "The upstream did not answer in time.")))
+		_ = http.NewResponseController(w).Flush() // Not every ResponseWriter can flush.
+	}
+	<-ended // A graceful shutdown waits for the handler, and so for the call.
 	return nil
 }
 
@@ -44,32 +112,70 @@
 	body        []byte
 }
 
+// maxBusy bounds the upstreams that a suspect request finds taken by another suspect.
+const maxBusy = 8
+
 // attemptService tries upstreams. A non-idempotent call is tried again only
 // when its connection could not be opened, since then no byte of it has left.
-func (s *Server) attemptService(ctx context.Context, r *http.Request, x *exchange, demand kumquathitch.Demand) (serviceAnswer, error) {
+func (s *Server) attemptService(ctx context.Context, call *serviceCall) (serviceAnswer, error) {
+	demand := call.demand
 	var last error
-	for range maxAttempts {
-		choice, err := s.Upstreams.Pick(demand)
+	for sent, busy := 0, 0; sent < maxAttempts && busy < maxBusy; {
+		choice, err := s.pickService(demand)
 		if err != nil {
-			if last != nil {
-				return serviceAnswer{}, last
-			}
-			return serviceAnswer{}, err
+			last = lessCertain(last, err)
+			break
 		}
-		answer, result, err := s.sendService(ctx, r, x, choice)
+		upstream := choice.Upstream.Name
+		demand.Exclude = append(demand.Exclude, upstream)
+		if !s.Suspects.Begin(upstream, demand.Fingerprint, s.Clock.Now()) {
+			s.Upstreams.Done(choice, kumquathitch.Result{Failed: true})
+			last = lessCertain(last, kumquathitch.NotRun(503, "suspects-running", "Every upstream runs another suspect request."))
+			busy++
+			continue
+		}
+		answer, result, err := s.sendService(ctx, call.request, call.x, choice)
+		s.Suspects.End(upstream, demand.Fingerprint, suspectResult(result, err), s.Clock.Now())
 		s.Upstreams.Done(choice, result)
 		if err == nil {
 			return answer, nil
 		}
-		last = err
-		if ctx.Err() != nil || (!x.route.Idempotent && asRefusal(err).Run != kumquathitch.RunNot) {
+		last = lessCertain(last, err)
+		sent++
+		if ctx.Err() != nil || (!call.x.route.Idempotent && asRefusal(err).Run != kumquathitch.RunNot) {
 			break
 		}
-		demand.Exclude = append(demand.Exclude, choice.Upstream.Name)
 	}
 	return serviceAnswer{}, last
 }
 
+// pickService chooses an upstream. The request is checked before each attempt,
+// because the last one may have shown that it crashes upstreams.
+func (s *Server) pickService(demand kumquathitch.Demand) (kumquathitch.Choice, error) {
+	if err := s.Suspects.Admit(demand.Fingerprint, s.Clock.Now()); err != nil {
+		return kumquathitch.Choice{}, err
+	}
+	return s.Upstreams.Pick(demand)
+}
+
+// suspectResult returns what a result says about the request itself. An
+// upstream that could not be reached did not die of a request that it never got.
+func suspectResult(result kumquathitch.Result, err error) kumquathitch.Result {
+	if err != nil && asRefusal(err).Run == kumquathitch.RunNot {
+		result.Crashed = false
+	}
+	return result
+}
+
+// lessCertain returns the error that stands for several attempts: once one of
+// them may have run, the request as a whole may have.
+func lessCertain(last, err error) error {
+	if last != nil && asRefusal(last).Run == kumquathitch.RunUnknown {
+		return last
+	}
+	return err
+}
+
 func (s *Server) sendService(ctx context.Context, r *http.Request, x *exchange, choice kumquathitch.Choice,
 ) (serviceAnswer, kumquathitch.Result, error) {
 	ctx, span := s.Tracing.Tracer.Start(ctx, "upstream "+choice.Upstream.Name)
@@ -92,6 +198,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := readWhole(response.Body)
+	if errors.Is(err, errAnswerTooLarge) {
+		return serviceAnswer{}, kumquathitch.Result{Failed: true}, kumquathitch.Unknown(502, "answer-too-large", "The upstream's answer is larger than 16 MiB.")
+	}
 	if err != nil {
 		return serviceAnswer{}, failure(ctx, err), kumquathitch.Unknown(502, "upstream-failed", "The upstream's answer broke off.")
 	}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// errAnswerTooLarge reports an answer that is too large to relay; its upstream works.
+var errAnswerTooLarge = eris.New("gateway.readWhole: the answer is larger than 16 MiB")
+
 // readWhole reads an answer of bounded size to its end. An answer that is
 // shorter than it declared is an error.
 func readWhole(r io.Reader) ([]byte, error) {
@@ -80,7 +83,7 @@
 		return nil, eris.Wrap(err, "gateway.readWhole")
 	}
 	if len(body) > maxWholeAnswerBytes {
-		return nil, eris.New("gateway.readWhole: the answer is larger than 16 MiB")
+		return nil, errAnswerTooLarge
 	}
 	return body, nil
 }
