Merge claims, outcomes and suspects of requests

Cause: a non-idempotent call could run again for a repeat, and a crashing request could take down one upstream after another.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,6 +58,7 @@
 	Members    *entry.Registry
 	Peers      *peer.Client
 	PeerServer *peer.Server
+	Requests   *Requests
 
 	Membership   *Membership
 	Distribution *Distribution
@@ -90,10 +91,13 @@
 	}
 	d.Rates = newRateShares(d)
 	d.Routes = route.NewTable(d.Upstreams, d.Clock, settings.DataCentre)
+	d.Requests = d.newRequests()
 	d.Gateway = gateway.NewServer(&gateway.Server{
 		Accounts:  d.Accounts,
 		Limits:    d.Rates.Limiter,
 		Upstreams: d.Routes,
+		Outcomes:  d.Requests.Outcomes,
+		Suspects:  d.Requests.Suspects,
 		Reports:   reportSink{fleet: d.Upstreams, clock: d.Clock},
 		Clock:     d.Clock,
 		Tracing:   tracing,
@@ -147,6 +151,7 @@
 	all.Start(work, "configuration", d.Distribution.Run)
 	all.Start(work, "rate-slots", d.Rates.keepSlots)
 	all.Start(work, "rate-loans", d.Rates.Borrower.Run)
+	d.startRequests(work, all)
 	end := all.Wait(stop)
 	d.Peers.Close()
 	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
--- a/rate/world_test.go
+++ b/rate/world_test.go
@@ -41,7 +41,7 @@
 	config     kumquathitch.Configuration
 	ledger     *rate.Ledger
 	renewer    *rate.Renewer
-	link       *standin.Link
+	link       *standin.ManualLink
 	charges    []kumquathitch.Charge
 	chargedAt  []time.Time // Real times of charges.
 	idle       bool        // No callers come to this VM.
@@ -115,7 +115,7 @@
 	for i := range nodes {
 		n := &node{
 			name: fmt.Sprintf("vm-%d", i), dataCentre: config.DataCentres[i%dataCentres].Name,
-			clock: clock.NewManual(epoch.Add(-settings.ClockError / 2)), link: &standin.Link{Store: w.store},
+			clock: clock.NewManual(epoch.Add(-settings.ClockError / 2)), link: &standin.ManualLink{Store: w.store},
 		}
 		w.nodes = append(w.nodes, n)
 		w.start(n)
