Mend three faults of the end-to-end tests

Cause: on the loaded machine the tests failed now and then. freeAddress could return one port twice. A VM that has just started has no tokens, so that a single request got 429. The test of withdrawn keys withdrew the key before the first event had come, and then got a plain 401.

Change: freeAddress remembers what it returned. TestGracefulShutdownCutsNoRequest repeats its request until it is admitted and checks the same as before. TestWithdrawnKeyEndsStreams waits for the first bytes of both streams.

Conclusion: the faults lay in the tests.

--- a/e2e/configuration_test.go
+++ b/e2e/configuration_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -19,15 +20,14 @@
 func TestWithdrawnKeyEndsStreams(t *testing.T) {
 	s := startSite(t, 2)
 	long := strings.Replace(chatBody, `"max_tokens":12`, `"max_tokens":10000`, 1) // 20 seconds of tokens.
+	begun := make(chan struct{}, len(s.entries))
 	got := make(chan answer, len(s.entries))
 	for entry := range s.entries {
-		go func() { got <- s.chatWhenAdmitted(t, entry, long) }()
+		go func() { got <- s.stream(t, entry, long, begun) }()
+	}
+	for range s.entries {
+		<-begun
 	}
-	await(t, "both requests at engines", func() bool {
-		seen := send(t, http.MethodGet, "http://"+s.engines[0]+"/standin/requests", "", "").body +
-			send(t, http.MethodGet, "http://"+s.engines[1]+"/standin/requests", "", "").body
-		return strings.Count(seen, "max_tokens") == len(s.entries)
-	})
 	s.config.Accounts[0].Keys[0].Withdrawn = true
 	s.applyConfiguration(t)
 	limit := time.NewTimer(inForce)
@@ -47,6 +47,33 @@
 	}
 }
 
+// stream reads a stream and says when its first bytes have come. It repeats a
+// request until the rate allows it, as chatWhenAdmitted does.
+func (s *site) stream(t *testing.T, entry int, body string, begun chan<- struct{}) answer {
+	t.Helper()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for ; ; <-ticker.C {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.entries[entry]+"/v1/chat/completions",
+			strings.NewReader(body))
+		must.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer "+s.key)
+		response, err := http.DefaultClient.Do(request)
+		must.NoError(t, err)
+		if response.StatusCode == http.StatusTooManyRequests {
+			_ = response.Body.Close()
+			continue
+		}
+		first := make([]byte, 1)
+		_, err = io.ReadFull(response.Body, first)
+		must.NoError(t, err)
+		begun <- struct{}{}
+		rest, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		return answer{status: response.StatusCode, body: string(first) + string(rest), err: err}
+	}
+}
+
 // chatWhenAdmitted repeats a request until the rate allows it: a VM that has just started has no tokens.
 func (s *site) chatWhenAdmitted(t *testing.T, entry int, body string) answer {
 	t.Helper()
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -84,7 +84,7 @@
 	s := startSite(t, 1)
 	long := strings.Replace(chatBody, `"max_tokens":12`, `"max_tokens":300`, 1)
 	got := make(chan answer, 1)
-	go func() { got <- s.chat(t, 0, s.key, long) }()
+	go func() { got <- s.chatWhenAdmitted(t, 0, long) }()
 	await(t, "request at an engine", func() bool {
 		seen := send(t, http.MethodGet, "http://"+s.engines[0]+"/standin/requests", "", "").body +
 			send(t, http.MethodGet, "http://"+s.engines[1]+"/standin/requests", "", "").body
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -77,12 +77,23 @@
 	return process
 }
 
+// given holds the addresses that freeAddress returned. Tests run one at a time.
+var given = map[string]bool{}
+
+// freeAddress returns an address that it has not returned before: the system
+// may choose a port again as soon as its listener is closed.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	must.NoError(t, listener.Close())
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		must.NoError(t, listener.Close())
+		address := listener.Addr().String()
+		if !given[address] {
+			given[address] = true
+			return address
+		}
+	}
 }
 
 // await polls until check succeeds.
