Replace connections to peers that have gone silent

Cause: a call that ended at its deadline left its connection open. After a partition TCP sends again only after up to two minutes, and all calls of that peer wait for it, far longer than the 4 s for a change of configuration.

Change: a connection that gave no answer while a call waited to its deadline is closed, and the next call opens another. A connection that answers other calls meanwhile is kept.

Seen to fail: TestSilentConnectionIsReplaced without closing, TestSlowCallKeepsConnection when every deadline closes. Both passed 3 times under -race.

Conclusion: heartbeats reach a peer again within one failed call and a beat. Not measured with real packet loss.

--- a/peer/client.go
+++ b/peer/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -29,14 +31,20 @@
 
 type shard struct {
 	mutex sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	conns map[string]*connection
+}
+
+// connection is an open connection to a peer.
+type connection struct {
+	*jsonrpc2.Conn
+	answered atomic.Int64 // When the last answer came, nanoseconds since 1970.
 }
 
 // NewClient returns a client without connections.
 func NewClient(tracing *telemetry.Tracing) *Client {
 	c := &Client{tracing: tracing}
 	for i := range c.shards {
-		c.shards[i].conns = map[string]*jsonrpc2.Conn{}
+		c.shards[i].conns = map[string]*connection{}
 	}
 	return c
 }
@@ -54,14 +62,30 @@
 	}
 	message := envelope[any]{Trace: propagation.MapCarrier{}, Body: params}
 	c.tracing.Propagator.Inject(ctx, message.Trace)
-	if err := conn.Call(ctx, method, message, result); err != nil {
+	begun := time.Now()
+	err = conn.Call(ctx, method, message, result)
+	conn.settle(begun, err)
+	if err != nil {
 		return &kumquathitch.PeerError{Address: address, Method: method, Cause: err}
 	}
 	return nil
 }
 
+// settle notes an answer. It closes a connection that gave none while a call
+// waited for it to the end: after a partition, TCP can take two minutes until it
+// sends again, and a new connection works at once.
+func (c *connection) settle(begun time.Time, err error) {
+	var refused *jsonrpc2.Error
+	switch {
+	case err == nil || errors.As(err, &refused):
+		c.answered.Store(time.Now().UnixNano())
+	case errors.Is(err, context.DeadlineExceeded) && c.answered.Load() < begun.UnixNano():
+		_ = c.Close()
+	}
+}
+
 // conn returns the open connection to an address, or opens one. No lock is held while it dials.
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (*connection, error) {
 	s := &c.shards[kumquathitch.ShardOf(address, shardCount)]
 	if conn := s.open(address); conn != nil {
 		return conn, nil
@@ -72,7 +96,7 @@
 		return nil, err
 	}
 	// The connection outlives the call that opened it.
-	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(dialled), refuseCalls{})
+	fresh := &connection{Conn: jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(dialled), refuseCalls{})}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if old := s.conns[address]; old != nil && !closed(old) {
@@ -83,7 +107,7 @@
 	return fresh, nil
 }
 
-func (s *shard) open(address string) *jsonrpc2.Conn {
+func (s *shard) open(address string) *connection {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	conn := s.conns[address]
@@ -94,7 +118,7 @@
 	return conn
 }
 
-func closed(conn *jsonrpc2.Conn) bool {
+func closed(conn *connection) bool {
 	select {
 	case <-conn.DisconnectNotify():
 		return true
--- /dev/null
+++ b/peer/client_test.go
@@ -0,0 +1,107 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/peer"
+	"kumquathitch.example/kumquathitch/telemetry"
+)
+
+type echo struct {
+	Text string `json:"text"`
+}
+
+func newTracing(t *testing.T) *telemetry.Tracing {
+	t.Helper()
+	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
+	must.NoError(t, err)
+	return tracing
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// TestSilentConnectionIsReplaced guards against a peer that stays unreachable
+// after a partition because an old connection never carries data again.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	listener := listen(t)
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- conn // Kept open, and never answered.
+		}
+	}()
+	client := peer.NewClient(newTracing(t))
+	defer client.Close()
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		err := client.Call(ctx, listener.Addr().String(), "test.echo", echo{Text: "a"}, &echo{})
+		cancel()
+		var failed *kumquathitch.PeerError
+		must.True(t, errors.As(err, &failed))
+	}
+	must.NoError(t, listener.Close())
+	connections := 0
+	for conn := range accepted {
+		connections++
+		_ = conn.Close()
+	}
+	must.Eq(t, 2, connections)
+}
+
+// TestSlowCallKeepsConnection guards against one slow handler that ends the
+// calls of others on the same connection.
+func TestSlowCallKeepsConnection(t *testing.T) {
+	listener := listen(t)
+	server := peer.NewServer(newTracing(t))
+	release := make(chan struct{})
+	peer.Handle(server, "test.slow", func(_ context.Context, e echo) (echo, error) {
+		<-release
+		return e, nil
+	})
+	peer.Handle(server, "test.echo", func(_ context.Context, e echo) (echo, error) { return e, nil })
+	ctx, stop := context.WithCancel(t.Context())
+	end := server.Serve(ctx, listener)
+	client := peer.NewClient(newTracing(t))
+	address := listener.Addr().String()
+
+	patient := make(chan error, 1)
+	go func() { patient <- client.Call(t.Context(), address, "test.slow", echo{Text: "a"}, &echo{}) }()
+	short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	impatient := make(chan error, 1)
+	go func() { impatient <- client.Call(short, address, "test.slow", echo{Text: "b"}, &echo{}) }()
+	for waiting := true; waiting; {
+		var got echo
+		must.NoError(t, client.Call(t.Context(), address, "test.echo", echo{Text: "c"}, &got))
+		must.Eq(t, "c", got.Text)
+		select {
+		case err := <-impatient:
+			must.Error(t, err)
+			waiting = false
+		default:
+		}
+	}
+	close(release)
+	must.NoError(t, <-patient)
+	client.Close()
+	stop()
+	must.NoError(t, <-end)
+}
