Add memory plans of servers and their adapter pools

The record's version is the fencing number of the orders that a write adds. A holding is released only by a report that shows it gone and that no load order can follow any more. Load reports list weights with version, accelerator and bytes, also while they are loading. The stand-in engine takes load time, roles and restarts into account, and standin.Wire delivers orders late, twice or never.

A new holder orders adapters only after a report taken later than any order of the earlier holder.

--- /dev/null
+++ b/accelerator/holding.go
@@ -0,0 +1,168 @@
+package accelerator
+
+import (
+	"slices"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// used returns the bytes of an accelerator that are counted while the engine keeps running.
+func (h Holdings) used(accelerator int) int64 {
+	var sum int64
+	for _, x := range h {
+		if x.Accelerator == accelerator {
+			sum += x.Bytes
+		}
+	}
+	return sum
+}
+
+// usedAfterRestart returns the bytes that can be taken after a restart: the
+// first models and every load that can still arrive.
+func (h Holdings) usedAfterRestart(first Holdings, accelerator int) int64 {
+	sum := first.used(accelerator)
+	for i := range h {
+		x := &h[i]
+		if x.Accelerator != accelerator || x.Settled {
+			continue
+		}
+		sum += x.Bytes
+		if same := first.Find(x.Key); same != nil {
+			sum -= min(same.Bytes, x.Bytes)
+		}
+	}
+	return sum
+}
+
+func (h Holdings) most(first Holdings, accelerator int) int64 {
+	return max(h.used(accelerator), h.usedAfterRestart(first, accelerator))
+}
+
+// Free returns the bytes of a capacity that a load may take now.
+func (h Holdings) Free(capacity int64, first Holdings, accelerator int) int64 {
+	return capacity - h.most(first, accelerator)
+}
+
+func (h Holdings) reserve(server string, capacity int64, first Holdings, request Request, until, now time.Time) (Holdings, error) {
+	if !now.Before(request.Expiry) {
+		return h, &ExpiredError{Server: server, Key: request.Key, Expiry: request.Expiry}
+	}
+	changed := slices.Clone(h)
+	x := changed.Find(request.Key)
+	if x == nil {
+		changed = append(changed, Holding{Key: request.Key})
+		x = &changed[len(changed)-1]
+	}
+	if x.Unload.ID != "" {
+		return h, &UnsettledError{Server: server, Key: request.Key, Until: x.Unload.Until}
+	}
+	x.Bytes = max(x.Bytes, request.Bytes)
+	x.Settled = false
+	if x.Load.Until.After(until) {
+		until = x.Load.Until // An earlier order may arrive later than this one.
+	}
+	x.Load = Order{ID: request.OrderID, Expiry: request.Expiry, Until: until}
+	if most := changed.most(first, request.Accelerator); most > capacity {
+		return h, &NoRoomError{
+			Server: server, Key: request.Key, Need: request.Bytes, Free: h.Free(capacity, first, request.Accelerator),
+		}
+	}
+	return changed, nil
+}
+
+func (h Holdings) unload(server string, key Key, order Order) (Holdings, error) {
+	changed := slices.Clone(h)
+	x := changed.Find(key)
+	if x == nil {
+		return h, &NoHoldingError{Server: server, Key: key}
+	}
+	if !x.Settled {
+		return h, &UnsettledError{Server: server, Key: key, Until: x.Load.Until}
+	}
+	if x.Unload.Until.After(order.Until) {
+		order.Until = x.Unload.Until
+	}
+	x.Unload = order
+	return changed, nil
+}
+
+// settle takes in a report: it marks what the report proves of each holding
+// and drops those that are proved gone. Fence is the engine's highest fencing
+// number when it checks them, else 0.
+func (h Holdings) settle(report kumquathitch.LoadReport, fence uint64, adapters bool) Holdings {
+	changed := adopt(slices.Clone(h), report, adapters)
+	for i := range changed {
+		x := &changed[i]
+		passed := report.Taken.After(x.Load.Until)
+		fenced := x.Load.Fence != 0 && fence > x.Load.Fence
+		x.Settled = x.Settled || passed || fenced
+		x.Confirmed, x.Loading = false, false
+		if x.Unload.ID != "" && report.Taken.After(x.Unload.Until) {
+			x.Unload = Order{}
+		}
+	}
+	for _, w := range report.Weights {
+		if x := changed.Find(Key{w.Accelerator, w.Name, w.Version}); x != nil && w.Adapter == adapters {
+			x.Confirmed, x.Loading = !w.Loading, w.Loading
+			x.Bytes = max(x.Bytes, w.Bytes)
+		}
+	}
+	return slices.DeleteFunc(changed, func(x Holding) bool { return x.Settled && !shows(report, x.Key) })
+}
+
+// adopt adds weights that a report shows and the list does not hold: the
+// engine restarted with its first models, or they are older than the record.
+func adopt(h Holdings, report kumquathitch.LoadReport, adapters bool) Holdings {
+	for _, w := range report.Weights {
+		key := Key{w.Accelerator, w.Name, w.Version}
+		if w.Adapter == adapters && h.Find(key) == nil {
+			h = append(h, Holding{Key: key, Bytes: w.Bytes, Settled: true})
+		}
+	}
+	return h
+}
+
+func shows(report kumquathitch.LoadReport, key Key) bool {
+	return slices.ContainsFunc(report.Weights, func(w kumquathitch.ResidentWeights) bool {
+		return Key{w.Accelerator, w.Name, w.Version} == key
+	})
+}
+
+func (h Holdings) expire(now time.Time, rules Rules) Holdings {
+	changed := slices.Clone(h)
+	for i := range changed {
+		x := &changed[i]
+		if x.Unload.ID != "" && now.After(x.Unload.Until.Add(rules.ClockError)) {
+			x.Unload = Order{}
+		}
+	}
+	return changed
+}
+
+// First returns what an engine loads when it starts: the listed models and
+// adapters in order, each on the first accelerator with room. What fits
+// nowhere is counted on the first accelerator.
+func First(server kumquathitch.Upstream, models kumquathitch.Models, adapters kumquathitch.Adapters) (first, pool Holdings) {
+	for _, name := range server.Models {
+		if m := models.Find(name); m != nil {
+			first = place(first, server, Holding{Key: Key{Name: name, Version: m.Version}, Bytes: m.Bytes + m.CacheReserve},
+				func(a kumquathitch.Accelerator) int64 { return a.Bytes - a.AdapterPool })
+		}
+		if a := adapters.Find(name); a != nil {
+			pool = place(pool, server, Holding{Key: Key{Name: name}, Bytes: a.Bytes},
+				func(a kumquathitch.Accelerator) int64 { return a.AdapterPool })
+		}
+	}
+	return first, pool
+}
+
+func place(placed Holdings, server kumquathitch.Upstream, h Holding, capacity func(kumquathitch.Accelerator) int64) Holdings {
+	for i, a := range server.Accelerators {
+		if placed.used(i)+h.Bytes <= capacity(a) {
+			h.Accelerator = i
+			break
+		}
+	}
+	return append(placed, h)
+}
--- /dev/null
+++ b/accelerator/pool.go
@@ -0,0 +1,91 @@
+package accelerator
+
+import (
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// Pool is what the holder of a pool lease knows of the adapters on a server.
+// It lives in the memory of the holder only. Adapter orders carry the same
+// fencing number, so that only time settles them.
+type Pool struct {
+	Server   string
+	Lease    PoolLease
+	Fence    uint64    // Version of the plan that adapter orders carry.
+	Settled  time.Time // When the last report taken in was taken, by the engine's clock.
+	Holdings Holdings
+}
+
+// Hold returns the pool under a plan's lease. What was known under another lease is dropped.
+func (p Pool) Hold(plan Plan) Pool {
+	if !p.Lease.Since.Equal(plan.Pool.Since) || p.Lease.Holder != plan.Pool.Holder {
+		p = Pool{Server: plan.Server}
+	}
+	p.Lease = plan.Pool
+	p.Fence = max(p.Fence, plan.Version)
+	return p
+}
+
+// Settle takes in a load report. A report that may be older than the last
+// order of an earlier holder changes nothing.
+func (p Pool) Settle(report kumquathitch.LoadReport) Pool {
+	if !report.Taken.After(p.Lease.Clear) || !report.Taken.After(p.Settled) {
+		return p
+	}
+	p.Holdings = p.Holdings.settle(report, 0, true)
+	p.Settled = report.Taken
+	return p
+}
+
+// Reserve adds a load order of an adapter. It returns a *NoRoomError, an
+// *UnsettledError, or an *ExpiredError when the lease ends before the order does.
+func (p Pool) Reserve(server kumquathitch.Upstream, first Holdings, request Request, rules Rules, now time.Time) (Pool, error) {
+	if p.Settled.IsZero() {
+		return p, &UnsettledError{Server: p.Server, Key: request.Key, Until: p.Lease.Clear}
+	}
+	if request.Expiry.After(p.Lease.Deadline) {
+		return p, &ExpiredError{Server: p.Server, Key: request.Key, Expiry: p.Lease.Deadline}
+	}
+	if request.Accelerator < 0 || request.Accelerator >= len(server.Accelerators) {
+		return p, &NoRoomError{Server: p.Server, Key: request.Key, Need: request.Bytes}
+	}
+	capacity := server.Accelerators[request.Accelerator].AdapterPool
+	holdings, err := p.Holdings.reserve(p.Server, capacity, first, request, rules.arrivalEnd(server, request.Expiry), now)
+	p.Holdings = holdings
+	return p, err
+}
+
+// Unload adds an order to unload an adapter.
+func (p Pool) Unload(server kumquathitch.Upstream, key Key, orderID string, expiry time.Time, rules Rules) (Pool, error) {
+	if expiry.After(p.Lease.Deadline) {
+		return p, &ExpiredError{Server: p.Server, Key: key, Expiry: p.Lease.Deadline}
+	}
+	holdings, err := p.Holdings.unload(p.Server, key, Order{ID: orderID, Expiry: expiry, Until: rules.arrivalEnd(server, expiry)})
+	p.Holdings = holdings
+	return p, err
+}
+
+// Expire ends unload orders that can no longer arrive.
+func (p Pool) Expire(now time.Time, rules Rules) Pool {
+	p.Holdings = p.Holdings.expire(now, rules)
+	return p
+}
+
+// LoadOrder returns the order to load an adapter of the pool.
+func (p *Pool) LoadOrder(key Key) kumquathitch.Order {
+	h := p.Holdings.Find(key)
+	return kumquathitch.Order{
+		ID: h.Load.ID, Fence: p.Fence, Action: kumquathitch.ActionLoad, Name: key.Name, Version: key.Version,
+		Accelerator: key.Accelerator, Bytes: h.Bytes, Adapter: true, Expiry: h.Load.Expiry,
+	}
+}
+
+// UnloadOrder returns the order to unload an adapter of the pool.
+func (p *Pool) UnloadOrder(key Key) kumquathitch.Order {
+	h := p.Holdings.Find(key)
+	return kumquathitch.Order{
+		ID: h.Unload.ID, Fence: p.Fence, Action: kumquathitch.ActionUnload, Name: key.Name, Version: key.Version,
+		Accelerator: key.Accelerator, Adapter: true, Expiry: h.Unload.Expiry,
+	}
+}
--- /dev/null
+++ b/accelerator/problem.go
@@ -0,0 +1,63 @@
+package accelerator
+
+import (
+	"fmt"
+	"time"
+)
+
+// NoRoomError reports that a load or role does not fit beside everything that may be resident.
+type NoRoomError struct {
+	Server     string
+	Key        Key
+	Need, Free int64 // Bytes.
+}
+
+func (e *NoRoomError) Error() string {
+	return fmt.Sprintf("Plan.Reserve: %q needs %d bytes on accelerator %d of %q, %d may be free",
+		e.Key.Name, e.Need, e.Key.Accelerator, e.Server, e.Free)
+}
+
+// UnsettledError reports that the outcome of an earlier order or the state of the engine is not known yet.
+type UnsettledError struct {
+	Server string
+	Key    Key
+	Until  time.Time // When the earlier order can no longer be executed; zero when a report is missing.
+}
+
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("Plan: %q on accelerator %d of %q is not settled before %s",
+		e.Key.Name, e.Key.Accelerator, e.Server, e.Until.Format(time.RFC3339))
+}
+
+// NoHoldingError reports an unload of weights that the plan does not hold.
+type NoHoldingError struct {
+	Server string
+	Key    Key
+}
+
+func (e *NoHoldingError) Error() string {
+	return fmt.Sprintf("Plan.Unload: %q is not held on accelerator %d of %q", e.Key.Name, e.Key.Accelerator, e.Server)
+}
+
+// ExpiredError reports an order whose expiry has passed.
+type ExpiredError struct {
+	Server string
+	Key    Key
+	Expiry time.Time
+}
+
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("Plan.Reserve: the order for %q on %q expired at %s", e.Key.Name, e.Server, e.Expiry.Format(time.RFC3339))
+}
+
+// PoolHeldError reports that another VM may order adapters.
+type PoolHeldError struct {
+	Server   string
+	Holder   string
+	Deadline time.Time
+}
+
+func (e *PoolHeldError) Error() string {
+	return fmt.Sprintf("Plan.TakePool: the adapter pool of %q is leased to %q until %s",
+		e.Server, e.Holder, e.Deadline.Format(time.RFC3339))
+}
--- a/engine.go
+++ b/engine.go
@@ -21,23 +21,36 @@
 	Name        string    `json:"name"` // Model or adapter, or the role.
 	Version     string    `json:"version,omitempty"`
 	Accelerator int       `json:"accelerator"`
-	Bytes       int64     `json:"bytes"`
-	Expiry      time.Time `json:"expiry"` // The engine must not start the order later.
+	Bytes       int64     `json:"bytes"`             // For a role, memory it takes on each accelerator.
+	Adapter     bool      `json:"adapter,omitempty"` // The weights live in the adapter pool.
+	Expiry      time.Time `json:"expiry"`            // The engine must not start the order later.
+}
+
+// ResidentWeights is a model or adapter that takes memory of an accelerator.
+type ResidentWeights struct {
+	Accelerator int    `json:"accelerator"`
+	Name        string `json:"name"`
+	Version     string `json:"version,omitempty"`
+	Bytes       int64  `json:"bytes"`
+	Adapter     bool   `json:"adapter,omitempty"`
+	Loading     bool   `json:"loading,omitempty"` // Takes memory but does not serve yet.
 }
 
 // LoadReport is an engine's account of itself. It lags.
 type LoadReport struct {
-	Sequence   uint64    `json:"sequence"`
-	Taken      time.Time `json:"taken"` // By the engine's clock.
-	Queued     int       `json:"queued"`
-	Running    int       `json:"running"`
-	Tokens     int64     `json:"tokens"` // Tokens still to generate.
-	Leaving    bool      `json:"leaving,omitempty"`
-	LastFence  uint64    `json:"last-fence"`            // Highest fencing number of an executed order.
-	LastOrders []string  `json:"last-orders,omitempty"` // Ids of recently executed orders, newest last.
-	Resident   []string  `json:"resident,omitempty"`    // Models and adapters.
-	FreeBytes  []int64   `json:"free-bytes,omitempty"`  // For each accelerator.
-	CacheEvent uint64    `json:"cache-event,omitempty"` // Sequence number of the last prefix-cache event.
+	Sequence   uint64            `json:"sequence"`
+	Taken      time.Time         `json:"taken"` // By the engine's clock.
+	Queued     int               `json:"queued"`
+	Running    int               `json:"running"`
+	Tokens     int64             `json:"tokens"` // Tokens still to generate.
+	Leaving    bool              `json:"leaving,omitempty"`
+	LastFence  uint64            `json:"last-fence"`            // Highest fencing number of an executed order.
+	LastOrders []string          `json:"last-orders,omitempty"` // Ids of recently executed orders, newest last.
+	Resident   []string          `json:"resident,omitempty"`    // Models and adapters.
+	Weights    []ResidentWeights `json:"weights,omitempty"`     // Everything that takes memory, in order of accelerators.
+	Role       string            `json:"role,omitempty"`        // Role in force.
+	FreeBytes  []int64           `json:"free-bytes,omitempty"`  // For each accelerator.
+	CacheEvent uint64            `json:"cache-event,omitempty"` // Sequence number of the last prefix-cache event.
 }
 
 // Engine is the control interface of model engines.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,7 +25,9 @@
 	TokenInterval time.Duration // Time between two tokens; 0 streams as fast as it can.
 	Resident      []string      // Models and adapters loaded at the start.
 	Accelerators  kumquathitch.Accelerators
-	OnCrash       func() // Called when a request holds the crash marker; a process exits here.
+	First         []kumquathitch.ResidentWeights // Like Resident, with versions and bytes.
+	LoadTime      time.Duration                  // How long a load of a model takes; its memory is taken at once.
+	OnCrash       func()                         // Called when a request holds the crash marker; a process exits here.
 }
 
 // EngineFaults is how an engine misbehaves.
@@ -60,26 +63,42 @@
 	sequence    uint64
 	faults      EngineFaults
 	seen        []Request
-	resident    map[string]resident
+	resident    map[slot]resident
+	role        string
+	roleBytes   int64
 	lastFence   uint64
 	lastOrders  []string
 	overcommits int
 }
 
+// slot is a place that weights can take; one version of a model takes it at most once.
+type slot struct {
+	Accelerator   int
+	Name, Version string
+}
+
 type resident struct {
-	Accelerator int
-	Bytes       int64
+	Bytes   int64
+	Adapter bool
+	Ready   time.Time // When the load ends.
 }
 
 // NewEngine returns an engine.
 func NewEngine(settings EngineSettings, clock kumquathitch.Clock) *Engine {
-	e := &Engine{settings: settings, clock: clock, resident: map[string]resident{}}
-	for _, name := range settings.Resident {
-		e.resident[name] = resident{}
-	}
+	e := &Engine{settings: settings, clock: clock, resident: map[slot]resident{}}
+	e.loadFirst()
 	return e
 }
 
+func (e *Engine) loadFirst() {
+	for _, name := range e.settings.Resident {
+		e.resident[slot{Name: name}] = resident{}
+	}
+	for _, w := range e.settings.First {
+		e.resident[slot{w.Accelerator, w.Name, w.Version}] = resident{Bytes: w.Bytes, Adapter: w.Adapter}
+	}
+}
+
 // SetFaults replaces how the engine misbehaves.
 func (e *Engine) SetFaults(faults EngineFaults) {
 	e.mutex.Lock()
@@ -94,7 +113,8 @@
 	return slices.Clone(e.seen)
 }
 
-// Overcommits returns how many orders made an accelerator hold more than its memory.
+// Overcommits returns how many orders made an accelerator hold more than its
+// memory, or adapters more than its pool.
 func (e *Engine) Overcommits() int {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -112,7 +132,7 @@
 	router := chi.NewRouter()
 	router.Use(e.refuseAfterCrash)
 	router.Post("/v1/chat/completions", e.serveChat)
-	router.Get("/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.report()) })
+	router.Get("/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Report()) })
 	router.Post("/orders", e.serveOrder)
 	router.Put("/standin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var faults EngineFaults
@@ -133,11 +153,21 @@
 	})
 }
 
-// Restart brings a crashed engine back without its state.
-func (e *Engine) Restart() {
+// Restart brings an engine back with its first models, or empty. It keeps the
+// last fencing number only when it checks them: an engine that forgets the
+// number counts as one that ignores it.
+func (e *Engine) Restart(empty bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.sequence = 0
+	e.sequence, e.lastOrders = 0, nil
+	e.role, e.roleBytes = "", 0
+	if !e.settings.ChecksFencing {
+		e.lastFence = 0
+	}
+	e.resident = map[slot]resident{}
+	if !empty {
+		e.loadFirst()
+	}
 	e.crashed.Store(false)
 }
 
@@ -176,7 +206,7 @@
 		e.running.Add(-1)
 		e.tokens.Add(-int64(len(tokens)))
 	}()
-	report, _ := json.Marshal(e.report())
+	report, _ := json.Marshal(e.Report())
 	w.Header().Set("Engine-Load", string(report))
 	if chat.Stream {
 		e.stream(w, r, chat.Model, tokens, len(body), faults)
@@ -281,22 +311,38 @@
 func (e *Engine) holds(model string) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	_, ok := e.resident[model]
-	return ok
+	for at, r := range e.resident {
+		if at.Name == model && !e.clock.Now().Before(r.Ready) {
+			return true
+		}
+	}
+	return false
 }
 
-func (e *Engine) report() kumquathitch.LoadReport {
+// Report returns the engine's load report.
+func (e *Engine) Report() kumquathitch.LoadReport {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.sequence++
 	report := kumquathitch.LoadReport{
 		Sequence: e.sequence, Taken: e.clock.Now(), Running: int(e.running.Load()), Tokens: e.tokens.Load(),
 		Leaving: e.faults.Leaving, LastFence: e.lastFence, LastOrders: slices.Clone(e.lastOrders),
+		Role: e.role,
 	}
-	for name := range e.resident {
-		report.Resident = append(report.Resident, name)
+	for at, r := range e.resident {
+		loading := report.Taken.Before(r.Ready)
+		if !loading {
+			report.Resident = append(report.Resident, at.Name)
+		}
+		report.Weights = append(report.Weights, kumquathitch.ResidentWeights{
+			Accelerator: at.Accelerator, Name: at.Name, Version: at.Version, Bytes: r.Bytes, Adapter: r.Adapter, Loading: loading,
+		})
 	}
 	slices.Sort(report.Resident)
+	report.Resident = slices.Compact(report.Resident)
+	slices.SortFunc(report.Weights, func(a, b kumquathitch.ResidentWeights) int {
+		return cmp.Or(cmp.Compare(a.Accelerator, b.Accelerator), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
+	})
 	for i := range e.settings.Accelerators {
 		report.FreeBytes = append(report.FreeBytes, e.freeBytes(i))
 	}
@@ -304,11 +350,22 @@
 }
 
 func (e *Engine) freeBytes(accelerator int) int64 {
-	free := e.settings.Accelerators[accelerator].Bytes
-	for _, r := range e.resident {
-		if r.Accelerator == accelerator {
+	free := e.settings.Accelerators[accelerator].Bytes - e.roleBytes
+	for at, r := range e.resident {
+		if at.Accelerator == accelerator {
 			free -= r.Bytes
 		}
 	}
 	return free
 }
+
+// poolOverflows reports whether the adapters of an accelerator take more than its pool.
+func (e *Engine) poolOverflows(accelerator int) bool {
+	var used int64
+	for at, r := range e.resident {
+		if at.Accelerator == accelerator && r.Adapter {
+			used += r.Bytes
+		}
+	}
+	return used > e.settings.Accelerators[accelerator].AdapterPool
+}
--- a/standin/order.go
+++ b/standin/order.go
@@ -1,7 +1,13 @@
 package standin
 
 import (
+	"context"
 	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
 
 	"kumquathitch.example/kumquathitch"
 )
@@ -36,19 +42,126 @@
 	if e.faults.DropOrders || (e.settings.ChecksFencing && e.clock.Now().After(order.Expiry)) {
 		return nil
 	}
+	at := slot{order.Accelerator, order.Name, order.Version}
 	switch order.Action {
 	case kumquathitch.ActionLoad:
-		e.resident[order.Name] = resident{Accelerator: order.Accelerator, Bytes: order.Bytes}
+		if _, ok := e.resident[at]; !ok {
+			e.resident[at] = resident{Bytes: order.Bytes, Adapter: order.Adapter, Ready: e.clock.Now().Add(e.loadTime(order))}
+		}
 	case kumquathitch.ActionUnload:
-		delete(e.resident, order.Name)
+		delete(e.resident, at)
+	case kumquathitch.ActionRole:
+		e.role, e.roleBytes = order.Name, order.Bytes
 	}
 	e.lastFence = max(e.lastFence, order.Fence)
 	e.lastOrders = append(e.lastOrders, order.ID)
 	if len(e.lastOrders) > maxLastOrders {
 		e.lastOrders = e.lastOrders[1:]
 	}
-	if order.Accelerator < len(e.settings.Accelerators) && e.freeBytes(order.Accelerator) < 0 {
-		e.overcommits++
+	e.countOvercommits()
+	return nil
+}
+
+func (e *Engine) countOvercommits() {
+	for i := range e.settings.Accelerators {
+		if e.freeBytes(i) < 0 || e.poolOverflows(i) {
+			e.overcommits++
+			return
+		}
+	}
+}
+
+func (e *Engine) loadTime(order kumquathitch.Order) time.Duration {
+	if order.Adapter {
+		return 0
+	}
+	return e.settings.LoadTime
+}
+
+// Loading returns how many models the engine loads from the weight store now.
+func (e *Engine) Loading() int {
+	loading := 0
+	for _, w := range e.Report().Weights {
+		if w.Loading {
+			loading++
+		}
+	}
+	return loading
+}
+
+// Wire is a kumquathitch.Engine without a network: it delivers orders to
+// stand-in engines late, twice, or never, as its faults say. An order that is
+// delivered later than at once is answered with an error.
+type Wire struct {
+	Clock   kumquathitch.Clock
+	Engines map[string]*Engine // By address.
+
+	mutex  sync.Mutex
+	faults []WireFault
+	flying []flight
+}
+
+// WireFault is what happens to one order: each delay delivers one copy; none loses it.
+type WireFault struct {
+	Delays []time.Duration
+}
+
+type flight struct {
+	address string
+	order   kumquathitch.Order
+	arrives time.Time
+}
+
+// Fail sets what happens to the next order that has no fault yet.
+func (w *Wire) Fail(fault WireFault) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.faults = append(w.faults, fault)
+}
+
+// Load fetches an engine's load report.
+func (w *Wire) Load(_ context.Context, address string) (kumquathitch.LoadReport, error) {
+	return w.Engines[address].Report(), nil
+}
+
+// Order sends an order to the engine at an address.
+func (w *Wire) Order(_ context.Context, address string, order kumquathitch.Order) error {
+	fault := WireFault{Delays: []time.Duration{0}}
+	w.mutex.Lock()
+	if len(w.faults) > 0 {
+		fault, w.faults = w.faults[0], w.faults[1:]
+	}
+	now := w.Clock.Now()
+	for _, d := range fault.Delays {
+		if d > 0 {
+			w.flying = append(w.flying, flight{address, order, now.Add(d)})
+		}
+	}
+	w.mutex.Unlock()
+	if !slices.Contains(fault.Delays, 0) {
+		return eris.New("the order was not answered")
+	}
+	if err := w.Engines[address].Execute(order); err != nil {
+		return err
 	}
 	return nil
 }
+
+// Deliver hands over the copies of orders that have arrived by now.
+func (w *Wire) Deliver() {
+	w.mutex.Lock()
+	now := w.Clock.Now()
+	var due []flight
+	w.flying = slices.DeleteFunc(w.flying, func(f flight) bool {
+		if f.arrives.After(now) {
+			return false
+		}
+		due = append(due, f)
+		return true
+	})
+	w.mutex.Unlock()
+	slices.SortStableFunc(due, func(a, b flight) int { return a.arrives.Compare(b.arrives) })
+	for _, f := range due {
+		_ = w.Engines[f.address].Execute(f.order) // Nobody waits for the answer of a late copy.
+	}
+}
