Place models and adapters where demand is

Change: package model holds the decayed demand, a pure planner for one data centre, the check of configuration changes, the limits of the weight store, and a controller that carries moves out for the servers whose duty this VM holds. The placement owner posts moves on the record placement/<data centre>, swapped from the version it planned from, so that two owners cannot each unload what both take for a spare replica. The engine of the replica that stays is asked before an unload is ordered. Every model has a home data centre, a function of the configuration, that never unloads its last replica. The gateway reports admitted requests as demand; the daemon runs one placement task.

Run end to end, an engine that starts empty gets the listed model and its adapter.

--- a/configuration/repository.go
+++ b/configuration/repository.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/model"
 )
 
 // RootKey is the key of the record that names the configuration in force.
@@ -60,15 +61,18 @@
 	if err != nil && !errors.As(err, &missing) {
 		return config, err
 	}
+	var stored kumquathitch.Configuration
 	if old.Version != 0 {
-		stored, err := Decode(old)
-		if err != nil {
+		if stored, err = Decode(old); err != nil {
 			return config, err
 		}
 		if stored.Generation != config.Generation {
 			return config, &kumquathitch.ConflictError{Key: RootKey, Want: config.Generation, Current: old}
 		}
 	}
+	if err := model.CheckChange(stored, config).Err(); err != nil {
+		return config, err
+	}
 	config.Generation++
 	value, err := json.Marshal(config)
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,7 @@
 	Members    *entry.Registry
 	Peers      *peer.Client
 	PeerServer *peer.Server
+	Placement  *placement
 
 	tracing      *telemetry.Tracing
 	listener     net.Listener
@@ -88,11 +89,13 @@
 		tracing:    tracing,
 	}
 	d.Routes = route.NewTable(d.Upstreams, d.Clock, settings.DataCentre)
+	d.Placement = newPlacement(d)
 	d.Gateway = gateway.NewServer(&gateway.Server{
 		Accounts:  d.Accounts,
 		Limits:    &rate.Limiter{Ledger: d.Rates, Clock: d.Clock},
 		Upstreams: d.Routes,
 		Reports:   reportSink{fleet: d.Upstreams, clock: d.Clock},
+		Demand:    d.Placement.Demand,
 		Clock:     d.Clock,
 		Tracing:   tracing,
 		Logger:    d.Logger,
@@ -139,6 +142,7 @@
 	})
 	all.Start(work, "peers", func(ctx context.Context) error { return <-d.PeerServer.Serve(ctx, d.peerListener) })
 	all.Start(work, "configuration", d.followConfiguration)
+	all.Start(work, "placement", d.Placement.Run)
 	end := all.Wait(stop)
 	d.Peers.Close()
 	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	s.Demand.Add(chat.Model, demand.Tokens, s.Clock.Now())
 	used := int64(0)
 	defer func() { s.Limits.Settle(charge, float64(used)) }()
 	return s.attemptChat(ctx, w, r, x, demand, chat.Stream, &used)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	server := &gateway.Server{
-//		Accounts: directory, Limits: limiter, Upstreams: table,
+//		Accounts: directory, Limits: limiter, Upstreams: table, Demand: demand,
 //		Clock: clock, Tracing: tracing, Logger: logger, Metrics: set,
 //	}
 //	server.Apply(config)
@@ -34,6 +34,7 @@
 	Limits    kumquathitch.Limiter
 	Upstreams kumquathitch.Picker
 	Reports   ReportSink
+	Demand    kumquathitch.DemandSink
 	Clock     kumquathitch.Clock
 	Tracing   *telemetry.Tracing
 	Logger    *zap.Logger
--- /dev/null
+++ b/model/home.go
@@ -0,0 +1,148 @@
+package model
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// Homes returns the home data centre of each listed model: the one that never
+// unloads its last replica. A home is a function of the configuration alone,
+// so that data centres need not agree at run time. Models are packed by size,
+// each into the first data centre with room in the order of rendezvous
+// hashing, so that few homes change with the configuration. Models that fit
+// nowhere have no home; problems names the first of them and counts the rest.
+// A configuration that lists no accelerators is not placed and has no problems.
+func Homes(config kumquathitch.Configuration) (homes map[string]string, problems kumquathitch.Problems) {
+	homes = map[string]string{}
+	packing := newPacking(config)
+	var misfits []string
+	for _, m := range bySize(config.Models) {
+		home, ok := packing.static[m.Name]
+		if !ok {
+			home, ok = packing.place(m)
+		}
+		if !ok {
+			misfits = append(misfits, m.Name)
+			continue
+		}
+		homes[m.Name] = home
+	}
+	if packing.managed && len(misfits) > 0 {
+		problems.Add("models", misfits[0], fmt.Sprintf(
+			"models that fit on the accelerators, one replica of each in the fleet; %d of %d do not", len(misfits), len(config.Models)))
+	}
+	return homes, problems
+}
+
+// CheckChange returns the problem of a change that the accelerators cannot
+// carry: a set of models that does not fit, or a new version of a model that
+// has no room beside the old one while it is being replaced. Versions are
+// replaced one after the other in each data centre, so that room for the
+// largest is enough.
+func CheckChange(before, after kumquathitch.Configuration) kumquathitch.Problems {
+	homes, problems := Homes(after)
+	if len(problems) > 0 {
+		return problems
+	}
+	packing := newPacking(after)
+	for _, m := range bySize(after.Models) {
+		if _, ok := packing.static[m.Name]; !ok {
+			packing.place(m)
+		}
+	}
+	if !packing.managed {
+		return nil
+	}
+	checked := map[string]bool{}
+	for _, m := range bySize(after.Models) {
+		old := before.Models.Find(m.Name)
+		if old == nil || old.Version == m.Version || checked[homes[m.Name]] {
+			continue
+		}
+		checked[homes[m.Name]] = true
+		if _, ok := packing.static[m.Name]; ok {
+			continue
+		}
+		if !packing.fits(homes[m.Name], max(m.Bytes+m.CacheReserve, old.Bytes+old.CacheReserve)) {
+			problems.Add(fmt.Sprintf("models[%s].version", m.Name), m.Version, fmt.Sprintf(
+				"a version that fits beside version %s: no accelerator of data centre %s has %d bytes left",
+				old.Version, homes[m.Name], m.Bytes+m.CacheReserve))
+		}
+	}
+	return problems
+}
+
+// packing is the room of each data centre's accelerators while homes are assigned.
+type packing struct {
+	managed bool
+	centres []string
+	free    map[string][]int64
+	static  map[string]string // Data centre by model that an engine without listed accelerators holds.
+}
+
+func newPacking(config kumquathitch.Configuration) *packing {
+	p := &packing{free: map[string][]int64{}, static: map[string]string{}}
+	for _, d := range config.DataCentres {
+		p.centres = append(p.centres, d.Name)
+	}
+	for _, u := range config.Upstreams {
+		if u.Kind != kumquathitch.KindEngine {
+			continue
+		}
+		for _, a := range u.Accelerators {
+			p.managed = true
+			p.free[u.DataCentre] = append(p.free[u.DataCentre], a.Bytes-a.AdapterPool)
+		}
+		if len(u.Accelerators) > 0 {
+			continue
+		}
+		for _, name := range u.Models {
+			if _, ok := p.static[name]; !ok {
+				p.static[name] = u.DataCentre
+			}
+		}
+	}
+	return p
+}
+
+// place takes room for a model and returns its data centre.
+func (p *packing) place(m kumquathitch.Model) (string, bool) {
+	ranked := slices.Clone(p.centres)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Compare(kumquathitch.RendezvousWeight(m.Name, b), kumquathitch.RendezvousWeight(m.Name, a))
+	})
+	bytes := m.Bytes + m.CacheReserve
+	for _, centre := range ranked {
+		if i := p.tightest(centre, bytes); i >= 0 {
+			p.free[centre][i] -= bytes
+			return centre, true
+		}
+	}
+	return "", false
+}
+
+func (p *packing) fits(centre string, bytes int64) bool {
+	return p.tightest(centre, bytes) >= 0
+}
+
+// tightest returns the accelerator with the least sufficient room, or -1.
+func (p *packing) tightest(centre string, bytes int64) int {
+	best := -1
+	for i, free := range p.free[centre] {
+		if free >= bytes && (best < 0 || free < p.free[centre][best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func bySize(models kumquathitch.Models) kumquathitch.Models {
+	sorted := slices.Clone(models)
+	slices.SortStableFunc(sorted, func(a, b kumquathitch.Model) int {
+		return cmp.Or(cmp.Compare(b.Bytes+b.CacheReserve, a.Bytes+a.CacheReserve), cmp.Compare(a.Name, b.Name))
+	})
+	return sorted
+}
--- /dev/null
+++ b/model/placement.go
@@ -0,0 +1,428 @@
+package model
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/accelerator"
+)
+
+const (
+	// minGain is how many times the value lost a move that evicts must win.
+	minGain = 1.2
+	// moveInterval is the least time between two moves of a model. It must be
+	// longer than moveTerm, so that a move that is not carried out yet is not
+	// forgotten while it still may be.
+	moveInterval = 60 * time.Second
+	// moveTerm is how long a move may be started after it was planned.
+	moveTerm = 20 * time.Second
+	// maxLoads bounds the loads of one plan. A weight store that allows a few
+	// loads a second cannot carry out more before the next plan.
+	maxLoads = 64
+)
+
+// Server is an engine as the planner sees it.
+type Server struct {
+	Upstream      kumquathitch.Upstream
+	Plan          accelerator.Plan
+	First         accelerator.Holdings // Models loaded when the engine starts.
+	FirstAdapters accelerator.Holdings // Adapters loaded when the engine starts.
+	Available     bool                 // It may get new work.
+}
+
+// Site is everything that the plan of one data centre depends on.
+type Site struct {
+	Models    kumquathitch.Models
+	Home      map[string]bool      // Models whose last replica stays in this data centre.
+	Elsewhere map[string]string    // Servers of other data centres that serve models whose home is there, by model.
+	Servers   []Server             // Engines of the data centre.
+	Demand    map[string]float64   // Tokens per second by model.
+	Capacity  float64              // Tokens per second that one replica should carry.
+	Moved     map[string]time.Time // When a move of a model was last planned.
+}
+
+// Move is a change of what a server holds.
+type Move struct {
+	Action   string          `json:"action"` // kumquathitch.ActionLoad or ActionUnload.
+	Server   string          `json:"server"`
+	Key      accelerator.Key `json:"key"`
+	Bytes    int64           `json:"bytes,omitempty"`
+	Deadline time.Time       `json:"deadline"` // The move must not be started later.
+	// Keeper is a server that goes on serving an unloaded model; its engine is
+	// asked before the order is sent. Empty when the model is no longer listed.
+	Keeper string `json:"keeper,omitempty"`
+}
+
+// Moves is a list of moves, most urgent first.
+type Moves []Move
+
+// Plan returns the moves that a data centre should start now. Loads go to
+// accelerators that have room now; where none has, the least valuable replicas
+// are unloaded first and a later plan does the load.
+func Plan(site Site, now time.Time) Moves {
+	p := newPlanner(site, now)
+	p.retire()
+	for _, w := range p.wants() {
+		if p.loads >= maxLoads {
+			break
+		}
+		p.satisfy(w)
+	}
+	return p.keepers()
+}
+
+// keepers names the server that goes on serving each unloaded model, and drops
+// unloads that would leave none.
+func (p *planner) keepers() Moves {
+	serving := map[string]string{}
+	for i := range p.site.Servers {
+		s := &p.site.Servers[i]
+		if !s.Available {
+			continue
+		}
+		for j := range s.Plan.Holdings {
+			h := &s.Plan.Holdings[j]
+			state := p.standings[h.Name]
+			if state == nil || !h.Serving() || p.gone[h] {
+				continue
+			}
+			if _, ok := serving[h.Name]; !ok || h.Version == state.Model.Version {
+				serving[h.Name] = s.Upstream.Name
+			}
+		}
+	}
+	var kept Moves
+	for _, m := range p.moves {
+		if m.Action == kumquathitch.ActionUnload && p.standings[m.Key.Name] != nil {
+			if m.Keeper = cmp.Or(serving[m.Key.Name], p.site.Elsewhere[m.Key.Name]); m.Keeper == "" {
+				continue
+			}
+		}
+		kept = append(kept, m)
+	}
+	return kept
+}
+
+// urgency is the class of a want; a lower one goes first.
+type urgency int
+
+const (
+	lastReplica  urgency = iota // No replica in the data centre that is the model's home.
+	firstReplica                // No replica in this data centre, or none of the listed version.
+	moreReplicas                // Demand asks for more.
+)
+
+type want struct {
+	Model   *kumquathitch.Model
+	Urgency urgency
+	Gain    float64 // Tokens per second for each replica after the load.
+}
+
+// standing is what a data centre has of one model.
+type standing struct {
+	Model   *kumquathitch.Model
+	Wanted  int // Replicas that demand asks for, at least 1.
+	Serving int // Confirmed replicas of any version that are not being unloaded.
+	Current int // Those of the listed version.
+	Coming  int // Loads of the listed version that may still succeed.
+	Demand  float64
+	Fixed   bool // The model moved too short a time ago.
+	Pending bool // A planned move may not have been started yet.
+}
+
+type planner struct {
+	site      Site
+	now       time.Time
+	standings map[string]*standing
+	rooms     [][]accelerator.Room
+	freeing   [][]int64 // Bytes that pending unloads will free, by server and accelerator.
+	planned   map[plannedLoad]bool
+	gone      map[*accelerator.Holding]bool // Unloaded by this plan.
+	moves     Moves
+	loads     int
+}
+
+type plannedLoad struct {
+	Server int
+	Model  string
+}
+
+func newPlanner(site Site, now time.Time) *planner {
+	p := &planner{
+		site: site, now: now, standings: make(map[string]*standing, len(site.Models)),
+		planned: map[plannedLoad]bool{}, gone: map[*accelerator.Holding]bool{},
+	}
+	for i := range site.Models {
+		m := &site.Models[i]
+		moved, ok := site.Moved[m.Name]
+		demand := site.Demand[m.Name]
+		p.standings[m.Name] = &standing{
+			Model: m, Demand: demand, Fixed: ok && now.Before(moved.Add(moveInterval)),
+			Pending: ok && now.Before(moved.Add(moveTerm)),
+			Wanted:  max(1, int(math.Ceil(demand/max(site.Capacity, 1)))),
+		}
+	}
+	for i := range site.Servers {
+		s := &site.Servers[i]
+		p.rooms = append(p.rooms, s.Plan.Room(s.Upstream, s.First))
+		p.freeing = append(p.freeing, make([]int64, len(s.Upstream.Accelerators)))
+		p.count(i, s)
+	}
+	return p
+}
+
+// count adds what a server holds to the standings.
+func (p *planner) count(server int, s *Server) {
+	if len(s.Upstream.Accelerators) == 0 { // Not placed by the system: it holds its first models.
+		for _, name := range s.Upstream.Models {
+			if state := p.standings[name]; state != nil && s.Available {
+				state.Serving++
+				state.Current++
+			}
+		}
+		return
+	}
+	for i := range s.Plan.Holdings {
+		h := &s.Plan.Holdings[i]
+		if h.Unload.ID != "" && h.Accelerator < len(p.freeing[server]) {
+			p.freeing[server][h.Accelerator] += h.Bytes
+		}
+		state := p.standings[h.Name]
+		if state == nil || !s.Available {
+			continue
+		}
+		current := h.Version == state.Model.Version
+		switch {
+		case h.Serving():
+			state.Serving++
+			if current {
+				state.Current++
+			}
+		case current && h.Unload.ID == "" && (h.Loading || !p.now.After(h.Load.Until)):
+			state.Coming++
+		}
+	}
+}
+
+// retire unloads models that are no longer listed, and old versions as far as
+// enough replicas serve without them.
+func (p *planner) retire() {
+	fixed := map[string]bool{}
+	for name, state := range p.standings {
+		fixed[name] = state.Fixed
+	}
+	for i := range p.site.Servers {
+		s := &p.site.Servers[i]
+		for j := range s.Plan.Holdings {
+			h := &s.Plan.Holdings[j]
+			state := p.standings[h.Name]
+			switch {
+			case !removable(s, h) || fixed[h.Name]:
+			case state == nil:
+				p.unload(i, h)
+			case h.Version != state.Model.Version && state.Current >= 1 && state.Serving > state.Wanted:
+				p.unload(i, h)
+			}
+		}
+	}
+}
+
+// removable reports whether an order to unload a holding could be settled.
+func removable(s *Server, h *accelerator.Holding) bool {
+	return s.Available && h.Settled && h.Unload.ID == "" && h.Accelerator < len(s.Upstream.Accelerators)
+}
+
+// wants returns the loads that models need, most urgent first. All replicas
+// that a model lacks are wanted at once: a step of its demand is one move.
+func (p *planner) wants() []want {
+	var wants []want
+	for i := range p.site.Models {
+		state := p.standings[p.site.Models[i].Name]
+		current := state.Current + state.Coming
+		if state.Serving == 0 && state.Coming == 0 && p.site.Home[state.Model.Name] && !state.Pending {
+			wants = append(wants, want{Model: state.Model, Urgency: lastReplica, Gain: state.Demand})
+			continue
+		}
+		if state.Fixed {
+			continue
+		}
+		for k := current; k < state.Wanted && k < current+maxLoads; k++ {
+			w := want{Model: state.Model, Urgency: moreReplicas, Gain: state.Demand / float64(k+1)}
+			if k == 0 {
+				w.Urgency = firstReplica
+			}
+			wants = append(wants, w)
+		}
+	}
+	slices.SortStableFunc(wants, func(a, b want) int {
+		return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(b.Gain, a.Gain), cmp.Compare(a.Model.Name, b.Model.Name))
+	})
+	return wants
+}
+
+// satisfy plans one load, or the unloads that make room for it.
+func (p *planner) satisfy(w want) {
+	bytes := w.Model.Bytes + w.Model.CacheReserve
+	server, at := p.roomiest(w.Model, bytes)
+	if server >= 0 {
+		p.load(server, at, w.Model, bytes)
+		return
+	}
+	p.makeRoom(w, bytes)
+}
+
+// holds reports whether a server has or may get the listed version of a model already.
+func (p *planner) holds(server int, m *kumquathitch.Model) bool {
+	if p.planned[plannedLoad{server, m.Name}] {
+		return true
+	}
+	return slices.ContainsFunc(p.site.Servers[server].Plan.Holdings, func(h accelerator.Holding) bool {
+		return h.Name == m.Name && h.Version == m.Version
+	})
+}
+
+// roomiest returns the accelerator with the most room for a load, or -1.
+func (p *planner) roomiest(m *kumquathitch.Model, bytes int64) (server, at int) {
+	server, most := -1, int64(-1)
+	for i := range p.site.Servers {
+		s := &p.site.Servers[i]
+		if !s.Available || s.Plan.Settled.IsZero() {
+			continue
+		}
+		for a, room := range p.rooms[i] {
+			if room.Running >= bytes && room.Restarted >= bytes && room.Running > most && !p.holds(i, m) {
+				server, at, most = i, a, room.Running
+			}
+		}
+	}
+	return server, at
+}
+
+// victims are holdings of one accelerator whose unload makes room.
+type victims struct {
+	Server   int
+	At       int
+	Holdings []*accelerator.Holding
+	Loss     float64
+}
+
+// makeRoom unloads the least valuable holdings of one accelerator, when the
+// want is worth it. Room that earlier unloads will free is kept for the want.
+func (p *planner) makeRoom(w want, bytes int64) {
+	best, found := victims{}, false
+	for i := range p.site.Servers {
+		s := &p.site.Servers[i]
+		if !s.Available || p.holds(i, w.Model) {
+			continue
+		}
+		for a, room := range p.rooms[i] {
+			if room.Restarted < bytes { // The first models leave no room for this load.
+				continue
+			}
+			missing := bytes - room.Running - p.freeing[i][a]
+			if missing <= 0 {
+				p.freeing[i][a] -= bytes - max(0, room.Running)
+				p.rooms[i][a].Running = 0
+				return
+			}
+			v, ok := p.cheapest(w, i, a, missing)
+			if ok && (!found || v.Loss < best.Loss || (v.Loss == best.Loss && len(v.Holdings) < len(best.Holdings))) {
+				best, found = v, true
+			}
+		}
+	}
+	if !found || (w.Urgency == moreReplicas && w.Gain < minGain*best.Loss) {
+		return
+	}
+	for _, h := range best.Holdings {
+		p.unload(best.Server, h)
+	}
+	p.rooms[best.Server][best.At].Running = 0
+	p.freeing[best.Server][best.At] = 0
+}
+
+// cheapest returns the holdings of an accelerator that free missing bytes at the least loss.
+func (p *planner) cheapest(w want, server, at int, missing int64) (victims, bool) {
+	v := victims{Server: server, At: at}
+	s := &p.site.Servers[server]
+	type candidate struct {
+		h    *accelerator.Holding
+		loss float64
+	}
+	var candidates []candidate
+	for j := range s.Plan.Holdings {
+		h := &s.Plan.Holdings[j]
+		if h.Accelerator != at || h.Name == w.Model.Name || p.gone[h] || !removable(s, h) {
+			continue
+		}
+		if loss, ok := p.loss(w, h); ok {
+			candidates = append(candidates, candidate{h, loss})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.loss, b.loss) })
+	for _, c := range candidates {
+		if missing <= 0 {
+			break
+		}
+		missing -= c.h.Bytes
+		v.Holdings = append(v.Holdings, c.h)
+		v.Loss += c.loss
+	}
+	return v, missing <= 0
+}
+
+// loss returns the tokens per second that each replica of a model carries, as
+// the value of one, and whether the want may have the holding unloaded at all.
+func (p *planner) loss(w want, h *accelerator.Holding) (float64, bool) {
+	state := p.standings[h.Name]
+	if state == nil {
+		return 0, true
+	}
+	if state.Fixed || !h.Confirmed {
+		return 0, false
+	}
+	if state.Serving >= 2 {
+		if h.Version == state.Model.Version && state.Current == 1 {
+			return 0, false // It is the only one of the listed version.
+		}
+		if state.Serving > state.Wanted {
+			return 0, true
+		}
+		return state.Demand / float64(state.Serving), true
+	}
+	if p.site.Home[h.Name] || p.site.Elsewhere[h.Name] == "" || w.Urgency == moreReplicas {
+		return 0, false
+	}
+	return state.Demand, w.Urgency == lastReplica || w.Gain > minGain*state.Demand
+}
+
+func (p *planner) load(server, at int, m *kumquathitch.Model, bytes int64) {
+	s := &p.site.Servers[server]
+	p.moves = append(p.moves, Move{
+		Action: kumquathitch.ActionLoad, Server: s.Upstream.Name, Bytes: bytes, Deadline: p.now.Add(moveTerm),
+		Key: accelerator.Key{Accelerator: at, Name: m.Name, Version: m.Version},
+	})
+	p.rooms[server][at].Running -= bytes
+	p.rooms[server][at].Restarted -= bytes
+	p.standings[m.Name].Fixed = true
+	p.planned[plannedLoad{server, m.Name}] = true
+	p.loads++
+}
+
+func (p *planner) unload(server int, h *accelerator.Holding) {
+	s := &p.site.Servers[server]
+	p.moves = append(p.moves, Move{
+		Action: kumquathitch.ActionUnload, Server: s.Upstream.Name, Key: h.Key, Deadline: p.now.Add(moveTerm),
+	})
+	p.freeing[server][h.Accelerator] += h.Bytes
+	p.gone[h] = true
+	if state := p.standings[h.Name]; state != nil {
+		state.Fixed = true
+		if h.Serving() {
+			state.Serving--
+		}
+	}
+}
--- a/request.go
+++ b/request.go
@@ -68,3 +68,10 @@
 	// Done ends a choice.
 	Done(choice Choice, result Result)
 }
+
+// DemandSink takes in the demand for models and adapters. Implementations are
+// safe for concurrent use.
+type DemandSink interface {
+	// Add records an admitted request with its tokens.
+	Add(model string, tokens int64, now time.Time)
+}
