Keep homes reachable on full accelerators and follow plans by watch

Cause: on a full data centre the planner left one of 24 models without a replica for a whole hour (2,998 model seconds), because others had taken the room that its home was computed with; it never exchanged models whose home is elsewhere; one plan for 1,700 models on 1,200 servers took 734 ms; and the placement owner listed all plans of its data centre for each plan.

Change: a home is an accelerator, and models go there first; what does not belong there is moved to its own home when it is in the way. Each owner posts which home models are served, so that others may give their replicas up. One plan considers at most 64 loads and evictions. The owner follows the plans by a watch and plans every 10 s. Tests let another VM act just before a write.

--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -18,6 +18,8 @@
 	// placementInterval is the time between two looks at the servers whose duty
 	// this VM holds. An upstream that was not heard from for 2 s is polled.
 	placementInterval = 2 * time.Second
+	// planInterval is the time between two plans of the data centre's placement.
+	planInterval = 10 * time.Second
 	// demandInterval is the time between two reports of this VM's demand to the placement owner.
 	demandInterval = 10 * time.Second
 	// demandEntries bounds the models and adapters of one report: 256 entries of
@@ -62,7 +64,8 @@
 		Rules: accelerator.Rules{
 			ClockError: d.Settings.ClockError, MessageDelay: d.Settings.MessageDelay, PoolTerm: poolTerm,
 		},
-		NewID: rand.Text, Holder: d.Settings.Name + "-" + rand.Text(), Capacity: replicaTokens, AtOnce: enginesAtOnce,
+		NewID: rand.Text, Holder: d.Settings.Name + "-" + rand.Text(), Capacity: replicaTokens,
+		PlanInterval: planInterval, AtOnce: enginesAtOnce,
 		Share:  p.share,
 		Report: d.Upstreams.Report,
 		Available: func(server string, now time.Time) bool {
@@ -93,6 +96,8 @@
 
 // Run works until ctx ends, then gives the adapter pools up.
 func (p *placement) Run(ctx context.Context) error {
+	followed := make(chan error, 1)
+	go func() { followed <- p.Controller.Follow(ctx) }()
 	ticker := time.NewTicker(placementInterval)
 	defer ticker.Stop()
 	for {
@@ -101,7 +106,7 @@
 			limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 			defer cancel()
 			p.Controller.Close(limit, p.daemon.Current.Load())
-			return nil
+			return <-followed
 		case <-ticker.C:
 			p.round(ctx)
 		}
--- a/model/board.go
+++ b/model/board.go
@@ -29,11 +29,12 @@
 	Moves    Moves                `json:"moves,omitempty"`    // Those whose deadline has not passed.
 	Moved    map[string]time.Time `json:"moved,omitempty"`    // When a move of a model was last planned; kept for a minute.
 	Adapters map[string]float64   `json:"adapters,omitempty"` // Tokens per second of the adapters in demand.
+	Serving  map[string]string    `json:"serving,omitempty"`  // A server by model that has its home here and serves.
 }
 
 // Post returns the board with the moves of a new plan. Skew is the largest
 // difference between two clocks: a move counts for that much longer.
-func (b Board) Post(moves Moves, adapters map[string]float64, skew time.Duration, now time.Time) Board {
+func (b Board) Post(moves Moves, adapters map[string]float64, serving map[string]string, skew time.Duration, now time.Time) Board {
 	b.Moves = slices.DeleteFunc(slices.Clone(b.Moves), func(m Move) bool { return now.After(m.Deadline.Add(skew)) })
 	b.Moves = append(b.Moves, moves...)
 	b.Moved = maps.Clone(b.Moved)
@@ -44,7 +45,7 @@
 	for _, m := range moves {
 		b.Moved[m.Key.Name] = now
 	}
-	b.Adapters = adapters
+	b.Adapters, b.Serving = adapters, serving
 	return b
 }
 
--- a/model/controller.go
+++ b/model/controller.go
@@ -36,6 +36,8 @@
 	Holder  string        // This process, unique in the fleet: a restarted process is another holder.
 	// Capacity is the tokens per second that one replica should carry.
 	Capacity float64
+	// PlanInterval is the least time between two plans of the data centre.
+	PlanInterval time.Duration
 	// AtOnce bounds how many engines a round waits for at a time.
 	AtOnce int
 	// Share returns this VM's share, in [0, 1], of the adapters in flight.
@@ -47,7 +49,9 @@
 	// Failed is told what went wrong with a server; a later round tries again.
 	Failed func(server string, err error)
 
-	shards [shardCount]controllerShard
+	planned  time.Time // When this VM last planned.
+	followed followed
+	shards   [shardCount]controllerShard
 }
 
 type controllerShard struct {
@@ -83,10 +87,10 @@
 	if boardErr != nil {
 		return boardErr
 	}
-	owners := c.Members.Ranked(OwnerDuty(c.Members.Self().DataCentre), c.Members.Self().DataCentre, 1, now)
-	if len(owners) == 0 || owners[0].Name != c.Members.Self().Name {
+	if !c.owns(now) || now.Before(c.planned.Add(c.PlanInterval)) {
 		return nil
 	}
+	c.planned = now
 	return c.plan(ctx, config, board)
 }
 
--- a/model/controller_test.go
+++ b/model/controller_test.go
@@ -64,10 +64,24 @@
 	return 1
 }
 
+// racing is a store on which another VM acts just before a write.
+type racing struct {
+	*standin.Store
+	before func()
+}
+
+func (r *racing) CompareAndSwap(ctx context.Context, record kumquathitch.Record) (kumquathitch.Record, error) {
+	if act := r.before; act != nil {
+		r.before = nil
+		act()
+	}
+	return r.Store.CompareAndSwap(ctx, record)
+}
+
 // site is two data centres with two VMs each, over a faulty wire and store.
 type site struct {
 	clock   *clock.Manual
-	store   *standin.Store
+	store   *racing
 	wire    *standin.Wire
 	config  kumquathitch.Configuration
 	engines map[string]*standin.Engine
@@ -80,7 +94,7 @@
 
 func newSite(checks bool, loadTime time.Duration, servers, models int) *site {
 	s := &site{clock: clock.NewManual(start), engines: map[string]*standin.Engine{}, reached: map[string]bool{}, exempt: map[string]time.Time{}}
-	s.store = standin.NewStore(s.clock)
+	s.store = &racing{Store: standin.NewStore(s.clock)}
 	s.wire = &standin.Wire{Clock: s.clock, Engines: map[string]*standin.Engine{}}
 	s.config = kumquathitch.Configuration{
 		DataCentres: kumquathitch.DataCentres{{Name: "montreal-1", Region: "quebec"}, {Name: "montreal-2", Region: "quebec"}},
@@ -135,10 +149,10 @@
 	_ = s.vms[vm].Round(context.Background(), s.config) // Outages end; a later round tries again.
 }
 
-// run lets all VMs work without faults.
-func (s *site) run(seconds int) {
-	for range seconds / 2 {
-		s.clock.Advance(2 * time.Second)
+// run lets all VMs work without faults, in rounds of a number of seconds.
+func (s *site) run(rounds, seconds int) {
+	for range rounds {
+		s.clock.Advance(time.Duration(seconds) * time.Second)
 		s.wire.Deliver()
 		for i := range s.vms {
 			s.round(i)
@@ -208,10 +222,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		checks := rapid.Bool().Draw(t, "checks-fencing")
 		s := newSite(checks, time.Duration(rapid.IntRange(0, 8).Draw(t, "load-time"))*time.Second, 6, 9)
-		s.run(60)
+		s.run(30, 2)
 		t.Repeat(map[string]func(*rapid.T){
-			"":        s.check,
-			"round":   func(t *rapid.T) { s.round(rapid.IntRange(0, 3).Draw(t, "vm")) },
+			"":      s.check,
+			"round": func(t *rapid.T) { s.round(rapid.IntRange(0, 3).Draw(t, "vm")) },
+			"race": func(t *rapid.T) {
+				other := rapid.IntRange(0, 3).Draw(t, "other")
+				s.store.before = func() { s.round(other) }
+				s.round((other + rapid.IntRange(1, 3).Draw(t, "vm")) % 4)
+				s.store.before = nil
+			},
 			"advance": s.advance, "advance-more": s.advance, "restart": s.restart, "upgrade": s.upgrade,
 			"demand": func(t *rapid.T) {
 				s.demand(rapid.SampledFrom(s.config.Models).Draw(t, "model").Name, rapid.SampledFrom([]int64{100, 1000, 10_000}).Draw(t, "tokens"))
@@ -244,7 +264,7 @@
 	for _, v := range s.views {
 		v.partitioned = false
 	}
-	s.run(400)
+	s.run(100, 4)
 	for _, m := range s.config.Models {
 		must.True(t, s.serves(m.Name), must.Sprint(m.Name))
 	}
@@ -256,7 +276,12 @@
 	for range rapid.IntRange(1, 20).Draw(t, "rounds") {
 		s.clock.Advance(time.Duration(rapid.IntRange(1, 4).Draw(t, "seconds")) * time.Second)
 		s.wire.Deliver()
-		s.round(rapid.IntRange(0, 3).Draw(t, "vm"))
+		vm := rapid.IntRange(0, 3).Draw(t, "vm")
+		if rapid.IntRange(0, 3).Draw(t, "race") == 0 {
+			s.store.before = func() { s.round((vm + 2) % 4) } // The other VM of the data centre.
+		}
+		s.round(vm)
+		s.store.before = nil
 		s.check(t)
 	}
 	if before != s.held() {
--- a/model/home.go
+++ b/model/home.go
@@ -8,15 +8,23 @@
 	"kumquathitch.example/kumquathitch"
 )
 
-// Homes returns the home data centre of each listed model: the one that never
-// unloads its last replica. A home is a function of the configuration alone,
+// Home is where the last replica of a model belongs.
+type Home struct {
+	DataCentre  string
+	Server      string // Empty when an engine without listed accelerators holds the model.
+	Accelerator int
+}
+
+// Homes returns the home of each listed model: a data centre that never
+// unloads the last replica, and an accelerator on which all that have their
+// home there fit together. A home is a function of the configuration alone,
 // so that data centres need not agree at run time. Models are packed by size,
 // each into the first data centre with room in the order of rendezvous
 // hashing, so that few homes change with the configuration. Models that fit
 // nowhere have no home; problems names the first of them and counts the rest.
 // A configuration that lists no accelerators is not placed and has no problems.
-func Homes(config kumquathitch.Configuration) (homes map[string]string, problems kumquathitch.Problems) {
-	homes = map[string]string{}
+func Homes(config kumquathitch.Configuration) (homes map[string]Home, problems kumquathitch.Problems) {
+	homes = map[string]Home{}
 	packing := newPacking(config)
 	var misfits []string
 	for _, m := range bySize(config.Models) {
@@ -59,17 +67,17 @@
 	checked := map[string]bool{}
 	for _, m := range bySize(after.Models) {
 		old := before.Models.Find(m.Name)
-		if old == nil || old.Version == m.Version || checked[homes[m.Name]] {
+		if old == nil || old.Version == m.Version || checked[homes[m.Name].DataCentre] {
 			continue
 		}
-		checked[homes[m.Name]] = true
+		checked[homes[m.Name].DataCentre] = true
 		if _, ok := packing.static[m.Name]; ok {
 			continue
 		}
-		if !packing.fits(homes[m.Name], max(m.Bytes+m.CacheReserve, old.Bytes+old.CacheReserve)) {
+		if !packing.fits(homes[m.Name].DataCentre, max(m.Bytes+m.CacheReserve, old.Bytes+old.CacheReserve)) {
 			problems.Add(fmt.Sprintf("models[%s].version", m.Name), m.Version, fmt.Sprintf(
 				"a version that fits beside version %s: no accelerator of data centre %s has %d bytes left",
-				old.Version, homes[m.Name], m.Bytes+m.CacheReserve))
+				old.Version, homes[m.Name].DataCentre, m.Bytes+m.CacheReserve))
 		}
 	}
 	return problems
@@ -79,12 +87,18 @@
 type packing struct {
 	managed bool
 	centres []string
-	free    map[string][]int64
-	static  map[string]string // Data centre by model that an engine without listed accelerators holds.
+	free    map[string][]spot
+	static  map[string]Home // Models that engines without listed accelerators hold.
+}
+
+// spot is an accelerator with the bytes that are left on it.
+type spot struct {
+	Home Home
+	Free int64
 }
 
 func newPacking(config kumquathitch.Configuration) *packing {
-	p := &packing{free: map[string][]int64{}, static: map[string]string{}}
+	p := &packing{free: map[string][]spot{}, static: map[string]Home{}}
 	for _, d := range config.DataCentres {
 		p.centres = append(p.centres, d.Name)
 	}
@@ -92,24 +106,24 @@
 		if u.Kind != kumquathitch.KindEngine {
 			continue
 		}
-		for _, a := range u.Accelerators {
+		for i, a := range u.Accelerators {
 			p.managed = true
-			p.free[u.DataCentre] = append(p.free[u.DataCentre], a.Bytes-a.AdapterPool)
+			p.free[u.DataCentre] = append(p.free[u.DataCentre], spot{Home{u.DataCentre, u.Name, i}, a.Bytes - a.AdapterPool})
 		}
 		if len(u.Accelerators) > 0 {
 			continue
 		}
 		for _, name := range u.Models {
 			if _, ok := p.static[name]; !ok {
-				p.static[name] = u.DataCentre
+				p.static[name] = Home{DataCentre: u.DataCentre}
 			}
 		}
 	}
 	return p
 }
 
-// place takes room for a model and returns its data centre.
-func (p *packing) place(m kumquathitch.Model) (string, bool) {
+// place takes room for a model and returns its home.
+func (p *packing) place(m kumquathitch.Model) (Home, bool) {
 	ranked := slices.Clone(p.centres)
 	slices.SortFunc(ranked, func(a, b string) int {
 		return cmp.Compare(kumquathitch.RendezvousWeight(m.Name, b), kumquathitch.RendezvousWeight(m.Name, a))
@@ -117,11 +131,11 @@
 	bytes := m.Bytes + m.CacheReserve
 	for _, centre := range ranked {
 		if i := p.tightest(centre, bytes); i >= 0 {
-			p.free[centre][i] -= bytes
-			return centre, true
+			p.free[centre][i].Free -= bytes
+			return p.free[centre][i].Home, true
 		}
 	}
-	return "", false
+	return Home{}, false
 }
 
 func (p *packing) fits(centre string, bytes int64) bool {
@@ -131,8 +145,8 @@
 // tightest returns the accelerator with the least sufficient room, or -1.
 func (p *packing) tightest(centre string, bytes int64) int {
 	best := -1
-	for i, free := range p.free[centre] {
-		if free >= bytes && (best < 0 || free < p.free[centre][best]) {
+	for i, s := range p.free[centre] {
+		if s.Free >= bytes && (best < 0 || s.Free < p.free[centre][best].Free) {
 			best = i
 		}
 	}
--- a/model/owner.go
+++ b/model/owner.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
+	"time"
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/accelerator"
@@ -17,32 +19,147 @@
 func (c *Controller) plan(ctx context.Context, config kumquathitch.Configuration, board Board) error {
 	now := c.Clock.Now()
 	own := c.Members.Self().DataCentre
-	plans, err := c.readPlans(ctx, own)
-	if err != nil {
+	plans, err := c.plansOf(ctx, own)
+	if err != nil || plans == nil {
 		return err
 	}
 	homes, _ := Homes(config)
 	demand := c.Demand.Total(now)
 	addAdapters(demand, config.Adapters)
 	site := Site{
-		Models: config.Models, Home: map[string]bool{}, Demand: demand, Capacity: c.Capacity, Moved: board.Moved,
+		Models: config.Models, Home: map[string]Home{}, Demand: demand, Capacity: c.Capacity, Moved: board.Moved,
 		Servers: c.servers(config, own, plans),
 	}
 	for name, home := range homes {
-		site.Home[name] = home == own
+		if home.DataCentre == own {
+			site.Home[name] = home
+		}
+	}
+	if site.Elsewhere, err = c.elsewhere(ctx, config, homes, own); err != nil {
+		return err
 	}
 	moves := Plan(site, now)
-	if c.blocked(site, moves) {
-		if site.Elsewhere, err = c.elsewhere(ctx, config, homes, own); err != nil {
-			return err
+	adapters, serving := hottest(demand, config.Adapters), site.serving()
+	if len(moves) == 0 && similar(adapters, board.Adapters) && sameNames(serving, board.Serving) {
+		return nil
+	}
+	return writeBoard(ctx, c.Store, own, board.Post(moves, adapters, serving, c.Rules.ClockError, now))
+}
+
+// serving returns a server that serves each model whose home is in the data centre.
+func (s *Site) serving() map[string]string {
+	serving := map[string]string{}
+	for i := range s.Servers {
+		for j := range s.Servers[i].Plan.Holdings {
+			h := &s.Servers[i].Plan.Holdings[j]
+			if _, home := s.Home[h.Name]; home && s.Servers[i].Available && h.Serving() {
+				serving[h.Name] = s.Servers[i].Upstream.Name
+			}
 		}
-		moves = Plan(site, now)
 	}
-	adapters := hottest(demand, config.Adapters)
-	if len(moves) == 0 && similar(adapters, board.Adapters) {
-		return nil
+	return serving
+}
+
+func sameNames(a, b map[string]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name := range a {
+		if _, ok := b[name]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// followPause is the pause after a failed watch, and between two looks at whether this VM is the owner.
+const followPause = time.Second
+
+// followed is what a placement owner knows of the plans of its data centre.
+type followed struct {
+	mutex  sync.Mutex
+	active bool   // Follow runs.
+	synced bool   // The plans are complete.
+	since  uint64 // Highest version seen.
+	plans  map[string]accelerator.Plan
+}
+
+// Follow watches the plans of this VM's data centre while it is the placement
+// owner, until ctx ends, so that a plan reads only what changed. A watch
+// returns after 20 s at the latest. The plans may therefore lag by less than
+// the 40 s between the end of a move's term and the next move of its model.
+func (c *Controller) Follow(ctx context.Context) error {
+	own := c.Members.Self().DataCentre
+	c.follow(func(f *followed) { f.active = true })
+	defer c.follow(func(f *followed) { f.active = false })
+	for ctx.Err() == nil {
+		if !c.owns(c.Clock.Now()) {
+			c.follow(func(f *followed) { f.synced, f.since, f.plans = false, 0, nil })
+			wait(ctx, followPause)
+			continue
+		}
+		var since uint64
+		c.follow(func(f *followed) { since = f.since })
+		records, err := c.Store.Watch(ctx, accelerator.RecordPrefix(own), since)
+		if err != nil {
+			c.follow(func(f *followed) { f.synced = false })
+			wait(ctx, followPause)
+			continue
+		}
+		c.follow(func(f *followed) { f.learn(records, accelerator.RecordPrefix(own)) })
+	}
+	return nil
+}
+
+func (c *Controller) follow(change func(*followed)) {
+	c.followed.mutex.Lock()
+	defer c.followed.mutex.Unlock()
+	change(&c.followed)
+}
+
+func (f *followed) learn(records kumquathitch.Records, prefix string) {
+	if f.plans == nil {
+		f.plans = map[string]accelerator.Plan{}
+	}
+	f.synced = true
+	for _, r := range records {
+		f.since = max(f.since, r.Version)
+		if plan, _, err := accelerator.Decode(r); err == nil {
+			f.plans[strings.TrimPrefix(r.Key, prefix)] = plan
+		}
+	}
+}
+
+func wait(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return writeBoard(ctx, c.Store, own, board.Post(moves, adapters, c.Rules.ClockError, now))
+}
+
+// owns reports whether this VM is the placement owner of its data centre.
+func (c *Controller) owns(now time.Time) bool {
+	self := c.Members.Self()
+	owners := c.Members.Ranked(OwnerDuty(self.DataCentre), self.DataCentre, 1, now)
+	return len(owners) == 1 && owners[0].Name == self.Name
+}
+
+// plansOf returns the plans of a data centre: those followed, or, when Follow
+// does not run, those in the store. It returns nil while they are not complete.
+func (c *Controller) plansOf(ctx context.Context, dataCentre string) (map[string]accelerator.Plan, error) {
+	var active bool
+	var plans map[string]accelerator.Plan
+	c.follow(func(f *followed) {
+		if active = f.active; f.synced {
+			plans = maps.Clone(f.plans)
+		}
+	})
+	if active {
+		return plans, nil
+	}
+	return c.readPlans(ctx, dataCentre)
 }
 
 // addAdapters counts the demand for an adapter as demand for its model too.
@@ -82,40 +199,26 @@
 	return plans, nil
 }
 
-// blocked reports whether a home model without a replica got neither a load nor room.
-func (c *Controller) blocked(site Site, moves Moves) bool {
-	for _, m := range site.Models {
-		served := slices.ContainsFunc(site.Servers, func(s Server) bool {
-			return slices.ContainsFunc(s.Plan.Holdings, func(h accelerator.Holding) bool { return h.Name == m.Name })
-		})
-		if site.Home[m.Name] && !served && !slices.ContainsFunc(moves, func(x Move) bool { return x.Key.Name == m.Name }) {
-			return true
-		}
-	}
-	return false
-}
-
-// elsewhere returns servers that are confirmed to serve models in their home data centres.
-func (c *Controller) elsewhere(ctx context.Context, config kumquathitch.Configuration, homes map[string]string, own string,
+// elsewhere returns servers that serve models in their home data centres, as
+// the owners there posted. They are asked before a replica here is unloaded.
+func (c *Controller) elsewhere(ctx context.Context, config kumquathitch.Configuration, homes map[string]Home, own string,
 ) (map[string]string, error) {
-	confirmed := map[string]string{}
+	servers := map[string]string{}
 	for _, d := range config.DataCentres {
 		if d.Name == own {
 			continue
 		}
-		plans, err := c.readPlans(ctx, d.Name)
+		board, err := ReadBoard(ctx, c.Store, d.Name)
 		if err != nil {
 			return nil, err
 		}
-		for server, plan := range plans {
-			for _, h := range plan.Holdings {
-				if homes[h.Name] == d.Name && h.Serving() {
-					confirmed[h.Name] = server
-				}
+		for name, server := range board.Serving {
+			if homes[name].DataCentre == d.Name {
+				servers[name] = server
 			}
 		}
 	}
-	return confirmed, nil
+	return servers, nil
 }
 
 // OwnerDuty returns the duty of planning a data centre's placement.
--- a/model/placement.go
+++ b/model/placement.go
@@ -36,7 +36,7 @@
 // Site is everything that the plan of one data centre depends on.
 type Site struct {
 	Models    kumquathitch.Models
-	Home      map[string]bool      // Models whose last replica stays in this data centre.
+	Home      map[string]Home      // Where models whose last replica stays in this data centre belong.
 	Elsewhere map[string]string    // Servers of other data centres that serve models whose home is there, by model.
 	Servers   []Server             // Engines of the data centre.
 	Demand    map[string]float64   // Tokens per second by model.
@@ -66,7 +66,7 @@
 	p := newPlanner(site, now)
 	p.retire()
 	for _, w := range p.wants() {
-		if p.loads >= maxLoads {
+		if p.loads+p.evictions >= maxLoads {
 			break
 		}
 		p.satisfy(w)
@@ -137,12 +137,15 @@
 	site      Site
 	now       time.Time
 	standings map[string]*standing
+	servers   map[string]int // Index by name.
 	rooms     [][]accelerator.Room
 	freeing   [][]int64 // Bytes that pending unloads will free, by server and accelerator.
 	planned   map[plannedLoad]bool
 	gone      map[*accelerator.Holding]bool // Unloaded by this plan.
 	moves     Moves
 	loads     int
+	evictions int
+	moving    map[string]bool // Models that this plan moves to their homes.
 }
 
 type plannedLoad struct {
@@ -154,6 +157,7 @@
 	p := &planner{
 		site: site, now: now, standings: make(map[string]*standing, len(site.Models)),
 		planned: map[plannedLoad]bool{}, gone: map[*accelerator.Holding]bool{},
+		servers: make(map[string]int, len(site.Servers)), moving: map[string]bool{},
 	}
 	for i := range site.Models {
 		m := &site.Models[i]
@@ -167,6 +171,7 @@
 	}
 	for i := range site.Servers {
 		s := &site.Servers[i]
+		p.servers[s.Upstream.Name] = i
 		p.rooms = append(p.rooms, s.Plan.Room(s.Upstream, s.First))
 		p.freeing = append(p.freeing, make([]int64, len(s.Upstream.Accelerators)))
 		p.count(i, s)
@@ -242,7 +247,7 @@
 	for i := range p.site.Models {
 		state := p.standings[p.site.Models[i].Name]
 		current := state.Current + state.Coming
-		if state.Serving == 0 && state.Coming == 0 && p.site.Home[state.Model.Name] && !state.Pending {
+		if state.Serving == 0 && state.Coming == 0 && p.isHome(state.Model.Name) && !state.Pending {
 			wants = append(wants, want{Model: state.Model, Urgency: lastReplica, Gain: state.Demand})
 			continue
 		}
@@ -263,15 +268,59 @@
 	return wants
 }
 
-// satisfy plans one load, or the unloads that make room for it.
+func (p *planner) isHome(name string) bool {
+	_, ok := p.site.Home[name]
+	return ok
+}
+
+// satisfy plans one load, or the unloads that make room for it. A model goes
+// to its home when there is room, so that all that belong there fit.
 func (p *planner) satisfy(w want) {
 	bytes := w.Model.Bytes + w.Model.CacheReserve
-	server, at := p.roomiest(w.Model, bytes)
-	if server >= 0 {
+	home, atHome := p.home(w.Model)
+	if atHome && p.fits(home, p.site.Home[w.Model.Name].Accelerator, w.Model, bytes) {
+		p.load(home, p.site.Home[w.Model.Name].Accelerator, w.Model, bytes)
+		return
+	}
+	if server, at := p.roomiest(w.Model, bytes); server >= 0 {
 		p.load(server, at, w.Model, bytes)
 		return
 	}
-	p.makeRoom(w, bytes)
+	p.evictions++
+	if !p.makeRoom(w, bytes) && atHome && w.Urgency == lastReplica {
+		p.clear(w, home, p.site.Home[w.Model.Name].Accelerator)
+	}
+}
+
+// home returns the server where a model belongs, when it is in this data centre and available.
+func (p *planner) home(m *kumquathitch.Model) (int, bool) {
+	home, ok := p.site.Home[m.Name]
+	if !ok || home.Server == "" {
+		return -1, false
+	}
+	i, ok := p.servers[home.Server]
+	return i, ok && p.site.Servers[i].Available
+}
+
+// clear moves models that do not belong on an accelerator to their homes, so
+// that a later plan can unload them there.
+func (p *planner) clear(w want, server, at int) {
+	for j := range p.site.Servers[server].Plan.Holdings {
+		h := &p.site.Servers[server].Plan.Holdings[j]
+		state := p.standings[h.Name]
+		home, ok := p.site.Home[h.Name]
+		if h.Accelerator != at || state == nil || !ok || state.Serving != 1 || state.Fixed || p.moving[h.Name] ||
+			(home.Server == p.site.Servers[server].Upstream.Name && home.Accelerator == at) {
+			continue
+		}
+		p.moving[h.Name] = true
+		p.satisfy(want{Model: state.Model, Urgency: w.Urgency, Gain: state.Demand})
+	}
+}
+
+func (p *planner) fits(server, at int, m *kumquathitch.Model, bytes int64) bool {
+	room := p.rooms[server][at]
+	return room.Running >= bytes && room.Restarted >= bytes && !p.site.Servers[server].Plan.Settled.IsZero() && !p.holds(server, m)
 }
 
 // holds reports whether a server has or may get the listed version of a model already.
@@ -311,7 +360,8 @@
 
 // makeRoom unloads the least valuable holdings of one accelerator, when the
 // want is worth it. Room that earlier unloads will free is kept for the want.
-func (p *planner) makeRoom(w want, bytes int64) {
+// It returns false when no accelerator could make room.
+func (p *planner) makeRoom(w want, bytes int64) bool {
 	best, found := victims{}, false
 	for i := range p.site.Servers {
 		s := &p.site.Servers[i]
@@ -326,7 +376,7 @@
 			if missing <= 0 {
 				p.freeing[i][a] -= bytes - max(0, room.Running)
 				p.rooms[i][a].Running = 0
-				return
+				return true
 			}
 			v, ok := p.cheapest(w, i, a, missing)
 			if ok && (!found || v.Loss < best.Loss || (v.Loss == best.Loss && len(v.Holdings) < len(best.Holdings))) {
@@ -335,13 +385,14 @@
 		}
 	}
 	if !found || (w.Urgency == moreReplicas && w.Gain < minGain*best.Loss) {
-		return
+		return false
 	}
 	for _, h := range best.Holdings {
 		p.unload(best.Server, h)
 	}
 	p.rooms[best.Server][best.At].Running = 0
 	p.freeing[best.Server][best.At] = 0
+	return true
 }
 
 // cheapest returns the holdings of an accelerator that free missing bytes at the least loss.
@@ -393,7 +444,7 @@
 		}
 		return state.Demand / float64(state.Serving), true
 	}
-	if p.site.Home[h.Name] || p.site.Elsewhere[h.Name] == "" || w.Urgency == moreReplicas {
+	if p.isHome(h.Name) || p.site.Elsewhere[h.Name] == "" || w.Urgency == moreReplicas {
 		return 0, false
 	}
 	return state.Demand, w.Urgency == lastReplica || w.Gain > minGain*state.Demand
--- a/model/weights_test.go
+++ b/model/weights_test.go
@@ -28,7 +28,7 @@
 			WeightStore: kumquathitch.WeightStore{LoadsPerSecond: rapid.Float64Range(0.2, 4).Draw(t, "rate"), LoadsAtOnce: rapid.IntRange(2, 7).Draw(t, "at-once")},
 		}
 		c := clock.NewManual(start)
-		store := standin.NewStore(c)
+		store := &racing{Store: standin.NewStore(c)}
 		ids := 0
 		gate := &model.Gate{Store: store, NewID: func() string { ids++; return fmt.Sprint(ids) }}
 		var started []time.Time
@@ -45,6 +45,11 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"take": take, "take-more": take, "take-again": take,
+			"race": func(t *rapid.T) {
+				store.before = func() { take(t) }
+				take(t)
+				store.before = nil
+			},
 			"finish": func(t *rapid.T) {
 				if len(running) == 0 {
 					return
