Replace the replicas of engines that do not answer

Cause: the placement owner learned of a dead engine only through failed requests of its own, so that models that only this engine held stayed unreachable; and a single broken connection would have moved models.

Change: the VM that holds the server's duty notes on the memory plan that the engine has not answered for 15 s; the planner then counts none of its replicas as serving, while its memory stays counted. The daemon treats a server as unavailable when it is leaving, or down without a report for dead-after. Tests cover a dead engine and adapter moves while the store is down.

Conclusion: a dead engine costs one store write and the loads of its models.

--- a/accelerator/plan.go
+++ b/accelerator/plan.go
@@ -134,6 +134,9 @@
 	Holdings Holdings  `json:"holdings,omitempty"`
 	Roles    []Role    `json:"roles,omitempty"` // Roles that may be in force besides the first one, which takes no memory.
 	Pool     PoolLease `json:"pool,omitzero"`
+	// Unreachable tells that the engine has not answered for a while. Its
+	// holdings stay counted, since it may only be cut off.
+	Unreachable bool `json:"unreachable,omitempty"`
 }
 
 // Request asks for memory for one load of a model or adapter.
@@ -213,7 +216,7 @@
 	}
 	p.Holdings = p.Holdings.settle(report, fence, false)
 	p.Roles = settleRoles(p.Roles, report)
-	p.Settled = report.Taken
+	p.Settled, p.Unreachable = report.Taken, false
 	return p
 }
 
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -12,6 +12,7 @@
 	"kumquathitch.example/kumquathitch/engine"
 	"kumquathitch.example/kumquathitch/model"
 	"kumquathitch.example/kumquathitch/peer"
+	"kumquathitch.example/kumquathitch/upstream"
 )
 
 const (
@@ -66,12 +67,9 @@
 		},
 		NewID: rand.Text, Holder: d.Settings.Name + "-" + rand.Text(), Capacity: replicaTokens,
 		PlanInterval: planInterval, AtOnce: enginesAtOnce,
-		Share:  p.share,
-		Report: d.Upstreams.Report,
-		Available: func(server string, now time.Time) bool {
-			state, ok := d.Upstreams.State(server)
-			return ok && state.Available(now)
-		},
+		Share:     p.share,
+		Report:    d.Upstreams.Report,
+		Available: p.available,
 		Failed: func(server string, err error) {
 			d.Logger.Warn("placement-failed", zap.String("upstream", server), zap.Error(err))
 		},
@@ -83,6 +81,16 @@
 	return p
 }
 
+// available reports whether placement may count on a server. A broken
+// connection alone moves no model: it takes the server out of use for 2 s only.
+func (p *placement) available(server string, now time.Time) bool {
+	state, ok := p.daemon.Upstreams.State(server)
+	if !ok || state.Phase == upstream.Leaving {
+		return false
+	}
+	return state.Phase != upstream.Down || now.Before(state.Reported.Add(p.daemon.Settings.DeadAfter))
+}
+
 // share returns this VM's part of the adapters in flight.
 //
 // It counts the VMs that this one sees as live, and becomes the share of the
--- a/model/controller.go
+++ b/model/controller.go
@@ -18,6 +18,9 @@
 	// adapterTerm is the same for an adapter. On engines that ignore fencing
 	// numbers, an adapter cannot be unloaded before it and the message delay have passed.
 	adapterTerm = 5 * time.Second
+	// unreachableAfter is how long an engine may not answer before its replicas
+	// are replaced. Shorter would move models for a restart of the engine's process.
+	unreachableAfter = 15 * time.Second
 	// loadLimit is the longest time that an engine takes to load a model. A
 	// permit of the weight store whose load is never heard of again ends after it.
 	loadLimit = 2 * time.Minute
@@ -68,6 +71,7 @@
 	Latest  time.Time // Latest expiry of the adapter orders sent.
 	Permits []heldPermit
 	Done    map[Move]bool // Moves carried out, until their deadline.
+	Failing time.Time     // Since when the engine has not answered; zero when it does.
 }
 
 // heldPermit is a permit of the weight store in use by a load.
@@ -128,18 +132,24 @@
 // server returns a server as the planner sees it.
 func (c *Controller) server(config kumquathitch.Configuration, u kumquathitch.Upstream, plan accelerator.Plan) Server {
 	first, adapters := accelerator.First(u, config.Models, config.Adapters)
-	return Server{Upstream: u, Plan: plan, First: first, FirstAdapters: adapters, Available: c.Available(u.Name, c.Clock.Now())}
+	return Server{
+		Upstream: u, Plan: plan, First: first, FirstAdapters: adapters,
+		Available: !plan.Unreachable && c.Available(u.Name, c.Clock.Now()),
+	}
 }
 
 // serve takes in the report of one server and carries its moves out.
 func (c *Controller) serve(ctx context.Context, config kumquathitch.Configuration, u kumquathitch.Upstream, board Board, quota *adapterQuota) error {
 	report, err := c.Engines.Load(ctx, u.Address)
+	now := c.Clock.Now()
+	know := c.knowledge(u.Name)
 	if err != nil {
+		err = errors.Join(err, c.noAnswer(ctx, u, now, &know))
+		c.remember(u.Name, know)
 		return err
 	}
-	now := c.Clock.Now()
+	know.Failing = time.Time{}
 	c.Report(u.Name, report, now)
-	know := c.knowledge(u.Name)
 	if know.Plan.Version == 0 || know.Stale {
 		plan, err := accelerator.NewPlans(c.Store, c.NewID).Read(ctx, u)
 		if err == nil {
@@ -156,6 +166,25 @@
 	return problem
 }
 
+// noAnswer notes on the plan that an engine has not answered for a while.
+func (c *Controller) noAnswer(ctx context.Context, u kumquathitch.Upstream, now time.Time, know *knowledge) error {
+	if know.Failing.IsZero() {
+		know.Failing = now
+	}
+	if know.Plan.Version == 0 || know.Plan.Unreachable || now.Before(know.Failing.Add(unreachableAfter)) {
+		return nil
+	}
+	written, err := accelerator.NewPlans(c.Store, c.NewID).ChangeFrom(ctx, u, know.Plan,
+		func(p accelerator.Plan) (accelerator.Plan, error) {
+			p.Unreachable = true
+			return p, nil
+		})
+	if err == nil {
+		know.Plan = written
+	}
+	return err
+}
+
 // settle writes what a report changes of a plan and returns finished permits.
 // A report that only confirms the plan is not written.
 func (c *Controller) settle(ctx context.Context, u kumquathitch.Upstream, report kumquathitch.LoadReport, know *knowledge) error {
@@ -163,7 +192,7 @@
 		return p.Settle(report, u).Expire(c.Clock.Now(), c.Rules), nil
 	}
 	settled, _ := decide(know.Plan)
-	if know.Plan.Version == 0 || !reflect.DeepEqual(settled.Holdings, know.Plan.Holdings) || !reflect.DeepEqual(settled.Roles, know.Plan.Roles) {
+	if know.Plan.Version == 0 || know.Plan.Unreachable || !reflect.DeepEqual(settled.Holdings, know.Plan.Holdings) || !reflect.DeepEqual(settled.Roles, know.Plan.Roles) {
 		written, err := accelerator.NewPlans(c.Store, c.NewID).ChangeFrom(ctx, u, know.Plan, decide)
 		if err != nil {
 			return err
--- a/model/controller_test.go
+++ b/model/controller_test.go
@@ -271,6 +271,42 @@
 	s.check(t)
 }
 
+// TestDeadEngineIsReplaced guards against models that stay unreachable after the engine that held them died.
+func TestDeadEngineIsReplaced(t *testing.T) {
+	s := newSite(true, time.Second, 6, 6)
+	s.run(60, 2)
+	dead := s.config.Upstreams[0]
+	must.SliceNotEmpty(t, s.engines[dead.Name].Report().Resident)
+	s.wire.Cut(dead.Address)
+	delete(s.engines, dead.Name)
+	s.run(60, 2)
+	for _, m := range s.config.Models {
+		must.True(t, s.serves(m.Name), must.Sprint(m.Name))
+	}
+}
+
+// TestAdaptersMoveWhileStoreIsDown guards against adapter orders that need the store.
+func TestAdaptersMoveWhileStoreIsDown(t *testing.T) {
+	s := newSite(true, time.Second, 2, 3)
+	s.config.Upstreams[0].Accelerators[0].AdapterPool = 8 // Room for one adapter.
+	s.run(60, 2)
+	held := s.engines["planner-0"].Report().Resident
+	missing := ""
+	for _, a := range s.config.Adapters {
+		if slices.Contains(held, a.Model) && !slices.Contains(held, a.Name) {
+			missing = a.Name
+		}
+	}
+	must.NotEq(t, "", missing, must.Sprint(held))
+	s.store.SetFaults(standin.StoreFaults{Down: true})
+	for range 30 {
+		s.demand(missing, 1000)
+		s.run(1, 2)
+	}
+	must.SliceContains(t, s.engines["planner-0"].Report().Resident, missing)
+	must.Eq(t, 0, s.engines["planner-0"].Overcommits())
+}
+
 func (s *site) advance(t *rapid.T) {
 	before := s.held()
 	for range rapid.IntRange(1, 20).Draw(t, "rounds") {
--- a/standin/order.go
+++ b/standin/order.go
@@ -97,6 +97,7 @@
 	Engines map[string]*Engine // By address.
 
 	mutex  sync.Mutex
+	cut    map[string]bool
 	faults []WireFault
 	flying []flight
 }
@@ -119,8 +120,23 @@
 	w.faults = append(w.faults, fault)
 }
 
+// Cut takes an engine off the network for good.
+func (w *Wire) Cut(address string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.cut == nil {
+		w.cut = map[string]bool{}
+	}
+	w.cut[address] = true
+}
+
 // Load fetches an engine's load report.
 func (w *Wire) Load(_ context.Context, address string) (kumquathitch.LoadReport, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.cut[address] {
+		return kumquathitch.LoadReport{}, eris.New("the engine does not answer")
+	}
 	return w.Engines[address].Report(), nil
 }
 
@@ -131,6 +147,9 @@
 	if len(w.faults) > 0 {
 		fault, w.faults = w.faults[0], w.faults[1:]
 	}
+	if w.cut[address] {
+		fault = WireFault{}
+	}
 	now := w.Clock.Now()
 	for _, d := range fault.Delays {
 		if d > 0 {
