--- a/configuration/repository.go
+++ b/configuration/repository.go
@@ -28,6 +28,7 @@
 	"github.com/rotisserie/eris"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/model"
 )
 
 const (
@@ -100,14 +101,8 @@
 	if old.Generation != config.Generation {
 		return config, r.conflict(ctx, record, config)
 	}
-	if record.Version != 0 {
-		current, err := r.decode(ctx, record)
-		if err != nil {
-			return config, err
-		}
-		if err := CheckKeys(current, config); err != nil {
-			return config, err
-		}
+	if err := r.check(ctx, record, config); err != nil {
+		return config, err
 	}
 	base := config
 	config.Generation++
@@ -126,6 +121,22 @@
 	return config, nil
 }
 
+// check returns a *kumquathitch.ValidationError for a change that the current
+// configuration, if there is one, rules out.
+func (r *Repository) check(ctx context.Context, record kumquathitch.Record, next kumquathitch.Configuration) error {
+	var current kumquathitch.Configuration
+	if record.Version != 0 {
+		var err error
+		if current, err = r.decode(ctx, record); err != nil {
+			return err
+		}
+		if err := CheckKeys(current, next); err != nil {
+			return err
+		}
+	}
+	return model.CheckChange(current, next).Err()
+}
+
 // root returns the root record, which is empty when there is none.
 func (r *Repository) root(ctx context.Context) (kumquathitch.Record, Root, error) {
 	record, err := r.Store.Get(ctx, RootKey)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,6 +62,7 @@
 
 	Membership   *Membership
 	Distribution *Distribution
+	Placement    *placement
 
 	tracing      *telemetry.Tracing
 	listener     net.Listener
@@ -92,6 +93,7 @@
 	d.Rates = newRateShares(d)
 	d.Routes = route.NewTable(d.Upstreams, d.Clock, settings.DataCentre)
 	d.Requests = d.newRequests()
+	d.Placement = newPlacement(d)
 	d.Gateway = gateway.NewServer(&gateway.Server{
 		Accounts:  d.Accounts,
 		Limits:    d.Rates.Limiter,
@@ -99,6 +101,7 @@
 		Outcomes:  d.Requests.Outcomes,
 		Suspects:  d.Requests.Suspects,
 		Reports:   reportSink{fleet: d.Upstreams, clock: d.Clock},
+		Demand:    d.Placement.Demand,
 		Clock:     d.Clock,
 		Tracing:   tracing,
 		Logger:    d.Logger,
@@ -152,6 +155,7 @@
 	all.Start(work, "rate-slots", d.Rates.keepSlots)
 	all.Start(work, "rate-loans", d.Rates.Borrower.Run)
 	d.startRequests(work, all)
+	all.Start(work, "placement", d.Placement.Run)
 	end := all.Wait(stop)
 	d.Peers.Close()
 	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	server := &gateway.Server{
-//		Accounts: directory, Limits: limiter, Upstreams: table, Outcomes: coordinator, Suspects: suspects,
+//		Accounts: directory, Limits: limiter, Upstreams: table, Outcomes: coordinator, Suspects: suspects, Demand: demand,
 //		Clock: clock, Tracing: tracing, Logger: logger, Metrics: set,
 //	}
 //	server.Apply(config)
@@ -36,6 +36,7 @@
 	Outcomes  kumquathitch.Outcomes
 	Suspects  kumquathitch.Quarantine
 	Reports   ReportSink
+	Demand    kumquathitch.DemandSink
 	Clock     kumquathitch.Clock
 	Tracing   *telemetry.Tracing
 	Logger    *zap.Logger
