Send fewer heartbeats between data centres and smaller push trees

Cause: at 10 data centres of 39 VMs and 0.75 changes a second the daemon that was both delegate and watcher sent 5,024 bytes a second, above the budget of 5,000 for all control.

Change: a delegate's beat goes to 2 other data centres, before 3; a VM passes a change on to 2 others, before 3.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -27,7 +27,7 @@
 	// not use up the 4 s in which a change must be in force.
 	spreadTimeout = time.Second
 	// pushFanOut is the number of VMs that each VM passes a change on to.
-	pushFanOut = 3
+	pushFanOut = 2
 	// pendingDeltas is the number of changes that may wait to be passed on.
 	pendingDeltas = 16
 	// maxPulls bounds the messages of one pull: 64 MB of configuration at 512 kB a message.
@@ -252,7 +252,7 @@
 	}
 }
 
-// After returns the VMs to which a VM passes a change on: at most 3, so that a
+// After returns the VMs to which a VM passes a change on: at most 2, so that a
 // watcher at 65,000 changes a day stays within its bytes. The two watchers are
 // the roots of two trees over the ranked VMs of the data centre, which differ
 // from change to change. VMs whose views differ may leave some out; those pull.
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -13,8 +13,8 @@
 	// delegates is the number of VMs that speak for a data centre.
 	delegates = 2
 	// remoteFanOut is the number of other data centres that a delegate's beat
-	// goes to. With 10 data centres each pair exchanges 1.3 heartbeats a second.
-	remoteFanOut = 3
+	// goes to. With 10 data centres each pair exchanges 0.9 heartbeats a second.
+	remoteFanOut = 2
 	// retryEvery is the number of beats between two tries to reach a dead VM.
 	retryEvery = 5
 	// maxDigest bounds a heartbeat to about 1.4 kB.
@@ -31,7 +31,7 @@
 
 // Beat counts a beat and returns the heartbeats to send: to 3 random VMs of the
 // data centre, a suspected one first, now and then to a dead one, and, from a
-// delegate, to delegates of 3 other data centres.
+// delegate, to delegates of 2 other data centres.
 func (r *Registry) Beat(now time.Time) []Outgoing {
 	r.mutex.Lock()
 	r.beat++
