--- a/request/record_test.go
+++ b/request/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,6 +66,7 @@
 // TestRecordStaysBelowLimit guards against a record that the store refuses, a
 // size below the encoded one, and a damaged record that reads as one with fewer claims.
 func TestRecordStaysBelowLimit(t *testing.T) {
+	var steps atomic.Int64
 	rapid.Check(t, func(r *rapid.T) {
 		terms := request.Terms{TTL: time.Hour, ClockError: time.Second, MaxBytes: rapid.IntRange(500, 6000).Draw(r, "limit")}
 		record, now := request.NewRecord(), epoch
@@ -87,8 +89,10 @@
 				record.Prune(terms, now)
 			}
 			checkRecord(r, record, terms)
+			steps.Add(1)
 		}
 	})
+	t.Logf("steps: %d", steps.Load())
 }
 
 func checkRecord(t *rapid.T, record *request.Record, terms request.Terms) {
