Store slot tables with each holder once

Cause: at 390 VMs and 1,020 slots the record of a data centre had 29,876 bytes. Each VM reads and writes it every 10 s, and the store's protocol carries it in base64: 8 KB/s of a daemon's 5 KB/s for control.

Change: EncodeTable and DecodeTable list each process once and group its halves by deadline. Write ids are numbers within a process. Deadlines have a precision of a millisecond.

--- a/rate/renewer.go
+++ b/rate/renewer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -60,8 +59,8 @@
 	Surplus []Holder
 
 	held    map[HalfID]time.Time // Confirmed halves with the deadlines of the record.
-	pending string               // Id of a write whose outcome is unknown.
-	writes  uint64
+	pending uint64               // Id of a write whose outcome is unknown; 0 for none.
+	writes  uint64               // Id of the last write.
 }
 
 // Renew renews, takes and releases halves in one write. After an error this VM
@@ -103,9 +102,9 @@
 		if record.Version == 0 {
 			return nil
 		}
-		var table Table
-		if err := json.Unmarshal(record.Value, &table); err != nil {
-			return eris.Wrap(err, "Renewer.Release")
+		table, err := DecodeTable(record.Value)
+		if err != nil {
+			return err
 		}
 		now := r.Clock.Now()
 		plan := Plan{Release: slices.Collect(maps.Keys(table.Held(r.Self)))}
@@ -124,9 +123,9 @@
 	return SlotsPrefix + r.DataCentre
 }
 
-func (r *Renewer) nextWriteID() string {
+func (r *Renewer) nextWriteID() uint64 {
 	r.writes++
-	return fmt.Sprintf("%s/%d", r.Self, r.writes)
+	return r.writes
 }
 
 // read returns the record of the table; its version is 0 when there is none.
@@ -146,11 +145,7 @@
 	if record.Version == 0 {
 		return r.create(ctx, config)
 	}
-	var table Table
-	if err := json.Unmarshal(record.Value, &table); err != nil {
-		return table, eris.Wrap(err, "Renewer.Renew")
-	}
-	return table, nil
+	return DecodeTable(record.Value)
 }
 
 func (r *Renewer) create(ctx context.Context, config kumquathitch.Configuration) (Table, error) {
@@ -162,9 +157,9 @@
 	problem := SlotCountError{DataCentre: r.DataCentre, Total: fresh.Total, Wanted: len(fresh.Slots)}
 	same := true
 	for _, record := range records {
-		var other Table
-		if err := json.Unmarshal(record.Value, &other); err != nil {
-			return fresh, eris.Wrap(err, "Renewer.Renew")
+		other, err := DecodeTable(record.Value)
+		if err != nil {
+			return fresh, err
 		}
 		same = same && other.Total == fresh.Total && other.FloorShare == fresh.FloorShare
 		problem.Taken += len(other.Slots)
@@ -182,9 +177,9 @@
 func (r *Renewer) settle(table *Table) {
 	recorded := table.Held(r.Self)
 	registration := table.Registered(r.Self)
-	if r.pending != "" && registration != nil && registration.WriteID == r.pending {
+	if r.pending != 0 && registration != nil && registration.WriteID == r.pending {
 		r.held = recorded
-		r.pending = ""
+		r.pending = 0
 	}
 	for id, deadline := range r.held {
 		shown, ok := recorded[id]
@@ -209,8 +204,8 @@
 }
 
 // write swaps the table in. After a conflict it returns the record as it is now.
-func (r *Renewer) write(ctx context.Context, record kumquathitch.Record, table *Table, writeID string) (kumquathitch.Record, bool, error) {
-	value, err := json.Marshal(table)
+func (r *Renewer) write(ctx context.Context, record kumquathitch.Record, table *Table, writeID uint64) (kumquathitch.Record, bool, error) {
+	value, err := EncodeTable(*table)
 	if err != nil {
 		return record, false, eris.Wrap(err, "Renewer.Renew")
 	}
@@ -226,7 +221,7 @@
 		r.pending = writeID
 		return record, false, err
 	}
-	r.pending = ""
+	r.pending = 0
 	r.held = table.Held(r.Self)
 	now := r.Clock.Now()
 	r.setParts(table, now)
@@ -270,15 +265,15 @@
 	settings Settings, clock kumquathitch.Clock,
 ) (int, error) {
 	for range renewAttempts {
-		var table Table
-		if err := json.Unmarshal(record.Value, &table); err != nil {
-			return 0, eris.Wrap(err, "rate.ForgetVM")
+		table, err := DecodeTable(record.Value)
+		if err != nil {
+			return 0, err
 		}
 		halves := table.Forget(name, settings, clock.Now())
 		if halves == 0 {
 			return 0, nil
 		}
-		value, err := json.Marshal(table)
+		value, err := EncodeTable(table)
 		if err != nil {
 			return 0, eris.Wrap(err, "rate.ForgetVM")
 		}
--- a/rate/slots.go
+++ b/rate/slots.go
@@ -43,29 +43,29 @@
 
 // Half is one half of a slot. The zero value is free.
 type Half struct {
-	Holder   Holder    `json:"holder,omitzero"`
-	Deadline time.Time `json:"deadline,omitzero"` // End of the lease by the clock of the holder that wrote it.
+	Holder   Holder
+	Deadline time.Time // End of the lease by the clock of the holder that wrote it.
 }
 
 // Slot is an equal part of every account's rate and burst.
 type Slot struct {
-	Floor  Half `json:"floor"`  // Outlives outages of the store.
-	Leased Half `json:"leased"` // Becomes available quickly after its holder dies.
+	Floor  Half // Outlives outages of the store.
+	Leased Half // Becomes available quickly after its holder dies.
 }
 
 // Registration tells that a process takes part in sharing the slots of its data centre.
 type Registration struct {
 	Holder
 	Until   time.Time `json:"until"`    // The process counts as present until then.
-	WriteID string    `json:"write-id"` // The last write of this process that took effect.
+	WriteID uint64    `json:"write-id"` // The last write of this process that took effect; its writes are numbered from 1.
 }
 
 // Table is the record of one data centre's slots.
 type Table struct {
-	Total      int            `json:"total"`       // Slots of all data centres; one slot is 1/Total of every rate.
-	FloorShare float64        `json:"floor-share"` // Part of each slot that is its floor half, in [0, 1].
-	VMs        []Registration `json:"vms"`         // In order of names.
-	Slots      []Slot         `json:"slots"`
+	Total      int            // Slots of all data centres; one slot is 1/Total of every rate.
+	FloorShare float64        // Part of each slot that is its floor half, in [0, 1].
+	VMs        []Registration // In order of names.
+	Slots      []Slot
 }
 
 // HalfID names a half within a table.
@@ -102,13 +102,6 @@
 	return (1 - t.FloorShare) / float64(t.Total)
 }
 
-// Clone returns a copy that shares nothing with the table.
-func (t Table) Clone() Table {
-	t.VMs = slices.Clone(t.VMs)
-	t.Slots = slices.Clone(t.Slots)
-	return t
-}
-
 // Held returns the halves that the record gives to a process, with their deadlines.
 func (t *Table) Held(by Holder) map[HalfID]time.Time {
 	held := map[HalfID]time.Time{}
@@ -141,11 +134,11 @@
 // have lapsed. A process with a higher incarnation at an address proves that
 // the earlier one is dead: the earlier one's halves end as soon as its last
 // loans have ended.
-func (t *Table) Register(self Holder, writeID string, settings Settings, now time.Time) {
+func (t *Table) Register(self Holder, writeID uint64, settings Settings, now time.Time) {
 	t.VMs = slices.DeleteFunc(t.VMs, func(r Registration) bool {
 		return self.Replaces(r.Holder) || r.Holder == self || !now.Before(r.Until.Add(settings.ClockError))
 	})
-	t.VMs = append(t.VMs, Registration{Holder: self, Until: now.Add(settings.SlotLease), WriteID: writeID})
+	t.VMs = append(t.VMs, Registration{Holder: self, Until: now.Add(settings.SlotLease).Truncate(deadlinePrecision), WriteID: writeID})
 	slices.SortFunc(t.VMs, func(a, b Registration) int {
 		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
@@ -262,7 +255,7 @@
 		if id.Floor {
 			lease = settings.FloorLease
 		}
-		*t.Half(id) = Half{Holder: self, Deadline: now.Add(lease)}
+		*t.Half(id) = Half{Holder: self, Deadline: now.Add(lease).Truncate(deadlinePrecision)}
 	}
 	for _, id := range plan.Release {
 		h := t.Half(id)
