Report the held share of rates and failed renewals as metrics

Cause: nobody could see from outside whether a VM holds its slots.

Change: gauge kumquathitch_rate_share (without loans) and counter kumquathitch_rate_renewal_failures_total.

--- a/daemon/rate.go
+++ b/daemon/rate.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
@@ -33,6 +34,8 @@
 	now     chan chan struct{} // Asks for a renewal at once; the inner channel is closed after it.
 	peers   kumquathitch.Peers
 	logger  *zap.Logger
+
+	failures *metrics.Counter
 }
 
 // newRateShares builds the rate shares of this VM and adds their handler to the peer server.
@@ -67,6 +70,8 @@
 		logger:  d.Logger,
 	}
 	peer.Handle(d.PeerServer, rate.RebalanceMethod, shares.rebalance)
+	shares.failures = d.Metrics.NewCounter("kumquathitch_rate_renewal_failures_total")
+	d.Metrics.NewGauge("kumquathitch_rate_share", func() float64 { return ledger.Share(d.Clock.Now()) })
 	return shares
 }
 
@@ -128,6 +133,7 @@
 		err = r.Renewer.Renew(ctx, *r.config.Load())
 	}
 	if err != nil && ctx.Err() == nil {
+		r.failures.Inc()
 		r.logger.Warn("slot-renewal-failed", zap.Error(err))
 	}
 	if err != nil || len(r.Renewer.Surplus) > 0 {
--- a/rate/ledger.go
+++ b/rate/ledger.go
@@ -156,6 +156,20 @@
 	return rights
 }
 
+// Share returns the part of every account's rate that this VM holds, without loans.
+func (l *Ledger) Share(now time.Time) float64 {
+	s := &l.shards[0] // All shards have the same parts.
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	share := 0.0
+	for _, p := range s.parts {
+		if !ended(p.Deadline, now) {
+			share += p.Share
+		}
+	}
+	return share
+}
+
 // Level returns the tokens that this VM may spend of an account now.
 func (l *Ledger) Level(account string, now time.Time) float64 {
 	level := 0.0
