--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -91,15 +91,10 @@
 	return state.Phase != upstream.Down || now.Before(state.Reported.Add(p.daemon.Settings.DeadAfter))
 }
 
-// share returns this VM's part of the adapters in flight.
-//
-// It counts the VMs that this one sees as live, and becomes the share of the
-// rate slots held once the ledger tells it: two VMs that do not see each other
-// together take up to twice the knee, which slows adapter loads down but
-// endangers nothing else.
+// share returns this VM's part of the adapters in flight: the share of the rate
+// slots that it holds, which all VMs together never pass.
 func (p *placement) share() float64 {
-	now := p.daemon.Clock.Now()
-	return 1 / float64(1+len(p.daemon.Members.Live("", now)))
+	return p.daemon.Rates.Ledger.Share(p.daemon.Clock.Now())
 }
 
 // Run works until ctx ends, then gives the adapter pools up.
