--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,6 +60,7 @@
 	Peers      *peer.Client
 	PeerServer *peer.Server
 
+	watch        *upstreamWatch
 	tracing      *telemetry.Tracing
 	listener     net.Listener
 	peerListener net.Listener
@@ -98,6 +99,7 @@
 		Logger:    d.Logger,
 		Metrics:   d.Metrics,
 	}, nil)
+	d.newUpstreamWatch()
 	d.Current = configuration.NewCurrent(d.Accounts, rateApplier{d}, d.Upstreams, d.Routes, d.Gateway)
 	return d, d.listen(ctx)
 }
@@ -139,6 +141,7 @@
 	})
 	all.Start(work, "peers", func(ctx context.Context) error { return <-d.PeerServer.Serve(ctx, d.peerListener) })
 	all.Start(work, "configuration", d.followConfiguration)
+	all.Start(work, "upstreams", d.watch.run)
 	end := all.Wait(stop)
 	d.Peers.Close()
 	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
--- a/request.go
+++ b/request.go
@@ -24,6 +24,8 @@
 	Upstream Upstream
 	Demand   Demand
 	Sent     time.Time
+	Wait     time.Duration // Estimated time to the first byte of the answer, without network and loading.
+	Priority int           // Priority to tell the engine; lower is more urgent.
 }
 
 // Result tells how a request on a chosen upstream ended.
@@ -32,6 +34,7 @@
 	Failed  bool      // The upstream failed the request.
 	Crashed bool      // The connection broke while the request ran: the upstream may have died.
 	First   time.Time // When the first byte of the answer arrived; zero when none did.
+	Stream  bool      // First is the arrival of the first token, not of a complete answer.
 }
 
 // Charge is an admission of a request against an account's rate. It is settled exactly once.
--- /dev/null
+++ b/route/bench_test.go
@@ -0,0 +1,57 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// BenchmarkPick measures one choice and its end. The cost must not grow with
+// the number of models or servers.
+func BenchmarkPick(b *testing.B) {
+	for _, models := range []int{20, 200, 1700} {
+		for _, servers := range []int{12, 1200, 12_000} {
+			b.Run(fmt.Sprintf("models=%d/servers=%d", models, servers), func(b *testing.B) {
+				s := newSite(siteConfiguration(servers, models))
+				demand := demandAt(s.clock.Now(), "crew-a", 100)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					demand.Model = s.model(i, models)
+					demand.PrefixHash = uint64(i%1000 + 1)
+					pickAndDone(b, s, demand)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPickParallel measures choices of several goroutines; run it with -cpu 1,2,4,8.
+func BenchmarkPickParallel(b *testing.B) {
+	s := newSite(siteConfiguration(1200, 200))
+	models := make([]string, 200)
+	for i := range models {
+		models[i] = fmt.Sprintf("m%d", i)
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		demand := demandAt(s.clock.Now(), "crew-a", 100)
+		for i := 0; pb.Next(); i++ {
+			demand.Model = models[i%len(models)]
+			demand.PrefixHash = uint64(i%1000 + 1)
+			pickAndDone(b, s, demand)
+		}
+	})
+}
+
+func (s *site) model(i, models int) string {
+	return s.names[i%models]
+}
+
+func pickAndDone(b *testing.B, s *site, demand kumquathitch.Demand) {
+	choice, err := s.table.Pick(demand)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.table.Done(choice, kumquathitch.Result{})
+}
--- /dev/null
+++ b/route/shares.go
@@ -0,0 +1,183 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// Use is what one account has in flight on the replicas of one model.
+type Use struct {
+	Account  string
+	Weight   float64 // The account's rate, so that shares are in proportion to rates.
+	Tokens   float64 // Tokens in flight.
+	Requests int     // Requests in flight.
+	Served   float64 // Requests chosen an upstream for, decayed.
+	Shed     float64 // Requests shed, decayed.
+}
+
+// Uses is a list of uses of one model.
+type Uses []Use
+
+// Level returns the weighted max-min fair level of a capacity in tokens: an
+// account's share is the level times its weight. Accounts that use less leave
+// the rest to the others. The level is infinite when the capacity covers all.
+func (u Uses) Level(capacity float64) float64 {
+	order := slices.Clone(u)
+	slices.SortFunc(order, func(a, b Use) int { return cmp.Compare(a.ratio(), b.ratio()) })
+	weight := 0.0
+	for _, use := range order {
+		weight += use.Weight
+	}
+	for _, use := range order {
+		if use.ratio()*weight > capacity {
+			return capacity / weight
+		}
+		capacity -= use.Tokens
+		weight -= use.Weight
+	}
+	return math.Inf(1)
+}
+
+// tieMargin is the relative difference below which two accounts count as
+// equally far over their shares.
+const tieMargin = 0.02
+
+// Furthest returns the account from which load is to be shed: the one furthest
+// over its share of a capacity. It returns "" when none is over its share.
+// Measure, a kumquathitch.Weigh constant, decides ties.
+func (u Uses) Furthest(capacity float64, measure string) string {
+	level := u.Level(capacity)
+	top := 0.0
+	for _, use := range u {
+		top = max(top, use.ratio()-level)
+	}
+	if top <= 0 {
+		return ""
+	}
+	var furthest *Use
+	for i := range u {
+		excess := u[i].ratio() - level
+		if excess < top*(1-tieMargin) {
+			continue
+		}
+		if furthest == nil || u[i].yieldsBefore(furthest, measure) {
+			furthest = &u[i]
+		}
+	}
+	return furthest.Account
+}
+
+// yieldsBefore decides a tie. When the worst-served account weighs most, the
+// account with the smaller part shed yields. When refusals weigh most, the one
+// with the larger requests does, since fewer refusals then free as many tokens.
+func (u *Use) yieldsBefore(other *Use, measure string) bool {
+	if measure == kumquathitch.WeighRefusals {
+		return u.mean() > other.mean()
+	}
+	return u.shedPart() < other.shedPart()
+}
+
+func (u *Use) ratio() float64 {
+	return u.Tokens / u.Weight
+}
+
+func (u *Use) mean() float64 {
+	return u.Tokens / float64(max(1, u.Requests))
+}
+
+func (u *Use) shedPart() float64 {
+	return u.Shed / max(1, u.Shed+u.Served)
+}
+
+// useMemory is the time constant of the decay of served and shed requests.
+const useMemory = 30 * time.Second
+
+// ledger keeps the uses by model, in shards.
+type ledger struct {
+	shards [shardCount]ledgerShard
+}
+
+type ledgerShard struct {
+	mutex  sync.Mutex
+	models map[string]map[string]*account
+}
+
+type account struct {
+	Use
+	changed time.Time
+}
+
+func (l *ledger) shard(model string) *ledgerShard {
+	return &l.shards[kumquathitch.ShardOf(model, shardCount)]
+}
+
+// sheds reports whether a request of an account is to be shed when a model's
+// replicas take the stretch-fold time that is allowed: they then hold the
+// stretch-fold of what they can take.
+func (l *ledger) sheds(model, name string, stretch float64, measure string, now time.Time) bool {
+	s := l.shard(model)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	accounts := s.models[model]
+	uses := make(Uses, 0, len(accounts))
+	total := 0.0
+	for _, a := range accounts {
+		a.decay(now)
+		uses = append(uses, a.Use)
+		total += a.Tokens
+	}
+	if uses.Furthest(total/stretch, measure) != name {
+		return false
+	}
+	accounts[name].Shed++
+	return true
+}
+
+func (l *ledger) begin(model, name string, weight float64, tokens int64, now time.Time) {
+	s := l.shard(model)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	accounts := s.models[model]
+	if accounts == nil {
+		accounts = map[string]*account{}
+		s.models[model] = accounts
+	}
+	a := accounts[name]
+	if a == nil {
+		a = &account{Use: Use{Account: name}, changed: now}
+		accounts[name] = a
+	}
+	a.decay(now)
+	a.Weight = weight
+	a.Tokens += float64(tokens)
+	a.Requests++
+	a.Served++
+}
+
+func (l *ledger) end(model, name string, tokens int64, now time.Time) {
+	s := l.shard(model)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	a := s.models[model][name]
+	if a == nil {
+		return
+	}
+	a.decay(now)
+	a.Tokens -= float64(tokens)
+	a.Requests--
+	if a.Requests == 0 && a.Served+a.Shed < 1 {
+		delete(s.models[model], name)
+	}
+}
+
+func (a *account) decay(now time.Time) {
+	factor := math.Exp(-max(0, now.Sub(a.changed).Seconds()) / useMemory.Seconds())
+	a.Served *= factor
+	a.Shed *= factor
+	a.changed = now
+}
--- a/route/table.go
+++ b/route/table.go
@@ -1,4 +1,5 @@
-// Package route is the aggregate of routes: it chooses an upstream for each request.
+// Package route is the aggregate of routes: it chooses an upstream for each
+// request, sheds load fairly and limits retries.
 //
 // # Usage
 //
@@ -10,127 +11,324 @@
 //	}
 //	defer table.Done(choice, result)
 //
-// Table implements kumquathitch.Picker. The candidates of each model are
-// replaced as a whole by each configuration, so that a choice takes no lock on
-// them; its cost does not grow with the number of servers, because it samples.
+// Table implements kumquathitch.Picker. A choice compares a few replicas, so
+// that its cost does not grow with the number of servers. A demand that excludes
+// upstreams is a retry and needs credit of the retry budget.
 package route
 
 import (
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/upstream"
 )
 
-// sampleSize is the number of random candidates that a choice compares. Two
-// random choices avoid herding on the upstream that an old report shows as idle.
-const sampleSize = 2
+const (
+	shardCount = 64
+	// sampleSize is the number of random candidates of a list that a choice
+	// compares. Two random choices avoid herding on the upstream that an old
+	// report shows as idle.
+	sampleSize = 2
+	// scanLimit bounds the search for a usable upstream when the sample has
+	// none, in this data centre and in all.
+	scanLimit = 16
+	// maxCandidates holds three samples, the preferred replica and a scan.
+	maxCandidates = 3*sampleSize + 1 + 2*scanLimit
+)
 
-// Table chooses among the upstreams of a fleet.
+// Table chooses among the upstreams of a fleet. Its fields are set before use.
 type Table struct {
 	Fleet      *upstream.Fleet
 	Clock      kumquathitch.Clock
 	DataCentre string
+	Quarantine kumquathitch.Quarantine // May be nil.
+
+	facts   atomic.Pointer[facts]
+	uses    ledger
+	budgets budgets
+}
 
-	candidates atomic.Pointer[candidates]
+// facts is what a choice needs of a configuration.
+type facts struct {
+	base     map[string]string // Model of each adapter.
+	accounts map[string]accountFacts
+	regions  map[string]string // Region of each data centre.
+	measure  string
 }
 
-// candidates lists upstream names by what they serve.
-type candidates struct {
-	models   map[string][]string
-	services map[string][]string
+type accountFacts struct {
+	weight float64
+	class  string
 }
 
-// NewTable returns a table without candidates for a VM in a data centre.
+// NewTable returns a table for a VM in a data centre.
 func NewTable(fleet *upstream.Fleet, clock kumquathitch.Clock, dataCentre string) *Table {
 	t := &Table{Fleet: fleet, Clock: clock, DataCentre: dataCentre}
-	t.candidates.Store(&candidates{})
+	t.facts.Store(&facts{})
+	for i := range t.uses.shards {
+		t.uses.shards[i].models = map[string]map[string]*account{}
+	}
 	return t
 }
 
-// Apply replaces the candidates by those of a configuration.
+// Apply takes over the parts of a configuration that choices need. The fleet
+// takes over the upstreams itself.
 func (t *Table) Apply(config kumquathitch.Configuration) {
-	fresh := &candidates{models: map[string][]string{}, services: map[string][]string{}}
-	for _, u := range config.Upstreams {
-		if u.Kind == kumquathitch.KindService {
-			fresh.services[u.Service] = append(fresh.services[u.Service], u.Name)
+	fresh := &facts{
+		base: map[string]string{}, accounts: map[string]accountFacts{}, regions: map[string]string{},
+		measure: config.WeighsMost,
+	}
+	for _, a := range config.Adapters {
+		fresh.base[a.Name] = a.Model
+	}
+	for _, a := range config.Accounts {
+		fresh.accounts[a.Name] = accountFacts{weight: a.Rate, class: a.Class}
+	}
+	for _, d := range config.DataCentres {
+		fresh.regions[d.Name] = d.Region
+	}
+	t.facts.Store(fresh)
+}
+
+// Pick chooses an upstream, or returns a *kumquathitch.RefusalError: 422 from
+// the quarantine, 429 when the account is the one to shed load from, 503 when
+// no upstream can take the request or the retry budget is spent.
+func (t *Table) Pick(demand kumquathitch.Demand) (kumquathitch.Choice, error) {
+	s := &search{table: t, facts: t.facts.Load(), demand: &demand, now: t.Clock.Now()}
+	s.prepare()
+	if err := t.admit(s); err != nil {
+		return kumquathitch.Choice{}, err
+	}
+	s.sample()
+	if best := s.best(); best != nil && s.overloaded(best) {
+		stretch := float64(best.Estimate()) / float64(s.allowed)
+		if t.uses.sheds(s.model, demand.Account, stretch, s.facts.measure, s.now) {
+			return kumquathitch.Choice{}, overload(best.Estimate()-s.allowed, s.now)
 		}
-		for _, m := range u.Models {
-			fresh.models[m] = append(fresh.models[m], u.Name)
+	}
+	if choice, ok := t.take(s); ok {
+		return choice, nil
+	}
+	s.scan()
+	if choice, ok := t.take(s); ok {
+		return choice, nil
+	}
+	return kumquathitch.Choice{}, kumquathitch.NotRun(503, "no-upstream", "No upstream is available for this request.")
+}
+
+// admit asks the quarantine and, for a retry, the retry budget.
+func (t *Table) admit(s *search) error {
+	if t.Quarantine != nil {
+		if err := t.Quarantine.Admit(s.demand.Fingerprint, s.now); err != nil {
+			return err
 		}
 	}
-	t.candidates.Store(fresh)
+	if len(s.demand.Exclude) > 0 && !t.budgets.retried(s.demand.Account, s.now) {
+		return kumquathitch.Unknown(503, "retry-budget-spent", "An upstream failed, and too many requests are being retried.")
+	}
+	return nil
 }
 
-// Pick chooses an upstream: the cheapest of a small random sample, or, when
-// none of the sample is available, the first available one from a random start.
-func (t *Table) Pick(demand kumquathitch.Demand) (kumquathitch.Choice, error) {
-	c := t.candidates.Load()
-	names := c.models[demand.Model]
-	if demand.Service != "" {
-		names = c.services[demand.Service]
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 10 * time.Second
+)
+
+// overload returns the refusal of a request that is shed. The queue is short
+// enough again when it has drained by what it is too long.
+func overload(excess time.Duration, now time.Time) error {
+	refusal := kumquathitch.NotRun(429, "over-fair-share",
+		"The model is overloaded, and the account uses more than its fair share.")
+	refusal.RetryAfter = now.Add(min(maxRetryAfter, max(minRetryAfter, excess)))
+	return refusal
+}
+
+// take begins the request on the best candidate that still takes it.
+func (t *Table) take(s *search) (kumquathitch.Choice, bool) {
+	for best := s.best(); best != nil; best = s.best() {
+		if choice, ok := t.begin(s, best); ok {
+			return choice, true
+		}
+		s.drop(best)
 	}
-	best, ok := t.sample(names, demand)
-	if !ok {
-		best, ok = t.scan(names, demand)
+	return kumquathitch.Choice{}, false
+}
+
+func (t *Table) begin(s *search, c *Candidate) (kumquathitch.Choice, bool) {
+	if t.Quarantine != nil && !t.Quarantine.Begin(c.Replica.Name, s.demand.Fingerprint, s.now) {
+		return kumquathitch.Choice{}, false
 	}
+	up, ok := t.Fleet.Begin(c.Replica, s.demand, s.now)
 	if !ok {
-		return kumquathitch.Choice{}, kumquathitch.NotRun(503, "no-upstream", "No upstream is available for this request.")
+		if t.Quarantine != nil {
+			// Nothing ran: neither a success nor a crash.
+			t.Quarantine.End(c.Replica.Name, s.demand.Fingerprint, kumquathitch.Result{Failed: true}, s.now)
+		}
+		return kumquathitch.Choice{}, false
 	}
-	t.Fleet.Begin(best.Upstream.Name, demand.Tokens)
-	return kumquathitch.Choice{Upstream: best.Upstream, Demand: demand, Sent: t.Clock.Now()}, nil
+	t.uses.begin(s.model, s.demand.Account, s.weight, s.demand.Tokens, s.now)
+	return kumquathitch.Choice{
+		Upstream: up, Demand: *s.demand, Sent: s.now, Wait: c.Wait,
+		Priority: Priority(s.demand.Class, s.facts.accounts[s.demand.Account].class),
+	}, true
 }
 
 // Done ends a choice.
 func (t *Table) Done(choice kumquathitch.Choice, result kumquathitch.Result) {
-	t.Fleet.End(choice.Upstream.Name, choice.Demand.Tokens, result, t.Clock.Now())
+	now := t.Clock.Now()
+	demand := &choice.Demand
+	t.Fleet.End(choice, result, now)
+	t.uses.end(t.facts.Load().modelOf(demand), demand.Account, demand.Tokens, now)
+	if !result.Failed {
+		t.budgets.succeeded(demand.Account, now)
+	}
+	if t.Quarantine != nil {
+		t.Quarantine.End(choice.Upstream.Name, demand.Fingerprint, result, now)
+	}
+}
+
+// modelOf returns the name under which uses are kept: the base of an adapter,
+// since both share its replicas, or the service.
+func (f *facts) modelOf(demand *kumquathitch.Demand) string {
+	if demand.Service != "" {
+		return demand.Service
+	}
+	if base, ok := f.base[demand.Model]; ok {
+		return base
+	}
+	return demand.Model
+}
+
+// search is the state of one choice.
+type search struct {
+	table   *Table
+	facts   *facts
+	demand  *kumquathitch.Demand
+	now     time.Time
+	model   string // As modelOf gives it.
+	weight  float64
+	slack   float64
+	allowed time.Duration
+
+	candidates [maxCandidates]Candidate
+	count      int
+}
+
+func (s *search) prepare() {
+	s.model = s.facts.modelOf(s.demand)
+	s.weight = max(1, s.facts.accounts[s.demand.Account].weight)
+	s.slack = Slack(s.demand.Class)
+	s.allowed = Allowed(s.demand.Class, s.demand.FirstToken, s.now)
+}
+
+func (s *search) place(dataCentre string) upstream.Place {
+	if s.demand.Service != "" {
+		return upstream.Place{Service: s.demand.Service, DataCentre: dataCentre}
+	}
+	return upstream.Place{Model: s.model, DataCentre: dataCentre}
+}
+
+// sample collects candidates: in this data centre first, and in all when none
+// there keeps the allowed time.
+func (s *search) sample() {
+	local := s.table.Fleet.Replicas(s.place(s.table.DataCentre))
+	if local != nil && s.demand.PrefixHash != 0 {
+		s.add(local.Preferred(s.demand.PrefixHash))
+	}
+	s.addRandom(local)
+	if s.demand.Model != s.model && s.demand.Service == "" {
+		place := upstream.Place{Model: s.demand.Model, DataCentre: s.table.DataCentre}
+		s.addRandom(s.table.Fleet.Replicas(place)) // Where the adapter is resident.
+	}
+	if best := s.best(); best == nil || s.overloaded(best) {
+		s.addRandom(s.table.Fleet.Replicas(s.place("")))
+	}
 }
 
-func (t *Table) sample(names []string, demand kumquathitch.Demand) (best upstream.State, ok bool) {
-	if len(names) == 0 {
-		return best, false
+func (s *search) addRandom(replicas *upstream.Replicas) {
+	if replicas == nil {
+		return
 	}
 	for range sampleSize {
-		state, usable := t.usable(names[rand.IntN(len(names))], demand) //nolint:gosec // Load balancing needs no secrecy.
-		if usable && (!ok || t.cost(&state) < t.cost(&best)) {
-			best, ok = state, true
+		s.add(replicas.List[rand.IntN(len(replicas.List))]) //nolint:gosec // Load balancing needs no secrecy.
+	}
+}
+
+// scan looks at a bounded number of replicas from a random start, those of this
+// data centre first.
+func (s *search) scan() {
+	for _, dataCentre := range [...]string{s.table.DataCentre, ""} {
+		replicas := s.table.Fleet.Replicas(s.place(dataCentre))
+		if replicas == nil {
+			continue
+		}
+		size := len(replicas.List)
+		start := rand.IntN(size) //nolint:gosec // Load balancing needs no secrecy.
+		for i := range min(scanLimit, size) {
+			s.add(replicas.List[(start+i)%size])
 		}
 	}
-	return best, ok
 }
 
-func (t *Table) scan(names []string, demand kumquathitch.Demand) (upstream.State, bool) {
-	if len(names) == 0 {
-		return upstream.State{}, false
+// add takes a replica as a candidate when it is usable and not one already.
+func (s *search) add(r *upstream.Replica) {
+	if s.count == maxCandidates || slices.Contains(s.demand.Exclude, r.Name) || s.has(r) {
+		return
 	}
-	start := rand.IntN(len(names)) //nolint:gosec // Load balancing needs no secrecy.
-	for i := range names {
-		if state, usable := t.usable(names[(start+i)%len(names)], demand); usable {
-			return state, true
-		}
+	view := s.table.Fleet.Look(r, upstream.Question{Model: s.demand.Model, Prefix: s.demand.PrefixHash, Now: s.now})
+	if !view.Usable {
+		return
+	}
+	c := Candidate{Replica: r, Wait: view.Wait, Extra: s.distance(r.DataCentre), Last: view.Last}
+	if !view.Resident {
+		c.Extra += adapterLoad
+	}
+	if s.demand.PrefixHash != 0 {
+		c.Extra += prefixCost(view.Prefix)
 	}
-	return upstream.State{}, false
+	s.candidates[s.count] = c
+	s.count++
 }
 
-func (t *Table) usable(name string, demand kumquathitch.Demand) (upstream.State, bool) {
-	if slices.Contains(demand.Exclude, name) {
-		return upstream.State{}, false
+func (s *search) has(r *upstream.Replica) bool {
+	for i := range s.count {
+		if s.candidates[i].Replica == r {
+			return true
+		}
 	}
-	state, ok := t.Fleet.State(name)
-	return state, ok && state.Available(t.Clock.Now())
+	return false
 }
 
-// remotePenalty is the cost, in queued requests, of an upstream in another data centre.
-const remotePenalty = 4
+func (s *search) distance(dataCentre string) time.Duration {
+	switch {
+	case dataCentre == s.table.DataCentre:
+		return 0
+	case s.facts.regions[dataCentre] == s.facts.regions[s.table.DataCentre]:
+		return sameRegion
+	}
+	return otherRegion
+}
 
-// cost estimates the wait at an upstream in queued requests: what its last
-// report showed plus what this VM has sent since, but at least what this VM has outstanding.
-func (t *Table) cost(s *upstream.State) int {
-	cost := max(s.Report.Queued+s.Report.Running+s.SentSince, s.Outstanding)
-	if s.Upstream.DataCentre != t.DataCentre {
-		cost += remotePenalty
+// best returns the best candidate, or nil.
+func (s *search) best() *Candidate {
+	var best *Candidate
+	for i := range s.count {
+		c := &s.candidates[i]
+		if best == nil || c.Better(best, s.allowed, s.slack) {
+			best = c
+		}
 	}
-	return cost
+	return best
+}
+
+func (s *search) drop(c *Candidate) {
+	s.count--
+	*c = s.candidates[s.count]
+}
+
+func (s *search) overloaded(c *Candidate) bool {
+	return s.allowed > 0 && c.Estimate() > s.allowed
 }
--- a/upstream.go
+++ b/upstream.go
@@ -20,6 +20,7 @@
 	Address       string       `json:"address"` // IP number and port.
 	Accelerators  Accelerators `json:"accelerators,omitempty"`
 	ChecksFencing bool         `json:"checks-fencing,omitempty"` // The engine refuses orders with an old fencing number.
+	Leaving       bool         `json:"leaving,omitempty"`        // The operator wants no new work to go there.
 	Models        []string     `json:"models,omitempty"`         // Models and adapters resident when the upstream starts.
 }
 
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -1,51 +1,73 @@
 // Package upstream is the aggregate of back ends: which ones may get new work,
-// how loaded they are, and what this VM has sent them.
+// how loaded they are, what is resident there, and what this VM has sent them.
 //
 // # Usage
 //
 //	fleet := upstream.NewFleet()
 //	fleet.Apply(config)
-//	state, ok := fleet.State("planner-llm-1", now)
-//	fleet.Begin("planner-llm-1", 700)
-//	defer fleet.End("planner-llm-1", 700, result, now)
+//	replicas := fleet.Replicas(upstream.Place{Model: "rigging", DataCentre: "montreal-1"})
+//	view := fleet.Look(replicas.List[0], question)
+//	fleet.Begin("planner-llm-1", 700, prefix, now)
+//	defer fleet.End(choice, result, now)
 //
-// State is held in shards by upstream name, each under its own lock.
+// State is held in shards by upstream name, each under its own lock; the lists
+// of replicas are immutable and replaced when a report shows that they changed.
+// Notices and changes of residency that other VMs need to know wait in News.
 package upstream
 
 import (
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kumquathitch.example/kumquathitch"
 )
 
 const shardCount = 64
 
-// Phase says whether an upstream may get new work.
-type Phase int
-
-// Phases of an upstream.
-const (
-	Live Phase = iota
-	Leaving
-	Down
-)
-
 // State is what is known of one upstream.
 type State struct {
 	Upstream    kumquathitch.Upstream
-	Phase       Phase
-	RetryAt     time.Time // A down upstream gets a trial request after this time.
-	Outstanding int       // Requests of this VM that have not ended.
-	Tokens      int64     // Tokens of those requests.
+	Health      Health
+	Departure   Departure
+	Outstanding int   // Requests of this VM that have not ended.
+	Tokens      int64 // Tokens of those requests.
 	Report      kumquathitch.LoadReport
 	Reported    time.Time // When Report arrived, by the clock of this VM.
-	SentSince   int       // Requests that this VM sent after Reported.
+	Restarted   time.Time // When the first report after a restart of the engine was taken; zero for none.
+	SentSince   int       // Requests that this VM sent after Reported or LoadHeard and that have not ended.
+	HeardLoad   byte      // Newest load from a peer, as EncodeLoad gives it.
+	LoadHeard   time.Time // When HeardLoad arrived.
+	SignOfLife  time.Time // When this VM last had an answer from the upstream.
+	Unit        time.Duration
+	Resident    []string // Models and adapters, sorted.
+	Cache       Cache
+
+	replica *Replica
+}
+
+// Phase returns whether the upstream may get new work.
+func (s *State) Phase() Phase {
+	if !s.Departure.Learned.IsZero() {
+		return Leaving
+	}
+	return s.Health.Phase
 }
 
-// Fleet holds the state of all upstreams.
+// Fleet holds the state of all upstreams. Its fields are set before use.
 type Fleet struct {
-	shards [shardCount]shard
+	ReportMaxAge time.Duration // Age at which a report is no longer used.
+	ClockError   time.Duration // Largest difference between two VMs' clocks.
+	LeavingGrace time.Duration // Time in which a leaving upstream gets its last new work.
+	Changed      chan struct{} // Gets a value when there is news.
+
+	order      atomic.Pointer[order]
+	shards     [shardCount]shard
+	placements placements
+	news       newsBox
 }
 
 type shard struct {
@@ -53,38 +75,45 @@
 	states map[string]*State
 }
 
-// downPeriod keeps new work away from an upstream whose connection broke.
-const downPeriod = 2 * time.Second
+// Defaults of the settings of the same names.
+const (
+	defaultReportMaxAge = 5 * time.Second
+	defaultClockError   = time.Second
+	defaultLeavingGrace = 2 * time.Second
+)
 
-// NewFleet returns a fleet without upstreams.
+// NewFleet returns a fleet without upstreams, with the defaults of its settings.
 func NewFleet() *Fleet {
-	f := &Fleet{}
+	f := &Fleet{
+		ReportMaxAge: defaultReportMaxAge, ClockError: defaultClockError, LeavingGrace: defaultLeavingGrace,
+		Changed: make(chan struct{}, 1),
+	}
+	f.order.Store(&order{})
 	for i := range f.shards {
 		f.shards[i].states = map[string]*State{}
+		f.placements.shards[i].lists = map[Place]*Replicas{}
 	}
 	return f
 }
 
-// Apply adds, updates and removes upstreams so that they match a configuration.
+// Apply adds, updates and removes upstreams so that they match a
+// configuration. A generation lower than the one in force is ignored.
 func (f *Fleet) Apply(config kumquathitch.Configuration) {
+	if config.Generation < f.order.Load().generation {
+		return
+	}
+	f.order.Store(newOrder(config))
 	listed := map[string]bool{}
 	for _, u := range config.Upstreams {
 		listed[u.Name] = true
-		s := f.shard(u.Name)
-		s.mutex.Lock()
-		state := s.states[u.Name]
-		if state == nil {
-			state = &State{}
-			s.states[u.Name] = state
-		}
-		state.Upstream = u
-		s.mutex.Unlock()
+		f.applyOne(u)
 	}
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mutex.Lock()
-		for name := range s.states {
+		for name, state := range s.states {
 			if !listed[name] {
+				f.move(state, nil)
 				delete(s.states, name)
 			}
 		}
@@ -92,6 +121,58 @@
 	}
 }
 
+func (f *Fleet) applyOne(u kumquathitch.Upstream) {
+	s := f.shard(u.Name)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	state := s.states[u.Name]
+	// At another address runs another upstream, of which nothing is known.
+	if state != nil && (state.Upstream.Address != u.Address || state.Upstream.DataCentre != u.DataCentre ||
+		state.Upstream.Kind != u.Kind || state.Upstream.Service != u.Service) {
+		f.move(state, nil)
+		state = nil
+	}
+	if state == nil {
+		state = &State{Unit: startUnit}
+		state.replica = &Replica{Name: u.Name, DataCentre: u.DataCentre, hash: xxhash.Sum64String(u.Name), shard: s, state: state}
+		s.states[u.Name] = state
+	}
+	fresh := state.Upstream.Name == ""
+	state.Upstream = u
+	state.Departure.Configured = u.Leaving
+	if fresh || state.Report.Resident == nil {
+		f.move(state, placesOf(&u, sorted(u.Models)))
+		state.Resident = sorted(u.Models)
+	}
+}
+
+func sorted(names []string) []string {
+	list := slices.Clone(names)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// move changes where an upstream is listed. The shard's lock is held.
+func (f *Fleet) move(s *State, to []Place) {
+	from := s.replica.places
+	for _, place := range from {
+		if !slices.Contains(to, place) {
+			f.placements.change(place, s.replica, false)
+		}
+	}
+	for _, place := range to {
+		if !slices.Contains(from, place) {
+			f.placements.change(place, s.replica, true)
+		}
+	}
+	s.replica.places = to
+}
+
+// Replicas returns the upstreams at a place, or nil when there are none.
+func (f *Fleet) Replicas(place Place) *Replicas {
+	return f.placements.find(place)
+}
+
 // State returns a copy of what is known of an upstream.
 func (f *Fleet) State(name string) (State, bool) {
 	s := f.shard(name)
@@ -101,81 +182,169 @@
 	if state == nil {
 		return State{}, false
 	}
-	return *state, true
+	found := *state
+	found.Cache.prefixes = slices.Clone(found.Cache.prefixes)
+	return found, true
 }
 
-// Available reports whether the state allows new work at a time.
-func (s *State) Available(now time.Time) bool {
-	switch s.Phase {
-	case Live:
-		return true
-	case Down:
-		return !now.Before(s.RetryAt)
-	default:
-		return false
-	}
+// Question is what a choice wants to know of a replica.
+type Question struct {
+	Model  string // Model or adapter; empty for a service.
+	Prefix uint64
+	Now    time.Time
 }
 
-// Begin records that a request was sent.
-func (f *Fleet) Begin(name string, tokens int64) {
-	f.update(name, func(s *State) {
-		s.Outstanding++
-		s.SentSince++
-		s.Tokens += tokens
-	})
+// View is what a choice learns of a replica.
+type View struct {
+	Usable   bool // It may get new work.
+	Last     bool // It is leaving and still in its grace: only when there is no other.
+	Resident bool // The model or adapter is resident, or the upstream is a service.
+	Wait     time.Duration
+	Prefix   Knowledge
 }
 
-// End records how a request ended. A broken connection takes the upstream out
-// of use for a short period; a success brings it back.
-func (f *Fleet) End(name string, tokens int64, result kumquathitch.Result, now time.Time) {
-	f.update(name, func(s *State) {
-		s.Outstanding--
-		s.Tokens -= tokens
+// Look returns what is known of a replica.
+func (f *Fleet) Look(r *Replica, q Question) View {
+	r.shard.mutex.Lock()
+	defer r.shard.mutex.Unlock()
+	s := r.state
+	v := View{Wait: s.WaitAt(q.Now, f.ReportMaxAge), Prefix: s.Cache.Know(q.Prefix)}
+	_, held := slices.BinarySearch(s.Resident, q.Model)
+	v.Resident = held || q.Model == ""
+	s.Departure = s.Departure.Settle(s.evidence(f.ClockError), q.Now)
+	v.Usable = f.usable(s, q.Now)
+	v.Last = !s.Departure.Learned.IsZero()
+	return v
+}
+
+// usable reports whether an upstream may get new work. One that the
+// configuration calls leaving gets none, since the operator has decided it; one
+// that a notice calls leaving may get some until the end of its grace.
+func (f *Fleet) usable(s *State, now time.Time) bool {
+	learned := s.Departure.Learned
+	inGrace := learned.IsZero() || now.Before(learned.Add(f.LeavingGrace))
+	return s.Health.Usable(now) && !s.Departure.Configured && inGrace
+}
+
+// Begin records that a request was sent and returns the upstream. It returns
+// false when the upstream may not get it any more.
+func (f *Fleet) Begin(r *Replica, demand *kumquathitch.Demand, now time.Time) (kumquathitch.Upstream, bool) {
+	r.shard.mutex.Lock()
+	defer r.shard.mutex.Unlock()
+	s := r.state
+	s.Departure = s.Departure.Settle(s.evidence(f.ClockError), now)
+	if !f.usable(s, now) {
+		return kumquathitch.Upstream{}, false
+	}
+	s.Health = s.Health.Tried(now)
+	s.Outstanding++
+	s.SentSince++
+	s.Tokens += demand.Tokens
+	s.Cache.Store(demand.PrefixHash)
+	return s.Upstream, true
+}
+
+// End records how a request ended. A broken connection makes the upstream
+// suspected; an answer brings it back.
+func (f *Fleet) End(choice kumquathitch.Choice, result kumquathitch.Result, now time.Time) {
+	f.update(choice.Upstream.Name, now, func(s *State) {
+		s.Outstanding = max(0, s.Outstanding-1) // An upstream that was replaced meanwhile starts at 0.
+		s.Tokens = max(0, s.Tokens-choice.Demand.Tokens)
+		if !choice.Sent.Before(later(s.Reported, s.LoadHeard)) {
+			s.SentSince = max(0, s.SentSince-1) // It came and went between two reports.
+		}
 		switch {
-		case result.Crashed && s.Phase != Leaving:
-			s.Phase = Down
-			s.RetryAt = now.Add(downPeriod)
-		case !result.Failed && s.Phase == Down:
-			s.Phase = Live
+		case result.Crashed:
+			s.Health = s.Health.After(Broken, now)
+		case !result.Failed:
+			s.Health = s.Health.After(Answered, now)
+			s.SignOfLife = now
+		}
+		if result.Stream && !result.First.IsZero() {
+			s.learn(choice.Wait, result.First.Sub(choice.Sent))
 		}
 	})
 }
 
-// Report takes in a load report that arrived now. Reports that are not newer
-// than the last one are ignored; a restarted engine counts from 1 again.
+// Report takes in a load report that arrived now from the upstream itself.
 func (f *Fleet) Report(name string, report kumquathitch.LoadReport, now time.Time) {
-	f.update(name, func(s *State) {
-		if report.Sequence <= s.Report.Sequence && !report.Taken.After(s.Report.Taken) {
+	f.publish(f.update(name, now, func(s *State) {
+		s.SignOfLife = now
+		s.Health = s.Health.After(Answered, now)
+		if !f.takeReport(s, report, now) {
 			return
 		}
-		s.Report = report
 		s.Reported = now
 		s.SentSince = 0
-		if report.Leaving {
-			s.Phase = Leaving
-		}
-	})
+	}))
 }
 
-// SetLeaving stops or, when the notice proves wrong, resumes new work for an upstream.
-func (f *Fleet) SetLeaving(name string, leaving bool) {
-	f.update(name, func(s *State) {
-		switch {
-		case leaving:
-			s.Phase = Leaving
-		case s.Phase == Leaving:
-			s.Phase = Live
+// Silent records that an upstream did not answer a poll.
+func (f *Fleet) Silent(name string, now time.Time) {
+	f.update(name, now, func(s *State) { s.Health = s.Health.After(Broken, now) })
+}
+
+// CacheEvents takes in prefix-cache events of an engine.
+func (f *Fleet) CacheEvents(name string, events CacheEvents, now time.Time) {
+	f.update(name, now, func(s *State) { s.Cache.Take(events) })
+}
+
+// takeReport keeps a report that is newer than the last one and follows what
+// it shows as resident. A higher sequence number is newer; a lower one with a
+// later time comes from an engine that was restarted.
+func (f *Fleet) takeReport(s *State, report kumquathitch.LoadReport, now time.Time) bool {
+	if report.Sequence <= s.Report.Sequence {
+		if !report.Taken.After(s.Report.Taken) {
+			return false
 		}
-	})
+		s.Restarted = earlier(now, report.Taken) // The report may have been long on its way.
+		s.Cache.Restarted()
+	}
+	s.Cache.Reported(report.CacheEvent)
+	// An engine that has never listed what is resident does not report it.
+	if report.Resident == nil && s.Report.Resident != nil {
+		report.Resident = []string{}
+	}
+	s.Report = report
+	if report.Resident != nil {
+		f.followResidency(s, sorted(report.Resident))
+	}
+	return true
+}
+
+func (f *Fleet) followResidency(s *State, resident []string) {
+	if slices.Equal(resident, s.Resident) {
+		return
+	}
+	s.Resident = resident
+	f.move(s, placesOf(&s.Upstream, resident))
+}
+
+func (s *State) evidence(clockError time.Duration) Evidence {
+	return Evidence{Report: s.Report, Restarted: s.Restarted, ClockError: clockError}
 }
 
-func (f *Fleet) update(name string, change func(*State)) {
+// update changes the state of an upstream. It returns what other VMs need to
+// know of the change.
+func (f *Fleet) update(name string, now time.Time, change func(*State)) News {
 	s := f.shard(name)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if state := s.states[name]; state != nil {
-		change(state)
+	state := s.states[name]
+	if state == nil {
+		return News{}
+	}
+	left, resident := !state.Departure.Learned.IsZero(), state.Resident
+	change(state)
+	state.Departure = state.Departure.Settle(state.evidence(f.ClockError), now)
+	var news News
+	if left == state.Departure.Learned.IsZero() {
+		news.Notices = state.Departure.Notices(name)
+	}
+	if !slices.Equal(resident, state.Resident) {
+		news.Placements = []Placement{state.placement()}
 	}
+	return news
 }
 
 func (f *Fleet) shard(name string) *shard {
--- /dev/null
+++ b/upstream/leaving_test.go
@@ -0,0 +1,301 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/upstream"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func configuration(generation uint64, leaving bool) kumquathitch.Configuration {
+	return kumquathitch.Configuration{Generation: generation, Upstreams: kumquathitch.Upstreams{{
+		Name: "planner-llm-1", Kind: kumquathitch.KindEngine, DataCentre: "montreal-1", Address: "10.0.0.7:8000",
+		Models: []string{"rigging"}, Leaving: leaving,
+	}}}
+}
+
+func newFleet(t interface{ Helper() }) *upstream.Fleet {
+	t.Helper()
+	f := upstream.NewFleet()
+	f.Apply(configuration(1, false))
+	return f
+}
+
+func look(f *upstream.Fleet, now time.Time) upstream.View {
+	replica := f.Replicas(upstream.Place{Model: "rigging"}).List[0]
+	return f.Look(replica, upstream.Question{Model: "rigging", Now: now})
+}
+
+// TestLeavingUpstreamGetsNoNewWork guards against an old report, notice, list
+// or generation that brings a leaving upstream back after its grace.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		now := start.Add(time.Hour)
+		f.Report("planner-llm-1", kumquathitch.LoadReport{Sequence: 50, Taken: now, Resident: []string{"rigging"}}, now)
+		source := rapid.SampledFrom([]string{"platform", "engine", "configuration", "peer"}).Draw(t, "source")
+		now = now.Add(time.Second)
+		leave(f, source, now)
+		learned := now
+		var generation uint64 = 2
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			if source == "platform" || source == "peer" {
+				now = earliest(now, learned.Add(55*time.Second)) // Within the lag of the platform's list.
+			}
+			old(t, f, learned, now, source, &generation)
+			if now.Sub(learned) >= f.LeavingGrace {
+				must.False(t, look(f, now).Usable, must.Sprintf("%s after %s", source, now.Sub(learned)))
+				replica := f.Replicas(upstream.Place{Model: "rigging"}).List[0]
+				_, begun := f.Begin(replica, &kumquathitch.Demand{}, now)
+				must.False(t, begun)
+			}
+		}
+	})
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func leave(f *upstream.Fleet, source string, now time.Time) {
+	switch source {
+	case "platform":
+		f.HearList(kumquathitch.VMListings{{Address: "10.0.0.7", Leaving: true}}, now)
+	case "engine":
+		f.Report("planner-llm-1", kumquathitch.LoadReport{Sequence: 51, Taken: now, Leaving: true, Resident: []string{"rigging"}}, now)
+	case "configuration":
+		f.Apply(configuration(2, true))
+	case "peer":
+		f.Hear(upstream.News{Notices: upstream.Notices{{Upstream: "planner-llm-1", Source: upstream.FromPlatform, Since: now}}}, now)
+	}
+}
+
+// old delivers a message that was sent before the upstream began to leave, or
+// one that does not speak about leaving.
+func old(t *rapid.T, f *upstream.Fleet, learned, now time.Time, source string, generation *uint64) {
+	before := learned.Add(-time.Duration(rapid.IntRange(1, 100_000).Draw(t, "age")) * time.Millisecond)
+	resident := []string{"rigging"}
+	switch rapid.IntRange(0, 6).Draw(t, "message") {
+	case 0:
+		sequence := rapid.Uint64Range(1, 50).Draw(t, "sequence")
+		f.Report("planner-llm-1", kumquathitch.LoadReport{Sequence: sequence, Taken: before, Resident: resident}, now)
+	case 1:
+		f.HearList(kumquathitch.VMListings{{Address: "10.0.0.7"}}, now)
+	case 2:
+		f.Apply(configuration(1, false))
+	case 3:
+		f.Hear(upstream.News{Placements: []upstream.Placement{{
+			Upstream: "planner-llm-1", Sequence: rapid.Uint64Range(1, 50).Draw(t, "sequence"), Taken: before, Resident: resident,
+		}}}, now)
+	case 4:
+		f.Hear(upstream.News{Notices: upstream.Notices{{Upstream: "planner-llm-1", Source: upstream.Withdrawn, Since: before}}}, now)
+	case 5:
+		if source != "configuration" {
+			*generation++
+			f.Apply(configuration(*generation, false))
+		}
+	case 6:
+		f.End(kumquathitch.Choice{Upstream: kumquathitch.Upstream{Name: "planner-llm-1"}, Sent: before}, kumquathitch.Result{}, now)
+	}
+}
+
+// TestUpstreamComesBackOnNewEvidence guards against a notice that stays in
+// force for ever, which would take a replaced upstream out of use.
+func TestUpstreamComesBackOnNewEvidence(t *testing.T) {
+	resident := []string{"rigging"}
+	cases := map[string]func(f *upstream.Fleet, now time.Time) time.Time{
+		"restart of the engine": func(f *upstream.Fleet, now time.Time) time.Time {
+			now = now.Add(5 * time.Second)
+			f.Report("planner-llm-1", kumquathitch.LoadReport{Sequence: 1, Taken: now, Resident: resident}, now)
+			return now
+		},
+		"lists that show it live for longer than they lag": func(f *upstream.Fleet, now time.Time) time.Time {
+			for range 70 {
+				now = now.Add(time.Second)
+				f.HearList(kumquathitch.VMListings{{Address: "10.0.0.7"}}, now)
+			}
+			return now
+		},
+		"withdrawal heard from a peer": func(f *upstream.Fleet, now time.Time) time.Time {
+			f.Hear(upstream.News{Notices: upstream.Notices{{
+				Upstream: "planner-llm-1", Source: upstream.Withdrawn, Since: now.Add(10 * time.Second),
+			}}}, now.Add(70*time.Second))
+			return now.Add(70 * time.Second)
+		},
+	}
+	for name, evidence := range cases {
+		f := newFleet(t)
+		f.Report("planner-llm-1", kumquathitch.LoadReport{Sequence: 9, Taken: start, Resident: resident}, start)
+		leave(f, "platform", start.Add(time.Second))
+		must.False(t, look(f, start.Add(4*time.Second)).Usable, must.Sprint(name))
+		now := evidence(f, start.Add(time.Second))
+		must.True(t, look(f, now).Usable, must.Sprint(name))
+		must.False(t, look(f, now).Last, must.Sprint(name))
+	}
+}
+
+// TestOneLiveListIsNotEnough guards against a single list from a lagging copy
+// of the platform's list that brings back an upstream that left minutes ago.
+func TestOneLiveListIsNotEnough(t *testing.T) {
+	f := newFleet(t)
+	now := start
+	for range 40 {
+		now = now.Add(5 * time.Second)
+		leave(f, "platform", now)
+	}
+	f.HearList(kumquathitch.VMListings{{Address: "10.0.0.7"}}, now.Add(time.Second))
+	must.False(t, look(f, now.Add(5*time.Second)).Usable)
+}
+
+// TestGapMakesCacheUnsure guards against taking a cache for empty, or for
+// sure, after events were lost or came out of order.
+func TestGapMakesCacheUnsure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c upstream.Cache
+		c.Store(7)
+		want, seen := upstream.Held, uint64(0)
+		for _, number := range rapid.SliceOfN(rapid.Uint64Range(1, 30), 0, 30).Draw(t, "arrivals") {
+			if rapid.Bool().Draw(t, "in order") {
+				number = seen + 1
+			}
+			if number > seen+1 {
+				want = upstream.Unsure
+			}
+			seen = max(seen, number)
+			c.Take(upstream.CacheEvents{First: number, Last: number})
+			must.Eq(t, want, c.Know(7))
+		}
+		if rapid.Bool().Draw(t, "reported") {
+			c.Reported(seen + 1) // An event that has not arrived itself.
+			must.Eq(t, upstream.Unsure, c.Know(7))
+			seen++
+		}
+		c.Take(upstream.CacheEvents{First: seen + 1, Last: seen + 1, Evicted: []uint64{7}})
+		must.Eq(t, upstream.Absent, c.Know(7))
+	})
+}
+
+// TestRoutingFollowsPlacement guards against sending requests where the
+// configuration once listed a model that has moved since.
+func TestRoutingFollowsPlacement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		f.Apply(kumquathitch.Configuration{Generation: 2, Upstreams: kumquathitch.Upstreams{
+			{Name: "a", Kind: kumquathitch.KindEngine, DataCentre: "montreal-1", Address: "10.0.0.1:1", Models: []string{"m0"}},
+			{Name: "b", Kind: kumquathitch.KindEngine, DataCentre: "laval-1", Address: "10.0.0.2:1", Models: []string{"m1"}},
+		}})
+		held := map[string]map[string]bool{"a": {"m0": true}, "b": {"m1": true}}
+		newest := map[string]uint64{}
+		for range rapid.IntRange(1, 30).Draw(t, "reports") {
+			sequence := rapid.Uint64Range(1, 40).Draw(t, "sequence")
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "upstream")
+			models := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"m0", "m1", "m2"}), rapid.ID[string]).Draw(t, "resident")
+			if sequence > newest[name] {
+				newest[name] = sequence
+				held[name] = map[string]bool{}
+				for _, m := range models {
+					held[name][m] = true
+				}
+			}
+			if len(models) == 0 {
+				models = []string{}
+			}
+			f.Report(name, kumquathitch.LoadReport{Sequence: sequence, Taken: start, Resident: models}, start)
+		}
+		for _, model := range []string{"m0", "m1", "m2"} {
+			for _, name := range []string{"a", "b"} {
+				must.Eq(t, held[name][model], listed(f, model, name), must.Sprint(name, model))
+			}
+		}
+	})
+}
+
+func listed(f *upstream.Fleet, model, name string) bool {
+	replicas := f.Replicas(upstream.Place{Model: model})
+	if replicas == nil {
+		return false
+	}
+	for _, r := range replicas.List {
+		if r.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPreferredReplicaMovesLittle guards against a prefix table that sends most
+// prefixes elsewhere, to cold caches, when one replica comes or goes.
+func TestPreferredReplicaMovesLittle(t *testing.T) {
+	f := upstream.NewFleet()
+	config := kumquathitch.Configuration{Generation: 1}
+	for i := range 20 {
+		config.Upstreams = append(config.Upstreams, kumquathitch.Upstream{
+			Name: fmt.Sprintf("u%d", i), Kind: kumquathitch.KindEngine, DataCentre: "d", Models: []string{"m"},
+		})
+	}
+	f.Apply(config)
+	before := f.Replicas(upstream.Place{Model: "m", DataCentre: "d"})
+	config.Generation, config.Upstreams = 2, config.Upstreams[1:]
+	f.Apply(config)
+	after := f.Replicas(upstream.Place{Model: "m", DataCentre: "d"})
+	for prefix := range uint64(2000) {
+		if owner := before.Preferred(prefix).Name; owner != "u0" {
+			must.Eq(t, owner, after.Preferred(prefix).Name)
+		}
+	}
+}
+
+// TestLoadsNameTheSameUpstreams guards against loads that are taken for those
+// of other upstreams, also when a message is cut or of another generation.
+func TestLoadsNameTheSameUpstreams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sender, receiver := upstream.NewFleet(), upstream.NewFleet()
+		config := kumquathitch.Configuration{Generation: 3}
+		for i := range rapid.IntRange(1, 40).Draw(t, "upstreams") {
+			config.Upstreams = append(config.Upstreams, kumquathitch.Upstream{
+				Name: fmt.Sprintf("u%d", i), Kind: kumquathitch.KindEngine, DataCentre: "d", Address: fmt.Sprintf("10.0.0.%d:1", i),
+			})
+		}
+		sender.Apply(config)
+		receiver.Apply(config)
+		queued := map[string]int{}
+		var watched []upstream.Watched
+		for _, u := range config.Upstreams {
+			if rapid.Bool().Draw(t, "watched") {
+				queued[u.Name] = rapid.IntRange(0, 300).Draw(t, "queued")
+				watched = append(watched, upstream.Watched{Name: u.Name})
+				sender.Report(u.Name, kumquathitch.LoadReport{Sequence: 1, Taken: start, Queued: queued[u.Name]}, start)
+			}
+		}
+		message := sender.LoadsOf(watched, "d", start)
+		message.Places = message.Places[:rapid.IntRange(0, len(message.Places)).Draw(t, "cut")]
+		receiver.HearLoads(message, start)
+		for _, u := range config.Upstreams {
+			state, _ := receiver.State(u.Name)
+			if state.LoadHeard.IsZero() {
+				continue
+			}
+			want := float64(queued[u.Name])
+			must.InDelta(t, want, float64(state.LoadAt(start, time.Second)), 0.05*want+0.05)
+		}
+		message.Generation++
+		stranger := upstream.NewFleet()
+		stranger.Apply(config)
+		stranger.HearLoads(message, start)
+		for _, u := range config.Upstreams {
+			state, _ := stranger.State(u.Name)
+			must.True(t, state.LoadHeard.IsZero())
+		}
+	})
+}
--- /dev/null
+++ b/upstream/load.go
@@ -0,0 +1,80 @@
+package upstream
+
+import (
+	"math"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// batchShare is the part of a queued request's wait that a running one
+	// causes. Continuous batching starts a request beside the running ones, so
+	// that these slow its first token down but do not hold it up.
+	batchShare = 0.125
+	// maxHeardAge is the age at which a load from a peer is no longer used. With
+	// messages to 2 of 39 VMs every 2 s, a VM hears of a given upstream every
+	// 20 s on average.
+	maxHeardAge = 40 * time.Second
+	// startUnit is assumed until the first answer of an upstream.
+	startUnit = 10 * time.Millisecond
+	minUnit   = 500 * time.Microsecond
+	maxUnit   = time.Second
+	// unitSteps is how many answers it takes to move most of the way to a new pace.
+	unitSteps = 16
+	// byteSteps is the number of steps of the one-byte load in each doubling.
+	byteSteps = 16
+)
+
+// Load is how much is ahead of a new request, in queued requests.
+type Load float64
+
+// LoadOf returns the load that a report shows.
+func LoadOf(report kumquathitch.LoadReport) Load {
+	return Load(report.Queued) + batchShare*Load(report.Running)
+}
+
+// EncodeLoad returns a load as one byte, on a logarithmic scale with steps of 4%.
+func EncodeLoad(load Load) byte {
+	return byte(min(math.MaxUint8, math.Round(byteSteps*math.Log2(1+max(0, float64(load))))))
+}
+
+// DecodeLoad returns the load of a byte.
+func DecodeLoad(b byte) Load {
+	return Load(math.Exp2(float64(b)/byteSteps) - 1)
+}
+
+// LoadAt returns the load of the upstream: the newest of report and peers'
+// messages plus what this VM sent since, and never less than what it has outstanding.
+func (s *State) LoadAt(now time.Time, maxAge time.Duration) Load {
+	own := batchShare * Load(s.Outstanding)
+	reported := !s.Reported.IsZero() && now.Sub(s.Reported) <= maxAge
+	heard := !s.LoadHeard.IsZero() && now.Sub(s.LoadHeard) <= maxHeardAge
+	switch {
+	case reported && (!heard || !s.LoadHeard.After(s.Reported)):
+		weight := Load(batchShare)
+		if s.Report.Queued > 0 {
+			weight = 1 // What is sent to a queue joins it.
+		}
+		return max(own, LoadOf(s.Report)+weight*Load(s.SentSince))
+	case heard:
+		return max(own, DecodeLoad(s.HeardLoad)+batchShare*Load(s.SentSince))
+	}
+	return own
+}
+
+// WaitAt returns the estimated time to the first token of a new request.
+func (s *State) WaitAt(now time.Time, maxAge time.Duration) time.Duration {
+	return time.Duration(float64(s.Unit) * (1 + float64(s.LoadAt(now, maxAge))))
+}
+
+// learn moves the unit towards what an answer showed. One answer moves it by at
+// most a factor of two, so that a single stall does not close an upstream.
+func (s *State) learn(estimated, actual time.Duration) {
+	if estimated <= 0 || actual <= 0 {
+		return
+	}
+	ratio := min(2, max(0.5, float64(actual)/float64(estimated)))
+	s.Unit += time.Duration(float64(s.Unit) * (ratio - 1) / unitSteps)
+	s.Unit = min(maxUnit, max(minUnit, s.Unit))
+}
--- /dev/null
+++ b/upstream/phase.go
@@ -0,0 +1,69 @@
+package upstream
+
+import "time"
+
+// Phase says whether an upstream may get new work.
+type Phase int
+
+// Phases of an upstream.
+const (
+	Live      Phase = iota
+	Leaving         // It gets no new work, and what it runs goes on.
+	Suspected       // A connection or poll failed; one trial request goes there at a time.
+	Down            // It failed again while suspected; trials are rarer.
+)
+
+// Event is a sign of life of an upstream, or its absence.
+type Event int
+
+// Events that change the health of an upstream.
+const (
+	Answered Event = iota // It answered a request or a poll.
+	Broken                // A connection broke or a poll got no answer.
+)
+
+const (
+	// trialPause is the time between two trial requests to a suspected upstream.
+	trialPause = 2 * time.Second
+	// maxTrialPause bounds the doubling of the pause, so that an upstream that
+	// is back gets work within half a minute although no watcher polls it.
+	maxTrialPause = 32 * time.Second
+)
+
+// Health is the part of an upstream's state that failures and answers change.
+type Health struct {
+	Phase    Phase     // Live, Suspected or Down.
+	Failures int       // Failures since the last answer.
+	RetryAt  time.Time // The next trial request may go out at this time; zero when live.
+}
+
+// After returns the health after an event.
+func (h Health) After(event Event, now time.Time) Health {
+	if event == Answered {
+		return Health{}
+	}
+	next := Health{Phase: Suspected, Failures: h.Failures + 1}
+	if h.Phase != Live {
+		next.Phase = Down
+	}
+	next.RetryAt = now.Add(h.pause())
+	return next
+}
+
+// Tried returns the health after a trial request was sent: the next one has to wait.
+func (h Health) Tried(now time.Time) Health {
+	if h.Phase != Live {
+		h.RetryAt = now.Add(h.pause())
+	}
+	return h
+}
+
+// Usable reports whether a request may be sent.
+func (h Health) Usable(now time.Time) bool {
+	return h.Phase == Live || !now.Before(h.RetryAt)
+}
+
+func (h Health) pause() time.Duration {
+	const doublings = 4
+	return min(trialPause<<min(h.Failures, doublings), maxTrialPause)
+}
