Retry, resume and hedge streams through several upstreams

Cause: a stream that broke after its first byte was lost, a hanging upstream was waited for until the route's timeout, crossed answers went unnoticed, and retries had no budget.

Change: a request runs as legs, each a goroutine that reports its end. A failed leg is replaced within the retry budget; a second one starts beside a stream that is late for its first token, and the first answer wins. Only whole events are written, so that a broken stream resumes after the last one on an engine that confirms Resume-From; else it ends with an error event and an aborted body. An echoed Request-Id that differs makes an answer unusable. Answers of the 400 class are passed on whole. Counters for attainment, refusals, repeated attempts and upstream failures. The stand-in engine can resume and echo.

Tests seen to fail with the mechanism switched off: whole events, resume, confirmation of the resume, abort, echo, budget, hedge, cancelling the loser, the caller's context, passing on the 400 class. Switching off the error at a clean end of a truncated stream changes nothing, because the next case of the same switch catches it.

--- a/cmd/kumquathitch-standin/main.go
+++ b/cmd/kumquathitch-standin/main.go
@@ -41,6 +41,8 @@
 	Name          string        `arg:"--name,required" help:"name of the upstream"`
 	Models        []string      `arg:"--model,separate" help:"a resident model or adapter; may be repeated"`
 	ChecksFencing bool          `arg:"--checks-fencing" help:"refuse orders with an old fencing number"`
+	Resumes       bool          `arg:"--resumes" help:"resume streams"`
+	Echoes        bool          `arg:"--echoes" help:"send the request id back"`
 	TokenInterval time.Duration `arg:"--token-interval" help:"time between two tokens" default:"0s"`
 	Memory        int64         `arg:"--memory" help:"memory of the one accelerator, bytes" default:"85899345920"`
 }
@@ -80,6 +82,8 @@
 	return standin.NewEngine(standin.EngineSettings{
 		Name:          a.Name,
 		ChecksFencing: a.ChecksFencing,
+		Resumes:       a.Resumes,
+		Echoes:        a.Echoes,
 		TokenInterval: a.TokenInterval,
 		Resident:      a.Models,
 		Accelerators:  kumquathitch.Accelerators{{Bytes: a.Memory}},
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,7 +28,7 @@
 	bytesPerToken = 4
 	// prefixBytes is how much of the prompt decides which upstream's prefix cache fits best.
 	prefixBytes = 1024
-	// maxAttempts bounds how many upstreams one request may try.
+	// maxAttempts bounds how many upstreams one request may try, hedges and resumes included.
 	maxAttempts = 3
 )
 
@@ -90,14 +89,18 @@
 	if err := s.Accounts.Authorize(x.caller, chat.Model); err != nil {
 		return err
 	}
+	began := s.Clock.Now()
 	demand := s.chatDemand(ctx, x, &chat)
 	charge, err := s.Limits.Admit(ctx, x.caller.Account, float64(demand.Tokens))
 	if err != nil {
 		return err
 	}
-	used := int64(0)
-	defer func() { s.Limits.Settle(charge, float64(used)) }()
-	return s.attemptChat(ctx, w, r, x, demand, chat.Stream, &used)
+	call := newChatCall(s, x, r, w, demand)
+	call.stream = chat.Stream
+	defer func() { s.Limits.Settle(charge, float64(call.used)) }()
+	err = call.run(ctx)
+	s.observe(call, began)
+	return err
 }
 
 func (s *Server) chatDemand(ctx context.Context, x *exchange, chat *chatRequest) kumquathitch.Demand {
@@ -123,33 +126,6 @@
 	return digest.Sum64()
 }
 
-// attemptChat tries upstreams until one begins to answer. Chat completions are
-// idempotent, so that a failure before the first byte is tried elsewhere.
-func (s *Server) attemptChat(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange,
-	demand kumquathitch.Demand, stream bool, used *int64,
-) error {
-	var last error
-	for range maxAttempts {
-		choice, err := s.Upstreams.Pick(demand)
-		if err != nil {
-			if last != nil {
-				return last
-			}
-			return err
-		}
-		result, err := s.sendChat(ctx, w, r, x, choice, stream)
-		*used = max(*used, result.Tokens)
-		s.Upstreams.Done(choice, result)
-		var aborted *abortedError
-		if err == nil || errors.As(err, &aborted) || ctx.Err() != nil {
-			return withCause(ctx, err)
-		}
-		last = err
-		demand.Exclude = append(demand.Exclude, choice.Upstream.Name)
-	}
-	return last
-}
-
 // withCause replaces an error by the refusal that cancelled the context, if any.
 func withCause(ctx context.Context, err error) error {
 	var aborted *abortedError
@@ -166,32 +142,6 @@
 	return err
 }
 
-// sendChat sends the request to one upstream and relays its answer.
-func (s *Server) sendChat(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange,
-	choice kumquathitch.Choice, stream bool,
-) (kumquathitch.Result, error) {
-	ctx, span := s.Tracing.Tracer.Start(ctx, "upstream "+choice.Upstream.Name)
-	defer span.End()
-	request, err := s.upstreamRequest(ctx, r.Method, "http://"+choice.Upstream.Address+r.URL.Path, r.Header, x.body)
-	if err != nil {
-		return kumquathitch.Result{Failed: true}, err
-	}
-	response, err := s.client.Do(request)
-	if err != nil {
-		return failure(ctx, err), kumquathitch.Unknown(502, "upstream-failed", "The upstream did not answer.")
-	}
-	defer func() { _ = response.Body.Close() }()
-	s.takeReport(choice.Upstream.Name, response.Header)
-	if response.StatusCode >= http.StatusInternalServerError {
-		return kumquathitch.Result{Failed: true},
-			kumquathitch.Unknown(502, "upstream-failed", "The upstream answered with a server error.")
-	}
-	if stream && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		return s.relayStream(ctx, w, x, response)
-	}
-	return s.relayWhole(ctx, w, response)
-}
-
 // failure classifies a transport error. A cancelled request says nothing about the upstream.
 func failure(ctx context.Context, err error) kumquathitch.Result {
 	if ctx.Err() != nil {
@@ -202,24 +152,6 @@
 	return kumquathitch.Result{Failed: true, Crashed: crashed}
 }
 
-// relayWhole reads a complete answer before it writes the first byte, so that
-// a broken answer can still be replaced by another upstream's.
-func (s *Server) relayWhole(ctx context.Context, w http.ResponseWriter, response *http.Response) (kumquathitch.Result, error) {
-	body, err := readWhole(response.Body)
-	if err != nil {
-		return failure(ctx, err), err
-	}
-	result := kumquathitch.Result{First: s.Clock.Now()}
-	var answer usageBody
-	if json.Unmarshal(body, &answer) == nil {
-		result.Tokens = answer.Usage.TotalTokens
-	}
-	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
-	w.WriteHeader(response.StatusCode)
-	_, _ = w.Write(body) // A caller that has gone away needs no answer.
-	return result, nil
-}
-
 // usageBody is the part of an answer or stream event that tells the tokens used.
 type usageBody struct {
 	Usage struct {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -47,21 +46,17 @@
 func (s *Server) refuse(w http.ResponseWriter, x *exchange, err error) {
 	var aborted *abortedError
 	if errors.As(err, &aborted) {
-		s.count("kumquathitch_aborted_answers_total", x)
+		s.measures.Load().of(x.caller.Account).aborted.Inc()
 		s.Logger.Warn("answer-aborted", zap.String("account", x.caller.Account), zap.String("route", x.route.Path), zap.Error(err))
 		panic(http.ErrAbortHandler) // net/http closes the connection without the end of the chunked body.
 	}
 	refusal := asRefusal(err)
-	s.count("kumquathitch_refusals_total", x)
+	s.measures.Load().refused(x.caller.Account, refusal.Code)
 	s.Logger.Info("refused", zap.String("account", x.caller.Account), zap.String("route", x.route.Path),
 		zap.Int("status", refusal.Status), zap.String("code", refusal.Code), zap.String("run", refusal.Run))
 	writeRefusal(w, s.Clock.Now(), refusal)
 }
 
-func (s *Server) count(name string, x *exchange) {
-	s.Metrics.GetOrCreateCounter(fmt.Sprintf("%s{account=%q}", name, x.caller.Account)).Inc()
-}
-
 // asRefusal returns the refusal in an error. For any other error it is not
 // known whether the request ran.
 func asRefusal(err error) *kumquathitch.RefusalError {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -40,6 +40,7 @@
 	Metrics   *metrics.Set
 
 	router    atomic.Pointer[chi.Mux]
+	measures  atomic.Pointer[measures]
 	client    *http.Client
 	oneShot   *http.Client
 	ready     atomic.Bool
@@ -57,12 +58,14 @@
 	s.oneShot = &http.Client{Transport: newOneShotTransport()}
 	s.operators = operators
 	s.router.Store(s.newRouter(kumquathitch.Routes{}))
+	s.measures.Store(newMeasures(s.Metrics, nil))
 	return s
 }
 
 // Apply replaces the routes by those of a configuration and makes the server ready.
 func (s *Server) Apply(config kumquathitch.Configuration) {
 	s.router.Store(s.newRouter(config.Routes))
+	s.measures.Store(newMeasures(s.Metrics, config.Accounts))
 	s.ready.Store(true)
 }
 
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -21,6 +21,10 @@
 	idleConnsPerHost    = 512
 	copyBufferBytes     = 32 << 10
 	loadReportHeader    = "Engine-Load"
+	requestIDHeader     = "Request-Id"   // Sent with each request; engines that echo it let crossed answers be noticed.
+	resumeHeader        = "Resume-From"  // Events of the stream that the caller has already.
+	resumedHeader       = "Resumed-From" // The same number, from an engine that resumes after them.
+	priorityHeader      = "Engine-Priority"
 	idempotencyHeader   = "Idempotency-Key"
 	maxWholeAnswerBytes = 16 << 20
 )
--- a/route/table.go
+++ b/route/table.go
@@ -103,7 +103,9 @@
 		return kumquathitch.Choice{}, err
 	}
 	s.sample()
-	if best := s.best(); best != nil && s.overloaded(best) {
+	// A retry was admitted as a first attempt, and its time for the first token may be over.
+	first := len(demand.Exclude) == 0
+	if best := s.best(); first && best != nil && s.overloaded(best) {
 		stretch := float64(best.Estimate()) / float64(s.allowed)
 		if t.uses.sheds(s.model, demand.Account, stretch, s.facts.measure, s.now) {
 			return kumquathitch.Choice{}, overload(best.Estimate()-s.allowed, s.now)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,8 @@
 	TokenInterval time.Duration // Time between two tokens; 0 streams as fast as it can.
 	Resident      []string      // Models and adapters loaded at the start.
 	Accelerators  kumquathitch.Accelerators
+	Resumes       bool   // Resumes streams after the events that Resume-From counts.
+	Echoes        bool   // Sends the request id back.
 	OnCrash       func() // Called when a request holds the crash marker; a process exits here.
 }
 
@@ -178,6 +181,9 @@
 	}()
 	report, _ := json.Marshal(e.report())
 	w.Header().Set("Engine-Load", string(report))
+	if e.settings.Echoes {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	}
 	if chat.Stream {
 		e.stream(w, r, chat.Model, tokens, len(body), faults)
 		return
@@ -236,7 +242,11 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, model string, tokens []string, promptBytes int, faults EngineFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
+	from := e.resumeFrom(w, r, len(tokens))
 	for i, t := range tokens {
+		if i < from {
+			continue
+		}
 		if faults.TruncateAfter > 0 && i == faults.TruncateAfter {
 			return
 		}
@@ -246,7 +256,21 @@
 		_, _ = io.WriteString(w, tokenEvent(model, t))
 		_ = controller.Flush()
 	}
-	_, _ = io.WriteString(w, usageEvent(model, len(tokens), promptBytes)+"data: [DONE]\n\n")
+	if from <= len(tokens) {
+		_, _ = io.WriteString(w, usageEvent(model, len(tokens), promptBytes))
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// resumeFrom returns how many events the caller has already: the tokens, and
+// then the usage. An engine that does not resume starts from the beginning.
+func (e *Engine) resumeFrom(w http.ResponseWriter, r *http.Request, tokens int) int {
+	from, err := strconv.Atoi(r.Header.Get("Resume-From"))
+	if !e.settings.Resumes || err != nil || from < 0 || from > tokens+1 {
+		return 0
+	}
+	w.Header().Set("Resumed-From", strconv.Itoa(from))
+	return from
 }
 
 // pause waits for the next token and reports whether the caller still listens.
