--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -96,3 +97,32 @@
 	must.Eq(t, standin.Stream("rigging", standin.Tokens([]byte(long), 300), len(long)), whole.body)
 	must.NoError(t, s.daemons[0].Wait())
 }
+
+// TestLeavingEngineGetsNoNewRequests guards against an entry VM that goes on
+// sending work to an engine whose own report says that it is leaving.
+func TestLeavingEngineGetsNoNewRequests(t *testing.T) {
+	s := startSite(t, 1)
+	number := 0
+	// servedBy sends a request with the same prompt as all others, so that they
+	// prefer one engine, and returns the engine that saw it.
+	servedBy := func() int {
+		number++
+		mark := fmt.Sprintf(`"user":"n%d"`, number)
+		must.Eq(t, http.StatusOK, s.chat(t, 0, s.key, strings.Replace(chatBody, `"stream"`, mark+`,"stream"`, 1)).status)
+		seen := send(t, http.MethodGet, "http://"+s.engines[0]+"/standin/requests", "", "").body
+		if strings.Contains(seen, strings.ReplaceAll(mark, `"`, `\"`)) {
+			return 0
+		}
+		return 1
+	}
+	leaving := servedBy()
+	must.Eq(t, leaving, servedBy())
+	putJSON(t, "http://"+s.engines[leaving]+"/standin/faults", standin.EngineFaults{Leaving: true})
+	quiet := 0
+	await(t, "no new requests at the leaving engine", func() bool {
+		if quiet++; servedBy() == leaving {
+			quiet = 0
+		}
+		return quiet == 20
+	})
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,10 +49,29 @@
 
 // site is a gateway in front of upstreams in the test's process.
 type site struct {
-	front   *httptest.Server
-	fleet   *upstream.Fleet
-	metrics *metrics.Set
-	close   func()
+	front  *httptest.Server
+	config kumquathitch.Configuration
+	table  atomic.Pointer[route.Table]
+	close  func()
+}
+
+// Pick chooses with the table in use.
+func (s *site) Pick(demand kumquathitch.Demand) (kumquathitch.Choice, error) {
+	return s.table.Load().Pick(demand)
+}
+
+// Done ends a choice.
+func (s *site) Done(choice kumquathitch.Choice, result kumquathitch.Result) {
+	s.table.Load().Done(choice, result)
+}
+
+// reset forgets what is known of the upstreams, and the retries made.
+func (s *site) reset() {
+	fleet := upstream.NewFleet()
+	fleet.Apply(s.config)
+	table := route.NewTable(fleet, clock.NewSystem(), "montreal-1")
+	table.Apply(s.config)
+	s.table.Store(table)
 }
 
 // startSite starts a gateway with an upstream for each handler, all of which serve the model rigging.
@@ -69,7 +89,7 @@
 			Path: "/v1/chat/completions", Class: "interactive", Idempotent: true, FirstTokenMS: firstTokenMS,
 		}},
 	}
-	s := &site{fleet: upstream.NewFleet(), metrics: metrics.NewSet()}
+	s := &site{}
 	var backs []*httptest.Server
 	for i, h := range handlers {
 		back := httptest.NewServer(h)
@@ -80,13 +100,12 @@
 		})
 	}
 	config.Defaults()
-	table := route.NewTable(s.fleet, system, "montreal-1")
+	s.config = config
+	s.reset()
 	server := gateway.NewServer(&gateway.Server{
-		Accounts: everyone{}, Limits: unlimited{}, Upstreams: table, Clock: system, Tracing: tracing,
-		Logger: zap.NewNop(), Metrics: s.metrics,
+		Accounts: everyone{}, Limits: unlimited{}, Upstreams: s, Clock: system, Tracing: tracing,
+		Logger: zap.NewNop(), Metrics: metrics.NewSet(),
 	}, nil)
-	s.fleet.Apply(config)
-	table.Apply(config)
 	server.Apply(config)
 	s.front = httptest.NewServer(server)
 	s.close = func() {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -32,10 +32,25 @@
 		"none":    nil,
 	}
 	for name, second := range seconds {
+		var calls atomic.Int64
+		// The first call is cut; the second, on the other upstream, is not.
+		both := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case calls.Add(1) == 1:
+				cut.ServeHTTP(w, r)
+			case second == nil:
+				panic(http.ErrAbortHandler)
+			default:
+				second.ServeHTTP(w, r)
+			}
+		})
+		s := startSite(t, 60_000, both, both)
 		for _, abort := range []bool{false, true} {
 			for cut.after = 0; cut.after <= len(whole); cut.after++ {
 				cut.abort = abort
-				got := chatThroughCut(t, cut, second, body)
+				calls.Store(0)
+				s.reset()
+				got := s.chat(context.Background(), body)
 				where := must.Sprintf("%s, abort %t, cut after %d", name, abort, cut.after)
 				switch {
 				case got.status == http.StatusBadGateway:
@@ -51,29 +66,10 @@
 				}
 			}
 		}
+		s.close()
 	}
 }
 
-// chatThroughCut sends a request that meets the cutting upstream first, because
-// the second one joins when the first has been called.
-func chatThroughCut(t *testing.T, cut *cutting, second http.Handler, body string) answer {
-	t.Helper()
-	var calls atomic.Int64
-	both := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if calls.Add(1) == 1 {
-			cut.ServeHTTP(w, r)
-			return
-		}
-		if second == nil {
-			panic(http.ErrAbortHandler)
-		}
-		second.ServeHTTP(w, r)
-	})
-	s := startSite(t, 5000, both, both)
-	defer s.close()
-	return s.chat(context.Background(), body)
-}
-
 // crossing is an engine that answers each of two waiting requests with the
 // answer of the other, now and then.
 type crossing struct {
@@ -174,6 +170,7 @@
 	s := startSite(t, 50, hanging, engine(standin.EngineSettings{}).Handler())
 	defer s.close()
 	for i := 0; hung.Load() < 2; i++ {
+		s.reset() // Else what was learned keeps requests away from the one that hangs.
 		body := chatBody(fmt.Sprint(i), cutTokens)
 		got := s.chat(context.Background(), body)
 		must.NoError(t, got.err)
