--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,6 +64,7 @@
 	Distribution *Distribution
 	Placement    *placement
 
+	watch        *upstreamWatch
 	tracing      *telemetry.Tracing
 	listener     net.Listener
 	peerListener net.Listener
@@ -93,6 +94,7 @@
 	d.Rates = newRateShares(d)
 	d.Routes = route.NewTable(d.Upstreams, d.Clock, settings.DataCentre)
 	d.Requests = d.newRequests()
+	d.Routes.Quarantine = d.Requests.Suspects
 	d.Placement = newPlacement(d)
 	d.Gateway = gateway.NewServer(&gateway.Server{
 		Accounts:  d.Accounts,
@@ -110,6 +112,7 @@
 	d.Current = configuration.NewCurrent(d.Accounts, d.Rates, d.Upstreams, d.Routes, d.Members, d.Gateway)
 	d.addMembership()
 	d.addDistribution()
+	d.newUpstreamWatch()
 	return d, d.listen(ctx)
 }
 
@@ -156,6 +159,7 @@
 	all.Start(work, "rate-loans", d.Rates.Borrower.Run)
 	d.startRequests(work, all)
 	all.Start(work, "placement", d.Placement.Run)
+	all.Start(work, "upstreams", d.watch.run)
 	end := all.Wait(stop)
 	d.Peers.Close()
 	_ = d.tracing.Shutdown(context.WithoutCancel(ctx))
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -85,10 +85,10 @@
 // connection alone moves no model: it takes the server out of use for 2 s only.
 func (p *placement) available(server string, now time.Time) bool {
 	state, ok := p.daemon.Upstreams.State(server)
-	if !ok || state.Phase == upstream.Leaving {
+	if !ok || state.Phase() == upstream.Leaving {
 		return false
 	}
-	return state.Phase != upstream.Down || now.Before(state.Reported.Add(p.daemon.Settings.DeadAfter))
+	return state.Phase() != upstream.Down || now.Before(state.Reported.Add(p.daemon.Settings.DeadAfter))
 }
 
 // share returns this VM's part of the adapters in flight: the share of the rate
--- a/request/suspects.go
+++ b/request/suspects.go
@@ -177,10 +177,12 @@
 // End ends a registration. A crash makes every fingerprint that runs on the
 // upstream suspect; a success clears the fingerprint.
 func (s *Suspects) End(upstream string, fingerprint uint64, result kumquathitch.Result, now time.Time) {
-	crash := s.unregister(upstream, fingerprint, result.Crashed, now)
+	// A request of which no byte left cannot have crashed the upstream.
+	crashed := result.Crashed && !result.Unsent
+	crash := s.unregister(upstream, fingerprint, crashed, now)
 	var changed Suspicions
 	switch {
-	case result.Crashed:
+	case crashed:
 		changed = s.count(upstream, crash, now)
 	case !result.Failed && s.isSuspect(fingerprint, now):
 		changed = Suspicions{s.merge(Suspicion{Fingerprint: fingerprint, Cleared: now}, now)}
