Carry version changes through on full data centres

Change: a home model's new version may take the room of replicas whose homes are elsewhere; models are moved to their homes one at a time when one of them finds no room; the board follows the server that serves. Pool.Hold takes the holder and ignores plans older than the pool. The test expects the listed version of each model after its faults end.

Conclusion: what the check of the configuration accepts is carried out.

--- a/accelerator/plan_test.go
+++ b/accelerator/plan_test.go
@@ -158,7 +158,7 @@
 		return p.Reserve(m.server, m.first, request, rules, now)
 	})
 	if ok {
-		v.pool = v.pool.Hold(plan) // Adapter orders carry the newest number that the VM knows.
+		v.pool = v.pool.Hold(plan, v.name) // Adapter orders carry the newest number that the VM knows.
 		m.send(t, v, plan.LoadOrder(request.Key))
 	}
 }
@@ -223,7 +223,7 @@
 		return p.TakePool(m.server, v.name, v.drop, rules, v.clock.Now())
 	})
 	if ok {
-		v.pool = v.pool.Hold(plan).Settle(m.engine.Report())
+		v.pool = v.pool.Hold(plan, v.name).Settle(m.engine.Report())
 	}
 }
 
--- a/accelerator/pool.go
+++ b/accelerator/pool.go
@@ -17,9 +17,17 @@
 	Holdings Holdings
 }
 
-// Hold returns the pool under a plan's lease. What was known under another lease is dropped.
-func (p Pool) Hold(plan Plan) Pool {
-	if !p.Lease.Since.Equal(plan.Pool.Since) || p.Lease.Holder != plan.Pool.Holder {
+// Hold returns the pool under a plan's lease. What was known under another
+// lease is dropped. A pool that is leased to another holder is empty and
+// refuses every order.
+func (p Pool) Hold(plan Plan, holder string) Pool {
+	if plan.Version < p.Fence {
+		return p // An older plan than the one that the pool was taken with.
+	}
+	if plan.Pool.Holder != holder {
+		return Pool{Server: plan.Server}
+	}
+	if !p.Lease.Since.Equal(plan.Pool.Since) {
 		p = Pool{Server: plan.Server}
 	}
 	p.Lease = plan.Pool
@@ -30,7 +38,7 @@
 // Settle takes in a load report. A report that may be older than the last
 // order of an earlier holder changes nothing.
 func (p Pool) Settle(report kumquathitch.LoadReport) Pool {
-	if !report.Taken.After(p.Lease.Clear) || !report.Taken.After(p.Settled) {
+	if p.Lease.Holder == "" || !report.Taken.After(p.Lease.Clear) || !report.Taken.After(p.Settled) {
 		return p
 	}
 	p.Holdings = p.Holdings.settle(report, 0, true)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -19,6 +19,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
@@ -52,8 +53,16 @@
 	Report(upstream string, report kumquathitch.LoadReport)
 }
 
+// noDemand stands in when nobody wants to know the demand.
+type noDemand struct{}
+
+func (noDemand) Add(string, int64, time.Time) {}
+
 // NewServer completes a server. Its operators handler, which may be nil, serves paths below /-/.
 func NewServer(s *Server, operators http.Handler) *Server {
+	if s.Demand == nil {
+		s.Demand = noDemand{}
+	}
 	s.client = &http.Client{Transport: newTransport()}
 	s.oneShot = &http.Client{Transport: newOneShotTransport()}
 	s.operators = operators
--- a/model/controller.go
+++ b/model/controller.go
@@ -100,12 +100,16 @@
 
 // eachServer runs the servers of a round, a few at a time.
 func (c *Controller) eachServer(ctx context.Context, config kumquathitch.Configuration, board Board) {
+	for _, u := range config.Upstreams {
+		if !c.holds(u) {
+			c.release(ctx, u)
+		}
+	}
 	slots := make(chan struct{}, max(1, c.AtOnce))
 	var running sync.WaitGroup
 	inFlight := newAdapterQuota(AdapterSlots(config.WeightStore.AdaptersInFlight, c.Share()) - c.adaptersInFlight())
 	for _, u := range config.Upstreams {
 		if !c.holds(u) {
-			c.release(ctx, u)
 			continue
 		}
 		slots <- struct{}{}
--- a/model/controller_test.go
+++ b/model/controller_test.go
@@ -258,15 +258,16 @@
 	must.Positive(t, moves.Load())
 }
 
-// recover ends all faults and expects every model to become reachable.
+// recover ends all faults and expects every model to become reachable in its listed version.
 func (s *site) recover(t *rapid.T) {
 	s.store.SetFaults(standin.StoreFaults{})
 	for _, v := range s.views {
 		v.partitioned = false
 	}
-	s.run(100, 4)
+	s.run(140, 6) // A version change can take a chain of moves, each a minute after the last.
+	held := s.held()
 	for _, m := range s.config.Models {
-		must.True(t, s.serves(m.Name), must.Sprint(m.Name))
+		must.StrContains(t, held, fmt.Sprintf(" %s %s ", m.Name, m.Version), must.Sprint(held))
 	}
 	s.check(t)
 }
--- a/model/owner.go
+++ b/model/owner.go
@@ -39,39 +39,32 @@
 		return err
 	}
 	moves := Plan(site, now)
-	adapters, serving := hottest(demand, config.Adapters), site.serving()
-	if len(moves) == 0 && similar(adapters, board.Adapters) && sameNames(serving, board.Serving) {
+	adapters, serving := hottest(demand, config.Adapters), site.serving(board.Serving)
+	if len(moves) == 0 && similar(adapters, board.Adapters) && maps.Equal(serving, board.Serving) {
 		return nil
 	}
 	return writeBoard(ctx, c.Store, own, board.Post(moves, adapters, serving, c.Rules.ClockError, now))
 }
 
-// serving returns a server that serves each model whose home is in the data centre.
-func (s *Site) serving() map[string]string {
+// serving returns a server that serves each model whose home is in the data
+// centre: the one posted before, as long as it does.
+func (s *Site) serving(posted map[string]string) map[string]string {
 	serving := map[string]string{}
 	for i := range s.Servers {
+		name := s.Servers[i].Upstream.Name
 		for j := range s.Servers[i].Plan.Holdings {
 			h := &s.Servers[i].Plan.Holdings[j]
-			if _, home := s.Home[h.Name]; home && s.Servers[i].Available && h.Serving() {
-				serving[h.Name] = s.Servers[i].Upstream.Name
+			if _, home := s.Home[h.Name]; !home || !s.Servers[i].Available || !h.Serving() {
+				continue
+			}
+			if _, found := serving[h.Name]; !found || posted[h.Name] == name {
+				serving[h.Name] = name
 			}
 		}
 	}
 	return serving
 }
 
-func sameNames(a, b map[string]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name := range a {
-		if _, ok := b[name]; !ok {
-			return false
-		}
-	}
-	return true
-}
-
 // followPause is the pause after a failed watch, and between two looks at whether this VM is the owner.
 const followPause = time.Second
 
--- a/model/placement.go
+++ b/model/placement.go
@@ -145,7 +145,6 @@
 	moves     Moves
 	loads     int
 	evictions int
-	moving    map[string]bool // Models that this plan moves to their homes.
 }
 
 type plannedLoad struct {
@@ -157,7 +156,7 @@
 	p := &planner{
 		site: site, now: now, standings: make(map[string]*standing, len(site.Models)),
 		planned: map[plannedLoad]bool{}, gone: map[*accelerator.Holding]bool{},
-		servers: make(map[string]int, len(site.Servers)), moving: map[string]bool{},
+		servers: make(map[string]int, len(site.Servers)),
 	}
 	for i := range site.Models {
 		m := &site.Models[i]
@@ -287,8 +286,8 @@
 		return
 	}
 	p.evictions++
-	if !p.makeRoom(w, bytes) && atHome && w.Urgency == lastReplica {
-		p.clear(w, home, p.site.Home[w.Model.Name].Accelerator)
+	if !p.makeRoom(w, bytes) && atHome && w.Urgency != moreReplicas {
+		p.tidy()
 	}
 }
 
@@ -302,22 +301,45 @@
 	return i, ok && p.site.Servers[i].Available
 }
 
-// clear moves models that do not belong on an accelerator to their homes, so
-// that a later plan can unload them there.
-func (p *planner) clear(w want, server, at int) {
-	for j := range p.site.Servers[server].Plan.Holdings {
-		h := &p.site.Servers[server].Plan.Holdings[j]
-		state := p.standings[h.Name]
-		home, ok := p.site.Home[h.Name]
-		if h.Accelerator != at || state == nil || !ok || state.Serving != 1 || state.Fixed || p.moving[h.Name] ||
-			(home.Server == p.site.Servers[server].Upstream.Name && home.Accelerator == at) {
-			continue
+// tidy moves one model whose only replica is not at its home there. When all
+// are at home, every model whose home is here fits, and room that the check of
+// the configuration found is free or held by replicas that may go.
+func (p *planner) tidy() {
+	for i := range p.site.Servers {
+		s := &p.site.Servers[i]
+		for j := range s.Plan.Holdings {
+			h := &s.Plan.Holdings[j]
+			state := p.standings[h.Name]
+			if state == nil || state.Serving != 1 || state.Fixed || !h.Serving() || p.gone[h] {
+				continue
+			}
+			home, ok := p.home(state.Model)
+			at := p.site.Home[h.Name].Accelerator
+			if ok && (home != i || at != h.Accelerator) && p.moveHome(state.Model, home, at) {
+				return
+			}
 		}
-		p.moving[h.Name] = true
-		p.satisfy(want{Model: state.Model, Urgency: w.Urgency, Gain: state.Demand})
 	}
 }
 
+// moveHome loads a model at its home or unloads what is in its way there.
+func (p *planner) moveHome(m *kumquathitch.Model, home, at int) bool {
+	bytes := m.Bytes + m.CacheReserve
+	if p.fits(home, at, m, bytes) {
+		p.load(home, at, m, bytes)
+		return true
+	}
+	missing := bytes - p.rooms[home][at].Running - p.freeing[home][at]
+	v, ok := p.cheapest(want{Model: m, Urgency: lastReplica}, home, at, missing)
+	if !ok || p.holds(home, m) {
+		return false
+	}
+	for _, h := range v.Holdings {
+		p.unload(home, h)
+	}
+	return true
+}
+
 func (p *planner) fits(server, at int, m *kumquathitch.Model, bytes int64) bool {
 	room := p.rooms[server][at]
 	return room.Running >= bytes && room.Restarted >= bytes && !p.site.Servers[server].Plan.Settled.IsZero() && !p.holds(server, m)
@@ -447,7 +469,7 @@
 	if p.isHome(h.Name) || p.site.Elsewhere[h.Name] == "" || w.Urgency == moreReplicas {
 		return 0, false
 	}
-	return state.Demand, w.Urgency == lastReplica || w.Gain > minGain*state.Demand
+	return state.Demand, w.Urgency == lastReplica || p.isHome(w.Model.Name) || w.Gain > minGain*state.Demand
 }
 
 func (p *planner) load(server, at int, m *kumquathitch.Model, bytes int64) {
--- a/model/pool.go
+++ b/model/pool.go
@@ -59,7 +59,7 @@
 	if know.Plan.Version != 0 && now.After(know.Pool.Lease.Deadline.Add(-c.Rules.PoolTerm/2)) {
 		problem = c.takePool(ctx, u, know, now)
 	}
-	know.Pool = know.Pool.Hold(know.Plan) // Another write may have raised the fencing number or moved the lease.
+	know.Pool = know.Pool.Hold(know.Plan, c.Holder) // Another write may have raised the fencing number or moved the lease.
 	if know.Pool.Lease.Holder != c.Holder {
 		return problem
 	}
