--- a/gateway/server.go
+++ b/gateway/server.go
@@ -19,6 +19,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
@@ -55,10 +56,18 @@
 	Report(upstream string, report kumquathitch.LoadReport)
 }
 
+// noDemand stands in when nobody wants to know the demand.
+type noDemand struct{}
+
+func (noDemand) Add(string, int64, time.Time) {}
+
 // NewServer completes a server. Its operators handler, which may be nil, serves paths below /-/.
 func NewServer(s *Server, operators http.Handler) *Server {
 	s.client = &http.Client{Transport: newTransport(), CheckRedirect: keepRedirect}
 	s.oneShot = &http.Client{Transport: newOneShotTransport(), CheckRedirect: keepRedirect}
+	if s.Demand == nil {
+		s.Demand = noDemand{}
+	}
 	s.operators = operators
 	s.router.Store(s.newRouter(kumquathitch.Routes{}))
 	s.measures.Store(newMeasures(s.Metrics, nil))
