Replay the system's own policy, and count the batch and all data centres in each choice

Change: replay runs the real ledgers, loans and choice; a choice always samples all data centres, with their distance as a cost; load reports may tell how many requests can run at once, and a batch above 70% costs up to 100 ms. The placement does not move in the replay yet.

--- a/engine.go
+++ b/engine.go
@@ -42,7 +42,8 @@
 	Taken      time.Time         `json:"taken"` // By the engine's clock.
 	Queued     int               `json:"queued"`
 	Running    int               `json:"running"`
-	Tokens     int64             `json:"tokens"` // Tokens still to generate.
+	Slots      int               `json:"slots,omitempty"` // Requests that can run at once; 0 when the engine does not tell.
+	Tokens     int64             `json:"tokens"`          // Tokens still to generate.
 	Leaving    bool              `json:"leaving,omitempty"`
 	LastFence  uint64            `json:"last-fence"`            // Highest fencing number of an executed order.
 	LastOrders []string          `json:"last-orders,omitempty"` // Ids of recently executed orders, newest last.
--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -68,7 +68,7 @@
 }
 
 // Done does nothing: the baseline learns from no answer.
-func (p *RoundRobin) Done(VM, string, int64, bool, time.Time) {}
+func (p *RoundRobin) Done(VM, *trace.Line, End, time.Time) {}
 
 // Tick does nothing: the placement is static.
 func (p *RoundRobin) Tick(time.Time) {}
@@ -144,7 +144,7 @@
 }
 
 // Done does nothing: the baseline sees the load itself.
-func (p *LeastLoaded) Done(VM, string, int64, bool, time.Time) {}
+func (p *LeastLoaded) Done(VM, *trace.Line, End, time.Time) {}
 
 // Tick does nothing: models move when they are asked for.
 func (p *LeastLoaded) Tick(time.Time) {}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -35,17 +35,24 @@
 	Settle(vm VM, account string, unused float64, now time.Time)
 	// Choose returns an upstream for a request, or false.
 	Choose(vm VM, line *trace.Line, now time.Time) (string, bool)
-	// Done tells that a request left its upstream; broken when the upstream was lost.
-	Done(vm VM, upstream string, tokens int64, broken bool, now time.Time)
+	// Done tells that a request left its upstream. It is called once for each choice.
+	Done(vm VM, line *trace.Line, end End, now time.Time)
 	// Tick does periodic work, such as loans of rate and placement.
 	Tick(now time.Time)
 }
 
+// End is how a request left its upstream.
+type End struct {
+	Upstream string
+	Broken   bool      // The upstream was lost, or could not be reached.
+	First    time.Time // When the first token came; zero when broken.
+}
+
 // NewPolicy makes a policy for a site.
 type NewPolicy func(site *Site) Policy
 
 // Policies makes the policies that are compared, kumquathitch first.
-var Policies = []NewPolicy{NewRoundRobin, NewLeastLoaded}
+var Policies = []NewPolicy{NewKumquathitch, NewRoundRobin, NewLeastLoaded}
 
 // VM is an entry VM of the replayed site.
 type VM struct {
@@ -324,7 +331,7 @@
 	f.upstream = name
 	e := r.site.engines[name]
 	if e.lost || !r.site.Reachable(f.vm, name) {
-		r.policy.Done(f.vm, name, f.line.PromptTokens+f.line.OutputTokens, true, now)
+		r.policy.Done(f.vm, f.line, End{Upstream: name, Broken: true}, now)
 		r.send(f, now)
 		return
 	}
@@ -348,7 +355,7 @@
 func (r *runner) finish(f *flight, e *engine, now time.Time) {
 	e.running--
 	delete(r.flights, f.job.number)
-	r.policy.Done(f.vm, f.upstream, f.line.PromptTokens+f.line.OutputTokens, false, now)
+	r.policy.Done(f.vm, f.line, End{Upstream: f.upstream, First: f.job.first}, now)
 	if f.inside && f.job.first.Sub(f.job.arrived) <= FirstTokenTarget && f.job.interval <= TokenTarget {
 		r.site.tally.accounts[f.line.Account].Attained++
 	}
@@ -374,7 +381,7 @@
 	e.prefixes = nil
 	for number := range r.next + 1 {
 		if f := r.flights[number]; f != nil && f.upstream == name {
-			r.policy.Done(f.vm, name, f.line.PromptTokens+f.line.OutputTokens, true, now)
+			r.policy.Done(f.vm, f.line, End{Upstream: name, Broken: true}, now)
 			r.send(f, now)
 		}
 	}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -31,7 +31,7 @@
 func TestReplayIsRepeatable(t *testing.T) {
 	config := site(t, "laurentide")
 	lines := trace.Make(config, trace.Settings{Scenario: "upstream-lost", Seconds: 60, Load: 0.5, Seed: traceSeed})
-	for _, policy := range []replay.NewPolicy{replay.NewRoundRobin, replay.NewLeastLoaded} {
+	for _, policy := range replay.Policies {
 		must.Eq(t, replay.Run(config, lines, policy), replay.Run(config, lines, policy))
 	}
 }
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -13,6 +13,10 @@
 	// prefixMiss is the time to process a prompt prefix of 1 KiB that is not
 	// cached: 256 tokens at about 10,000 a second.
 	prefixMiss = 25 * time.Millisecond
+	// batchTarget is the part of a batch up to which tokens come in time, and
+	// fullBatch the cost of a full one, which outweighs a prefix miss.
+	batchTarget = 0.7
+	fullBatch   = 100 * time.Millisecond
 	// sameRegion and otherRegion are round trips between data centres.
 	sameRegion  = 2 * time.Millisecond
 	otherRegion = 30 * time.Millisecond
@@ -54,6 +58,12 @@
 	return time.Duration(float64(c.Wait)/slack) + c.Extra
 }
 
+// batchCost is what a nearly full batch adds: the time between tokens grows with
+// the batch and passes its target before requests queue.
+func batchCost(batch float64) time.Duration {
+	return time.Duration(max(0, batch-batchTarget) / (1 - batchTarget) * float64(fullBatch))
+}
+
 func prefixCost(k upstream.Knowledge) time.Duration {
 	switch k {
 	case upstream.Held:
--- a/route/table.go
+++ b/route/table.go
@@ -47,6 +47,7 @@
 	Fleet      *upstream.Fleet
 	Clock      kumquathitch.Clock
 	DataCentre string
+	IntN       func(n int) int         // Random number in [0, n); replays set it to repeat a run.
 	Quarantine kumquathitch.Quarantine // Of requests to models; may be nil. The gateway asks it for plain services itself.
 
 	facts   atomic.Pointer[facts]
@@ -69,7 +70,7 @@
 
 // NewTable returns a table for a VM in a data centre.
 func NewTable(fleet *upstream.Fleet, clock kumquathitch.Clock, dataCentre string) *Table {
-	t := &Table{Fleet: fleet, Clock: clock, DataCentre: dataCentre}
+	t := &Table{Fleet: fleet, Clock: clock, DataCentre: dataCentre, IntN: rand.IntN}
 	t.facts.Store(&facts{})
 	for i := range t.uses.shards {
 		t.uses.shards[i].models = map[string]*modelUses{}
@@ -255,8 +256,8 @@
 	return upstream.Place{Model: s.model, DataCentre: dataCentre}
 }
 
-// sample collects candidates: in this data centre first, and in all when none
-// there keeps the allowed time.
+// sample collects candidates in this data centre and in all, since a nearby data
+// centre is often less loaded and only a few milliseconds away.
 func (s *search) sample() {
 	local := s.table.Fleet.Replicas(s.place(s.table.DataCentre))
 	if local != nil && s.demand.PrefixHash != 0 {
@@ -267,9 +268,7 @@
 		place := upstream.Place{Model: s.demand.Model, DataCentre: s.table.DataCentre}
 		s.addRandom(s.table.Fleet.Replicas(place)) // Where the adapter is resident.
 	}
-	if best := s.best(); best == nil || s.overloaded(best) {
-		s.addRandom(s.table.Fleet.Replicas(s.place("")))
-	}
+	s.addRandom(s.table.Fleet.Replicas(s.place("")))
 }
 
 func (s *search) addRandom(replicas *upstream.Replicas) {
@@ -277,7 +276,7 @@
 		return
 	}
 	for range sampleSize {
-		s.add(replicas.List[rand.IntN(len(replicas.List))]) //nolint:gosec // Load balancing needs no secrecy.
+		s.add(replicas.List[s.table.IntN(len(replicas.List))])
 	}
 }
 
@@ -290,7 +289,7 @@
 			continue
 		}
 		size := len(replicas.List)
-		start := rand.IntN(size) //nolint:gosec // Load balancing needs no secrecy.
+		start := s.table.IntN(size)
 		for i := range min(scanLimit, size) {
 			s.add(replicas.List[(start+i)%size])
 		}
@@ -307,6 +306,7 @@
 		return
 	}
 	c := Candidate{Replica: r, Wait: view.Wait, Extra: s.distance(r.DataCentre), Last: view.Last}
+	c.Extra += batchCost(view.Batch)
 	if !view.Resident {
 		c.Extra += adapterLoad
 	}
@@ -358,7 +358,3 @@
 	best := s.best()
 	return best != nil && best.Estimate() > s.allowed/shedMargin
 }
-
-func (s *search) overloaded(c *Candidate) bool {
-	return s.allowed > 0 && c.Estimate() > s.allowed
-}
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -204,6 +204,7 @@
 	Resident bool // The model or adapter is resident, or the upstream is a service.
 	Wait     time.Duration
 	Prefix   Knowledge
+	Batch    float64 // Part of the batch that is taken; 0 when its size is not known.
 }
 
 // Look returns what is known of a replica.
@@ -212,6 +213,9 @@
 	defer r.shard.mutex.Unlock()
 	s := r.state
 	v := View{Wait: s.WaitAt(q.Now, f.ReportMaxAge), Prefix: s.Cache.Know(q.Prefix)}
+	if s.Report.Slots > 0 {
+		v.Batch = float64(max(s.Report.Running+s.SentSince, s.Outstanding)) / float64(s.Report.Slots)
+	}
 	_, held := slices.BinarySearch(s.Resident, q.Model)
 	v.Resident = held || q.Model == ""
 	s.Departure = s.Departure.Settle(s.evidence(f.ClockError), q.Now)
