--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -35,3 +35,19 @@
 		must.Eq(t, replay.Run(config, lines, policy), replay.Run(config, lines, policy))
 	}
 }
+
+// TestStatedOutcomes guards against a change of routing or rates that serves the
+// worst-served account worse than round robin with a static split does, or that
+// refuses more requests inside the rate.
+func TestStatedOutcomes(t *testing.T) {
+	for _, name := range []string{"laurentide", "cellarkeep"} {
+		config := site(t, name)
+		for _, scenario := range trace.Scenarios {
+			lines := trace.Make(config, trace.Settings{Scenario: scenario, Seconds: 300, Load: 0.6, Seed: traceSeed})
+			own := replay.Run(config, lines, replay.NewKumquathitch)
+			baseline := replay.Run(config, lines, replay.NewRoundRobin)
+			must.GreaterEq(t, baseline.WorstServed.Served, own.WorstServed.Served, must.Sprint(name, " ", scenario))
+			must.Less(t, baseline.RefusedInsideRate, own.RefusedInsideRate, must.Sprint(name, " ", scenario))
+		}
+	}
+}
