--- a/request/coordinator_test.go
+++ b/request/coordinator_test.go
@@ -72,20 +72,20 @@
 				v.Cut()
 			}
 		}
-		time.Sleep(s.Wait)
+		<-time.After(s.Wait)
 	}
 }
 
 // settle ends all faults, lets the background work finish and repeats every
 // key at a VM that lives.
 func settle(w *world) {
-	time.Sleep(2 * claimPeriod)
+	<-time.After(2 * claimPeriod)
 	for _, v := range w.vms {
 		v.FailNext(nil)
 		v.Break(0)
 		v.loseCalls.Store(0)
 	}
-	time.Sleep(2 * claimPeriod)
+	<-time.After(2 * claimPeriod)
 	for _, v := range w.vms {
 		if v.IsCut() {
 			continue
@@ -120,7 +120,7 @@
 		w.violate("key %s: runs again", key)
 	case err == nil:
 		v.coordinator.Withdraw(claim)
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 	case completed && !died && refusal.Status != 422:
 		w.violate("key %s: the outcome is not found: %v", key, err)
 	case executed == 0 && !died:
--- a/request/figures_test.go
+++ b/request/figures_test.go
@@ -29,7 +29,7 @@
 		}
 		for i := range rate * int(period/time.Second) {
 			w.group.Go(func() { w.vms[i%6].call(fmt.Sprint(i), 0, endAnswer, 200*time.Millisecond) })
-			time.Sleep(time.Second / time.Duration(rate))
+			<-time.After(time.Second / time.Duration(rate))
 		}
 		writes = w.store.Calls().Writes
 		stop()
