--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -129,11 +129,17 @@
 
 // startSite starts a site with two engines, one service and a number of entry VMs.
 func startSite(t *testing.T, entries int) *site {
+	t.Helper()
+	return startSiteWith(t, entries, 2)
+}
+
+// startSiteWith starts a site with a number of engines.
+func startSiteWith(t *testing.T, entries, engines int) *site {
 	t.Helper()
 	s := &site{platform: freeAddress(t), service: freeAddress(t)}
 	start(t, "kumquathitch-standin", "platform", "--listen", s.platform)
 	start(t, "kumquathitch-standin", "service", "--listen", s.service, "--name", "dispatch")
-	for i := range 2 {
+	for i := range engines {
 		address := freeAddress(t)
 		s.engines = append(s.engines, address)
 		start(t, "kumquathitch-standin", "engine", "--listen", address, "--name", fmt.Sprintf("planner-llm-%d", i+1),
@@ -246,3 +252,18 @@
 	t.Helper()
 	must.NoError(t, process.Process.Signal(syscall.SIGTERM))
 }
+
+// chatHead sends a request, leaves once the status is there, and returns it.
+func (s *site) chatHead(t *testing.T, entry int, body string) int {
+	t.Helper()
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.entries[entry]+"/v1/chat/completions",
+		bytes.NewBufferString(body))
+	must.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+s.key)
+	response, err := http.DefaultClient.Do(request)
+	must.NoError(t, err)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -39,7 +40,42 @@
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "time"
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(w)), parsed))
+	return zap.New(plainCore{zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(w)), parsed)})
+}
+
+// plainCore writes values that need reflection as text. The logfmt encoder
+// panics on slices, which ended the request whose event was logged.
+type plainCore struct {
+	zapcore.Core
+}
+
+// With adds fields to every entry.
+func (c plainCore) With(fields []zapcore.Field) zapcore.Core {
+	return plainCore{c.Core.With(plain(fields))}
+}
+
+// Check adds this core to an entry that is to be logged.
+func (c plainCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(entry.Level) {
+		return checked.AddCore(entry, c)
+	}
+	return checked
+}
+
+// Write writes one entry.
+func (c plainCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(entry, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	texts := make([]zapcore.Field, 0, len(fields))
+	for _, f := range fields {
+		if f.Type == zapcore.ReflectType {
+			f = zap.String(f.Key, fmt.Sprint(f.Interface))
+		}
+		texts = append(texts, f)
+	}
+	return texts
 }
 
 // Tracing makes spans and carries their context between processes.
