--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -74,3 +74,72 @@
 		must.Eq(t, http.StatusOK, s.chatWhenAdmitted(t, entry, chatBody).status)
 	}
 }
+
+// TestStoreOutage guards against chat that stops with the platform's store, and
+// against a booking that is refused as not run and runs all the same.
+func TestStoreOutage(t *testing.T) {
+	s := startSite(t, 2)
+	must.Eq(t, http.StatusOK, s.chatWhenAdmitted(t, 0, chatBody).status)
+	book := func(entry int) answer {
+		return send(t, http.MethodPost, "http://"+s.entries[entry]+"/bookings", s.key, `{"site":"sorel"}`, "Idempotency-Key", "sorel")
+	}
+	putJSON(t, "http://"+s.platform+"/standin/faults", standin.StoreFaults{Down: true})
+	for entry := range s.entries {
+		must.Eq(t, http.StatusOK, s.chatWhenAdmitted(t, entry, chatBody).status)
+		refused := book(entry)
+		must.Eq(t, http.StatusServiceUnavailable, refused.status)
+		must.Eq(t, "not-run", refused.header.Get("kumquathitch-run"))
+	}
+	must.Eq(t, "{}", strings.TrimSpace(send(t, http.MethodGet, "http://"+s.service+"/standin/executions", "", "").body))
+	putJSON(t, "http://"+s.platform+"/standin/faults", standin.StoreFaults{})
+	await(t, "the booking after the outage", func() bool { return book(0).status == http.StatusOK })
+	executions := send(t, http.MethodGet, "http://"+s.service+"/standin/executions", "", "").body
+	must.Eq(t, `{"{\"site\":\"sorel\"}":1}`, strings.TrimSpace(executions))
+}
+
+// TestKilledEntryVMLeavesOneBooking guards against a booking that runs again when
+// its entry VM is killed while it runs and its caller repeats it elsewhere.
+func TestKilledEntryVMLeavesOneBooking(t *testing.T) {
+	s := startSite(t, 2)
+	putJSON(t, "http://"+s.service+"/standin/faults", standin.ServiceFaults{DelayMS: 2000})
+	first := make(chan struct{})
+	go func() {
+		defer close(first)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.entries[0]+"/bookings",
+			strings.NewReader(`{"site":"gatineau"}`))
+		if err != nil {
+			return
+		}
+		request.Header.Set("Authorization", "Bearer "+s.key)
+		request.Header.Set("Idempotency-Key", "gatineau")
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	await(t, "the booking at the service", func() bool {
+		return strings.Contains(send(t, http.MethodGet, "http://"+s.service+"/standin/executions", "", "").body, "gatineau")
+	})
+	must.NoError(t, s.daemons[0].Process.Kill())
+	<-first
+	for range 5 {
+		again := send(t, http.MethodPost, "http://"+s.entries[1]+"/bookings", s.key, `{"site":"gatineau"}`, "Idempotency-Key", "gatineau")
+		must.Eq(t, http.StatusConflict, again.status)
+		must.Eq(t, "unknown", again.header.Get("kumquathitch-run"))
+	}
+	executions := send(t, http.MethodGet, "http://"+s.service+"/standin/executions", "", "").body
+	must.Eq(t, `{"{\"site\":\"gatineau\"}":1}`, strings.TrimSpace(executions))
+}
+
+// TestKilledEngineStreamsElsewhere guards against idempotent requests that fail
+// because the engine that they would go to has died.
+func TestKilledEngineStreamsElsewhere(t *testing.T) {
+	s := startSite(t, 1)
+	must.Eq(t, http.StatusOK, s.chatWhenAdmitted(t, 0, chatBody).status)
+	putJSON(t, "http://"+s.engines[0]+"/standin/faults", standin.EngineFaults{CrashOn: "Fall over."})
+	_, _ = http.Post("http://"+s.engines[0]+"/v1/chat/completions", "application/json", strings.NewReader(`"Fall over."`)) //nolint:bodyclose // The engine exits without an answer.
+	for range 10 {
+		got := s.chat(t, 0, s.key, chatBody)
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusOK, got.status)
+	}
+}
