Add the status command

Cause: a person on call had only logs and metrics. Change: entry.status over jsonrpc2 gives one VM's view with advice; kumquathitch status prints it.

--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -47,6 +47,7 @@
 	Route         *routeCommand         `arg:"subcommand:route" help:"routes"`
 	Upstream      *upstreamCommand      `arg:"subcommand:upstream" help:"upstreams"`
 	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"make a configuration from answers"`
+	Status        *statusCommand        `arg:"subcommand:status" help:"ask a VM what is degraded and what to do"`
 	Replay        *replayCommand        `arg:"subcommand:replay" help:"run a trace through the decisions and compare"`
 	VM            *vmCommand            `arg:"subcommand:vm" help:"tell the system about VMs"`
 }
@@ -54,7 +55,7 @@
 // Epilogue ends the help text.
 func (args) Epilogue() string {
 	return demoUsage + questionnaireUsage + configUsage + accountUsage + keyUsage + rateUsage + modelUsage + routeUsage +
-		upstreamUsage + vmUsage + replayUsage
+		upstreamUsage + vmUsage + statusUsage + replayUsage
 }
 
 func main() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -113,6 +113,7 @@
 	d.addMembership()
 	d.addDistribution()
 	d.newUpstreamWatch()
+	d.addStatus()
 	return d, d.listen(ctx)
 }
 
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/peer"
+	"kumquathitch.example/kumquathitch/upstream"
+)
+
+// StatusMethod is the method by which the operators' command asks a VM for its view.
+const StatusMethod = "entry.status"
+
+// nearRate is the part of its burst below which an account counts as near its rate.
+const nearRate = 0.1
+
+// StatusRequest asks a VM for its status.
+type StatusRequest struct{}
+
+// Status is one VM's view of the system, for a person on call.
+type Status struct {
+	VM            string           `json:"vm"`
+	DataCentre    string           `json:"data-centre"`
+	Generation    uint64           `json:"generation"`
+	RateShare     float64          `json:"rate-share"` // Part of every account's rate that the VM holds, without loans.
+	Members       []MemberStatus   `json:"members"`
+	Upstreams     []UpstreamStatus `json:"upstreams-not-live"`
+	Unreachable   []string         `json:"models-without-replica"`
+	NearRate      []string         `json:"accounts-near-rate"`
+	Advice        []string         `json:"advice"`
+	UpstreamCount int              `json:"upstreams"`
+}
+
+// MemberStatus is a VM as another one sees it.
+type MemberStatus struct {
+	Name       string    `json:"name"`
+	DataCentre string    `json:"data-centre"`
+	Generation uint64    `json:"generation"`
+	Heard      time.Time `json:"heard"` // By the clock of the VM that was asked.
+}
+
+// UpstreamStatus is an upstream that gets no new work, or only trials.
+type UpstreamStatus struct {
+	Name  string `json:"name"`
+	Phase string `json:"phase"`
+}
+
+// addStatus lets the operators' command ask this VM.
+func (d *Daemon) addStatus() {
+	peer.Handle(d.PeerServer, StatusMethod, func(context.Context, StatusRequest) (Status, error) {
+		return d.Status(d.Clock.Now()), nil
+	})
+}
+
+// Status returns this VM's view of the system.
+func (d *Daemon) Status(now time.Time) Status {
+	config := d.Current.Load()
+	s := Status{
+		VM: d.Settings.Name, DataCentre: d.Settings.DataCentre, Generation: config.Generation,
+		RateShare: d.Rates.Ledger.Share(now), UpstreamCount: len(config.Upstreams),
+	}
+	for _, vm := range d.Members.Live("", now) {
+		s.Members = append(s.Members, MemberStatus{Name: vm.Name, DataCentre: vm.DataCentre, Generation: vm.Generation, Heard: vm.Heard})
+	}
+	for _, u := range config.Upstreams {
+		if state, ok := d.Upstreams.State(u.Name); ok && state.Phase() != upstream.Live {
+			s.Upstreams = append(s.Upstreams, UpstreamStatus{Name: u.Name, Phase: state.Phase().String()})
+		}
+	}
+	for _, m := range config.Models {
+		if replicas := d.Upstreams.Replicas(upstream.Place{Model: m.Name}); replicas == nil || len(replicas.List) == 0 {
+			s.Unreachable = append(s.Unreachable, m.Name)
+		}
+	}
+	for _, a := range config.Accounts {
+		if d.Rates.Ledger.Level(a.Name, now) < nearRate*d.Rates.Ledger.Rights(a.Name, now).Burst {
+			s.NearRate = append(s.NearRate, a.Name)
+		}
+	}
+	s.advise(config)
+	return s
+}
+
+// advise says what is degraded and what to do.
+func (s *Status) advise(config kumquathitch.Configuration) {
+	add := func(format string, values ...any) { s.Advice = append(s.Advice, fmt.Sprintf(format, values...)) }
+	if s.Generation == 0 {
+		add("no configuration: check that the platform's key-value service or a peer is reachable, then config apply")
+	}
+	if s.RateShare == 0 {
+		add("no rate slots held, so that only loans admit requests: check that the key-value service is reachable")
+	}
+	if s.Generation > 0 && s.RateShare > 0 && len(s.Members) == 0 && len(config.DataCentres) > 1 {
+		add("no other VM heard: check the network between VMs")
+	}
+	for _, m := range s.Members {
+		if m.Generation < s.Generation {
+			add("%s has generation %d: it is starting or cut off", m.Name, m.Generation)
+		}
+	}
+	for _, u := range s.Upstreams {
+		if u.Phase != upstream.Leaving.String() {
+			add("%s is %s: restart it, or remove it with upstream remove", u.Name, u.Phase)
+		}
+	}
+	for _, m := range s.Unreachable {
+		add("%s has no replica: look for placement-failed in the logs, and at the weight store", m)
+	}
+	for _, a := range s.NearRate {
+		add("%s is near its rate: compare its use with rate set", a)
+	}
+}
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -54,6 +54,9 @@
 	}
 	out, code = s.operate(t, "account", "remove", "crew-c")
 	must.Eq(t, 0, code, must.Sprint(out))
+	out, code = s.operate(t, "status", "--vm", s.peers[0])
+	must.Eq(t, 0, code, must.Sprint(out))
+	must.StrContains(t, out, "entry-2")
 	out, code = s.operate(t, "rate", "set", "crew-x", "10", "10")
 	must.Eq(t, 2, code)
 	must.StrContains(t, out, `account: invalid value "crew-x"`)
--- a/upstream/phase.go
+++ b/upstream/phase.go
@@ -13,6 +13,11 @@
 	Down            // It failed again while suspected; trials are rarer.
 )
 
+// String returns the phase as operators read it.
+func (p Phase) String() string {
+	return [...]string{"live", "leaving", "suspected", "down"}[p]
+}
+
 // Event is a sign of life of an upstream, or its absence.
 type Event int
 
