Let the route table alone ask the quarantine, and mend a race in a test

Cause: the gateway asked the quarantine for plain services and the route table for models, two pieces of the same logic. A booking whose only attempt could not be connected was called unknown when the retry budget was spent, although it had not run. Change: Table.Pick and Done ask for both; a failed choice leaves the certainty of the earlier attempts as it is. TestStreamIsWholeOrVisiblyBroken changed a value that a handler of the case before could read (found by the race detector, in the test only); each case has its own now. Conclusion: one place decides.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,7 +101,6 @@
 		Limits:    d.Rates.Limiter,
 		Upstreams: d.Routes,
 		Outcomes:  d.Requests.Outcomes,
-		Suspects:  d.Requests.Suspects,
 		Reports:   reportSink{fleet: d.Upstreams, clock: d.Clock},
 		Demand:    d.Placement.Demand,
 		Clock:     d.Clock,
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	server := &gateway.Server{
-//		Accounts: directory, Limits: limiter, Upstreams: table, Outcomes: coordinator, Suspects: suspects, Demand: demand,
+//		Accounts: directory, Limits: limiter, Upstreams: table, Outcomes: coordinator, Demand: demand,
 //		Clock: clock, Tracing: tracing, Logger: logger, Metrics: set,
 //	}
 //	server.Apply(config)
@@ -35,7 +35,6 @@
 	Limits    kumquathitch.Limiter
 	Upstreams kumquathitch.Picker
 	Outcomes  kumquathitch.Outcomes
-	Suspects  kumquathitch.Quarantine
 	Reports   ReportSink
 	Demand    kumquathitch.DemandSink
 	Clock     kumquathitch.Clock
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -116,36 +116,27 @@
 	body        []byte
 }
 
-// maxBusy bounds the upstreams that a suspect request finds taken by another suspect.
-const maxBusy = 8
-
 // attemptService tries upstreams. A non-idempotent call is tried again only
 // when its connection could not be opened, since then no byte of it has left.
 func (s *Server) attemptService(ctx context.Context, call *serviceCall) (serviceAnswer, error) {
 	demand := call.demand
 	var last error
-	for sent, busy := 0, 0; sent < maxAttempts && busy < maxBusy; {
-		choice, err := s.pickService(demand)
+	for range maxAttempts {
+		choice, err := s.Upstreams.Pick(demand)
 		if err != nil {
-			last = lessCertain(last, err)
+			if last == nil { // Else the earlier attempts say whether the call may have run.
+				last = err
+			}
 			break
 		}
-		upstream := choice.Upstream.Name
-		demand.Exclude = append(demand.Exclude, upstream)
-		if !s.Suspects.Begin(upstream, demand.Fingerprint, s.Clock.Now()) {
-			s.Upstreams.Done(choice, kumquathitch.Result{Failed: true})
-			last = lessCertain(last, kumquathitch.NotRun(503, "suspects-running", "Every upstream runs another suspect request."))
-			busy++
-			continue
-		}
+		demand.Exclude = append(demand.Exclude, choice.Upstream.Name)
 		answer, result, err := s.sendService(ctx, call.request, call.x, choice)
-		s.Suspects.End(upstream, demand.Fingerprint, suspectResult(result, err), s.Clock.Now())
+		result.Unsent = err != nil && asRefusal(err).Run == kumquathitch.RunNot
 		s.Upstreams.Done(choice, result)
 		if err == nil {
 			return answer, nil
 		}
 		last = lessCertain(last, err)
-		sent++
 		if ctx.Err() != nil || (!call.x.route.Idempotent && asRefusal(err).Run != kumquathitch.RunNot) {
 			break
 		}
@@ -153,24 +144,6 @@
 	return serviceAnswer{}, last
 }
 
-// pickService chooses an upstream. The request is checked before each attempt,
-// because the last one may have shown that it crashes upstreams.
-func (s *Server) pickService(demand kumquathitch.Demand) (kumquathitch.Choice, error) {
-	if err := s.Suspects.Admit(demand.Fingerprint, s.Clock.Now()); err != nil {
-		return kumquathitch.Choice{}, err
-	}
-	return s.Upstreams.Pick(demand)
-}
-
-// suspectResult returns what a result says about the request itself. An
-// upstream that could not be reached did not die of a request that it never got.
-func suspectResult(result kumquathitch.Result, err error) kumquathitch.Result {
-	if err != nil && asRefusal(err).Run == kumquathitch.RunNot {
-		result.Crashed = false
-	}
-	return result
-}
-
 // lessCertain returns the error that stands for several attempts: once one of
 // them may have run, the request as a whole may have.
 func lessCertain(last, err error) error {
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -33,6 +33,7 @@
 	key       string
 	accounts  *account.Directory
 	store     *standin.Store
+	suspects  *request.Suspects
 	addresses []string      // Upstreams in the order in which they are picked.
 	release   chan struct{} // Calls of /slow wait for it.
 
@@ -46,12 +47,17 @@
 
 func (*desk) Settle(kumquathitch.Charge, float64) {}
 
-func (*desk) Done(kumquathitch.Choice, kumquathitch.Result) {}
+func (d *desk) Done(choice kumquathitch.Choice, result kumquathitch.Result) {
+	d.suspects.End(choice.Upstream.Name, choice.Demand.Fingerprint, result, time.Now())
+}
 
 func (d *desk) Pick(demand kumquathitch.Demand) (kumquathitch.Choice, error) {
+	if err := d.suspects.Admit(demand.Fingerprint, time.Now()); err != nil {
+		return kumquathitch.Choice{}, err
+	}
 	for _, address := range d.addresses {
-		if !slices.Contains(demand.Exclude, address) {
-			return kumquathitch.Choice{Upstream: kumquathitch.Upstream{Name: address, Address: address}}, nil
+		if !slices.Contains(demand.Exclude, address) && d.suspects.Begin(address, demand.Fingerprint, time.Now()) {
+			return kumquathitch.Choice{Upstream: kumquathitch.Upstream{Name: address, Address: address}, Demand: demand}, nil
 		}
 	}
 	return kumquathitch.Choice{}, kumquathitch.NotRun(503, "no-upstream", "No upstream is left.")
@@ -87,7 +93,7 @@
 func openDesk(t *testing.T, upstreams int) *desk {
 	key, presented := kumquathitch.NewKey(time.Now())
 	c := clock.NewSystem()
-	d := &desk{t: t, key: presented, store: standin.NewStore(c), release: make(chan struct{}), runs: map[string]int{}}
+	d := &desk{t: t, key: presented, store: standin.NewStore(c), suspects: request.NewSuspects("entry-1", time.Hour, time.Second, nil), release: make(chan struct{}), runs: map[string]int{}}
 	for range upstreams {
 		service := httptest.NewServer(d)
 		t.Cleanup(service.Close)
@@ -113,7 +119,7 @@
 	go func() { _ = outcomes.Run(t.Context()) }()
 	server := gateway.NewServer(&gateway.Server{
 		Accounts: d.accounts, Limits: d, Upstreams: d, Outcomes: outcomes, Clock: c, Tracing: tracing,
-		Suspects: request.NewSuspects("entry-1", time.Hour, time.Second, nil), Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+		Logger: zap.NewNop(), Metrics: metrics.NewSet(),
 	}, nil)
 	server.Apply(config)
 	front := httptest.NewServer(server)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -25,7 +25,7 @@
 	body := chatBody("Plan the raise.", cutTokens)
 	whole := wholeStream(body)
 	lastEvent := len(whole) - len("data: [DONE]\n\n")
-	cut := &cutting{}
+	var current atomic.Pointer[cutting] // A handler of the case before may still read its own.
 	seconds := map[string]http.Handler{
 		"resumes": engine(standin.EngineSettings{Resumes: true}).Handler(),
 		"cannot":  engine(standin.EngineSettings{}).Handler(),
@@ -37,7 +37,7 @@
 		both := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch {
 			case calls.Add(1) == 1:
-				cut.ServeHTTP(w, r)
+				current.Load().ServeHTTP(w, r)
 			case second == nil:
 				panic(http.ErrAbortHandler)
 			default:
@@ -46,8 +46,9 @@
 		})
 		s := startSite(t, 60_000, both, both)
 		for _, abort := range []bool{false, true} {
-			for cut.after = 0; cut.after <= len(whole); cut.after++ {
-				cut.abort = abort
+			for after := range len(whole) + 1 {
+				cut := &cutting{after: after, abort: abort}
+				current.Store(cut)
 				calls.Store(0)
 				s.reset()
 				got := s.chat(context.Background(), body)
--- a/route/table.go
+++ b/route/table.go
@@ -48,7 +48,7 @@
 	Clock      kumquathitch.Clock
 	DataCentre string
 	IntN       func(n int) int         // Random number in [0, n); replays set it to repeat a run.
-	Quarantine kumquathitch.Quarantine // Of requests to models; may be nil. The gateway asks it for plain services itself.
+	Quarantine kumquathitch.Quarantine // May be nil.
 
 	facts   atomic.Pointer[facts]
 	uses    ledger
@@ -122,7 +122,7 @@
 
 // admit asks the quarantine and, for a retry, the retry budget.
 func (t *Table) admit(s *search) error {
-	if t.quarantines(s.demand) {
+	if t.Quarantine != nil {
 		if err := t.Quarantine.Admit(s.demand.Fingerprint, s.now); err != nil {
 			return err
 		}
@@ -178,12 +178,12 @@
 }
 
 func (t *Table) begin(s *search, c *Candidate) (kumquathitch.Choice, bool) {
-	if t.quarantines(s.demand) && !t.Quarantine.Begin(c.Replica.Name, s.demand.Fingerprint, s.now) {
+	if t.Quarantine != nil && !t.Quarantine.Begin(c.Replica.Name, s.demand.Fingerprint, s.now) {
 		return kumquathitch.Choice{}, false
 	}
 	up, ok := t.Fleet.Begin(c.Replica, s.demand, s.now)
 	if !ok {
-		if t.quarantines(s.demand) {
+		if t.Quarantine != nil {
 			// Nothing ran: neither a success nor a crash.
 			t.Quarantine.End(c.Replica.Name, s.demand.Fingerprint, kumquathitch.Result{Failed: true}, s.now)
 		}
@@ -206,15 +206,11 @@
 	if !result.Failed {
 		t.budgets.succeeded(demand.Account, now)
 	}
-	if t.quarantines(demand) {
+	if t.Quarantine != nil {
 		t.Quarantine.End(choice.Upstream.Name, demand.Fingerprint, result, now)
 	}
 }
 
-func (t *Table) quarantines(demand *kumquathitch.Demand) bool {
-	return t.Quarantine != nil && demand.Service == ""
-}
-
 // modelOf returns the name under which uses are kept: the base of an adapter,
 // since both share its replicas, or the service.
 func (f *facts) modelOf(demand *kumquathitch.Demand) string {
