--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -34,6 +34,7 @@
 	accounts  *account.Directory
 	store     *standin.Store
 	suspects  *request.Suspects
+	refusal   error         // Of a retry, as when the retry budget is spent; nil for none.
 	addresses []string      // Upstreams in the order in which they are picked.
 	release   chan struct{} // Calls of /slow wait for it.
 
@@ -55,6 +56,9 @@
 	if err := d.suspects.Admit(demand.Fingerprint, time.Now()); err != nil {
 		return kumquathitch.Choice{}, err
 	}
+	if d.refusal != nil && len(demand.Exclude) > 0 {
+		return kumquathitch.Choice{}, d.refusal
+	}
 	for _, address := range d.addresses {
 		if !slices.Contains(demand.Exclude, address) && d.suspects.Begin(address, demand.Fingerprint, time.Now()) {
 			return kumquathitch.Choice{Upstream: kumquathitch.Upstream{Name: address, Address: address}, Demand: demand}, nil
@@ -175,6 +179,16 @@
 	}
 }
 
+// TestUnreachedCallIsNotRun guards against a call of which no byte left, and which
+// may not be retried, being recorded as one that may have run.
+func TestUnreachedCallIsNotRun(t *testing.T) {
+	d := openDesk(t, 0)
+	d.addresses = []string{closedAddress(t)}
+	d.refusal = kumquathitch.Unknown(503, "retry-budget-spent", "An upstream failed, and too many requests are being retried.")
+	d.call("POST", "/b/far", "k", "laval", want{503, "not-run", ""})
+	d.call("POST", "/b/far", "k", "laval", want{503, "not-run", ""}) // A repeat is not told that it may have run.
+}
+
 // TestCallIsSentOnce guards against net/http or the gateway sending a
 // non-idempotent call again after a broken connection or a redirect.
 func TestCallIsSentOnce(t *testing.T) {
