Let requests wait for tokens in the replay, as in the daemon

Cause: the replay refused at once what the daemon lets wait for up to 200 ms. Change: all policies wait 200 ms, the baselines too, so that they differ in their shares only. Conclusion: kept; the start is the weakest part of the loans.

--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -28,10 +28,13 @@
 }
 
 // Admit charges the VM's bucket of an account.
-func (s staticRates) Admit(vm VM, account string, tokens float64, now time.Time) bool {
+func (s staticRates) Admit(vm VM, account string, tokens float64, _ bool, now time.Time) bool {
 	return s.buckets[vm.Number][account].covers(tokens, now)
 }
 
+// Wait is the same as the system's own, so that the policies differ in their shares only.
+func (staticRates) Wait() time.Duration { return loanWait }
+
 // Settle gives back what was charged and not used.
 func (s staticRates) Settle(vm VM, account string, unused float64, now time.Time) {
 	b := s.buckets[vm.Number][account]
--- a/replay/kumquathitch.go
+++ b/replay/kumquathitch.go
@@ -88,10 +88,20 @@
 	return v
 }
 
+// loanWait is how long the daemon lets a request wait for tokens.
+const loanWait = 200 * time.Millisecond
+
+// Wait is how long a request may wait for tokens.
+func (p *Kumquathitch) Wait() time.Duration { return loanWait }
+
 // Admit charges the VM's ledger, after one round of loans when it is short.
-func (p *Kumquathitch) Admit(vm VM, account string, tokens float64, now time.Time) bool {
+func (p *Kumquathitch) Admit(vm VM, account string, tokens float64, again bool, now time.Time) bool {
 	v := p.at(vm, now)
-	short, ok := v.ledger.Charge(account, tokens, now)
+	charge := v.ledger.Charge
+	if again {
+		charge = v.ledger.Recharge // Its demand is counted already.
+	}
+	short, ok := charge(account, tokens, now)
 	if ok {
 		return true
 	}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -29,8 +29,11 @@
 type Policy interface {
 	// Name returns a short name for tables.
 	Name() string
-	// Admit charges tokens to an account on an entry VM.
-	Admit(vm VM, account string, tokens float64, now time.Time) bool
+	// Admit charges tokens to an account on an entry VM. A request that is short
+	// of tokens is tried again while it waits.
+	Admit(vm VM, account string, tokens float64, again bool, now time.Time) bool
+	// Wait is how long a request may wait for tokens.
+	Wait() time.Duration
 	// Settle gives back what was charged and not used.
 	Settle(vm VM, account string, unused float64, now time.Time)
 	// Choose returns an upstream for a request, or false.
@@ -296,18 +299,30 @@
 	if f.inside {
 		account.Inside++
 	}
-	if !r.policy.Admit(f.vm, line.Account, tokens, now) {
-		if f.inside {
-			account.RefusedInsideRate++
-		}
-		return
-	}
 	f.charged = tokens
 	f.job = &job{
 		number: r.next, model: line.Model, prefix: line.Prefix, prompt: line.PromptTokens, output: line.OutputTokens, arrived: now,
 	}
-	r.flights[r.next] = f
-	r.send(f, now)
+	r.admit(f, false, now)
+}
+
+// admitInterval is the time between two tries of a request that waits for tokens.
+const admitInterval = 50 * time.Millisecond
+
+func (r *runner) admit(f *flight, again bool, now time.Time) {
+	if r.policy.Admit(f.vm, f.line.Account, f.charged, again, now) {
+		r.flights[f.job.number] = f
+		r.send(f, now)
+		return
+	}
+	next := now.Add(admitInterval)
+	if !next.After(f.job.arrived.Add(r.policy.Wait())) {
+		r.schedule(next, func(now time.Time) { r.admit(f, true, now) })
+		return
+	}
+	if f.inside {
+		r.site.tally.accounts[f.line.Account].RefusedInsideRate++
+	}
 }
 
 func (r *runner) entry(dataCentre string) VM {
