Keep the demonstration's stand-ins until its daemon has drained

Cause: a newcomer's run of the README on a clean clone ended with slot-release-failed, since Ctrl-C closed the stand-in platform before the daemon had handed its rate slots back. Change: the stand-ins end after the daemon.

--- a/cmd/kumquathitch/demo.go
+++ b/cmd/kumquathitch/demo.go
@@ -37,11 +37,14 @@
 func (c *demoCommand) run(ctx context.Context, out io.Writer) error {
 	systemClock := clock.NewSystem()
 	store := standin.NewStore(systemClock)
-	platformAddress, err := serveHandler(ctx, standin.NewPlatform(store))
+	// The stand-ins outlive ctx, so that the daemon can drain and hand its rate slots back.
+	standins, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	platformAddress, err := serveHandler(standins, standin.NewPlatform(store))
 	if err != nil {
 		return err
 	}
-	config, presented, err := demoConfiguration(ctx, systemClock)
+	config, presented, err := demoConfiguration(standins, systemClock)
 	if err != nil {
 		return err
 	}
