Split a want over the lenders in one place, in the replay too

Cause: the replay asked every VM for the whole of what one lacked, unlike the daemon; loans then stood idle on some VMs while others refused. Change: Want.Split, which the borrower and the replay call.

--- a/rate/borrower.go
+++ b/rate/borrower.go
@@ -143,10 +143,7 @@
 	for i := range asked {
 		requests[i] = b.request()
 		for account, short := range due {
-			want := b.Ledger.Want(account, short, now)
-			want.Rate /= float64(len(asked))
-			want.Tokens *= askSurplus / float64(len(asked))
-			requests[i].Wants = append(requests[i].Wants, want)
+			requests[i].Wants = append(requests[i].Wants, b.Ledger.Want(account, short, now).Split(len(asked)))
 		}
 	}
 	gained := b.ask(ctx, asked, requests)
--- a/rate/loan.go
+++ b/rate/loan.go
@@ -30,6 +30,13 @@
 	Tokens  float64 `json:"tokens"` // Tokens needed now, >= 0.
 }
 
+// Split returns the part of a want to ask each of a number of lenders for.
+func (w Want) Split(lenders int) Want {
+	w.Rate /= float64(lenders)
+	w.Tokens *= askSurplus / float64(lenders)
+	return w
+}
+
 // BorrowRequest asks one VM for rights of several accounts and for longer terms of loans that it made.
 type BorrowRequest struct {
 	ID       string      `json:"id"` // Unique over all requests of all processes.
--- a/replay/kumquathitch.go
+++ b/replay/kumquathitch.go
@@ -105,11 +105,25 @@
 	if ok {
 		return true
 	}
-	p.borrow(v, rate.BorrowRequest{Wants: []rate.Want{v.ledger.Want(account, short, now)}}, "", now)
+	if lenders := p.reachable(v); lenders > 0 {
+		want := v.ledger.Want(account, short, now).Split(lenders)
+		p.borrow(v, rate.BorrowRequest{Wants: []rate.Want{want}}, "", now)
+	}
 	_, ok = v.ledger.Recharge(account, tokens, now)
 	return ok
 }
 
+// reachable returns the number of other VMs that a VM can exchange messages with.
+func (p *Kumquathitch) reachable(v *entryVM) int {
+	n := 0
+	for _, other := range p.vms {
+		if other != v && p.site.Connected(v.vm, other.vm) {
+			n++
+		}
+	}
+	return n
+}
+
 // borrow sends a request to one lender, or to all other VMs for an empty name.
 // Messages take no time; they are lost between data centres that are cut off.
 func (p *Kumquathitch) borrow(v *entryVM, request rate.BorrowRequest, lender string, now time.Time) {
