--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -288,8 +288,8 @@
 // TestCrashingCallStops guards against a call that goes on crashing upstreams.
 func TestCrashingCallStops(t *testing.T) {
 	d := openDesk(t, 5)
-	d.call("POST", "/again/lost", "", "poison", want{502, "unknown", ""})
-	d.call("POST", "/again/lost", "", "poison", want{422, "not-run", ""})
-	must.Eq(t, 2, d.executions("POST/again/lostpoison"))
+	d.call("POST", "/again/lost", "", "crash", want{502, "unknown", ""})
+	d.call("POST", "/again/lost", "", "crash", want{422, "not-run", ""})
+	must.Eq(t, 2, d.executions("POST/again/lostcrash"))
 	d.call("POST", "/again/1", "", "laval", want{status: 200})
 }
--- a/request/suspects_test.go
+++ b/request/suspects_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	poison       = uint64(666)
+	crashing     = uint64(666)
 	upstreamsOut = 5 * time.Second // How long a crashed upstream takes to come back.
 )
 
@@ -30,8 +30,8 @@
 	fingerprint  uint64
 }
 
-// ward is several VMs with the real Suspects before upstreams that the poison crashes.
-type ward struct {
+// vmGroup is several VMs with the real Suspects before upstreams that the crashing request kills.
+type vmGroup struct {
 	t       *rapid.T
 	now     time.Time
 	vms     []*request.Suspects
@@ -41,12 +41,12 @@
 	crashed map[uint64]bool // Fingerprints that were there when an upstream died.
 	crashes int
 	shared  int  // Crashes with another suspect there, on behalf of another VM.
-	copies  int  // Most copies of the poison that ran at the same moment.
-	refused bool // The poison was refused at some VM.
+	copies  int  // Most copies of the crashing request that ran at the same moment.
+	refused bool // The crashing request was refused at some VM.
 }
 
-func newWard(t *rapid.T, vms, upstreams int) *ward {
-	w := &ward{t: t, now: epoch, inbox: make([][]request.Suspicions, vms), back: make([]time.Time, upstreams), crashed: map[uint64]bool{}}
+func newVMGroup(t *rapid.T, vms, upstreams int) *vmGroup {
+	w := &vmGroup{t: t, now: epoch, inbox: make([][]request.Suspicions, vms), back: make([]time.Time, upstreams), crashed: map[uint64]bool{}}
 	for i := range vms {
 		w.vms = append(w.vms, request.NewSuspects(fmt.Sprintf("entry-%d", i), time.Hour, 2*time.Second, func(changed request.Suspicions) {
 			var message request.Suspicions
@@ -62,13 +62,13 @@
 }
 
 // send starts a request at a VM on the first upstream, from a start, that takes it.
-func (w *ward) send(vm, start int, fingerprint uint64) {
+func (w *vmGroup) send(vm, start int, fingerprint uint64) {
 	err := w.vms[vm].Admit(fingerprint, w.now)
 	var refusal *kumquathitch.RefusalError
 	if errors.As(err, &refusal) {
 		must.Eq(w.t, 422, refusal.Status)
 		must.Eq(w.t, kumquathitch.RunNot, refusal.Run)
-		must.Eq(w.t, poison, fingerprint, must.Sprintf("innocent request refused by VM %d", vm))
+		must.Eq(w.t, crashing, fingerprint, must.Sprintf("innocent request refused by VM %d", vm))
 		w.refused = true
 		return
 	}
@@ -82,14 +82,14 @@
 	}
 }
 
-// crash kills an upstream that runs the poison and returns the requests that were there.
-func (w *ward) crash(upstream int) []flight {
+// crash kills an upstream that runs the crashing request and returns the requests that were there.
+func (w *vmGroup) crash(upstream int) []flight {
 	var victims []flight
-	suspects := map[uint64]bool{} // Without the poison.
+	suspects := map[uint64]bool{} // Without the crashing request.
 	w.flights = slices.DeleteFunc(w.flights, func(f flight) bool {
 		if f.upstream == upstream {
 			victims = append(victims, f)
-			if w.crashed[f.fingerprint] && f.fingerprint != poison {
+			if w.crashed[f.fingerprint] && f.fingerprint != crashing {
 				suspects[f.fingerprint] = true
 			}
 		}
@@ -105,7 +105,7 @@
 	return victims
 }
 
-func (w *ward) deliver() {
+func (w *vmGroup) deliver() {
 	for vm := range w.inbox {
 		messages := w.inbox[vm]
 		w.inbox[vm] = nil
@@ -116,9 +116,9 @@
 }
 
 // finish ends some of the innocent requests with an answer.
-func (w *ward) finish(ending uint64) {
+func (w *vmGroup) finish(ending uint64) {
 	w.flights = slices.DeleteFunc(w.flights, func(f flight) bool {
-		done := f.fingerprint != poison && f.fingerprint%4 <= ending
+		done := f.fingerprint != crashing && f.fingerprint%4 <= ending
 		if done {
 			w.vms[f.vm].End(fmt.Sprint(f.upstream), f.fingerprint, kumquathitch.Result{}, w.now)
 		}
@@ -126,11 +126,11 @@
 	})
 }
 
-// sick returns the upstreams that run the poison, one for each copy.
-func (w *ward) sick() []int {
+// occupied returns the upstreams that run the crashing request, one for each copy.
+func (w *vmGroup) occupied() []int {
 	var sick []int
 	for _, f := range w.flights {
-		if f.fingerprint == poison {
+		if f.fingerprint == crashing {
 			sick = append(sick, f.upstream)
 		}
 	}
@@ -138,10 +138,10 @@
 }
 
 // crashAll crashes every sick upstream, in a drawn order, and returns the requests that were there.
-func (w *ward) crashAll() []flight {
+func (w *vmGroup) crashAll() []flight {
 	var victims []flight
-	w.copies = max(w.copies, len(w.sick()))
-	for sick := w.sick(); len(sick) > 0; sick = w.sick() {
+	w.copies = max(w.copies, len(w.occupied()))
+	for sick := w.occupied(); len(sick) > 0; sick = w.occupied() {
 		victims = append(victims, w.crash(rapid.SampledFrom(sick).Draw(w.t, "crash"))...)
 		w.now = w.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(w.t, "apart")) * time.Millisecond)
 	}
@@ -154,7 +154,7 @@
 func TestCrashingRequestStops(t *testing.T) {
 	var steps atomic.Int64
 	rapid.Check(t, func(r *rapid.T) {
-		w := newWard(r, 3, 8)
+		w := newVMGroup(r, 3, 8)
 		vm := rapid.IntRange(0, 2)
 		site := rapid.IntRange(0, 7)
 		copies := rapid.IntRange(1, 4).Draw(r, "copies")
@@ -162,7 +162,7 @@
 			w.send(vm.Draw(r, "vm"), site.Draw(r, "site"), uint64(i))
 		}
 		for range copies {
-			w.send(vm.Draw(r, "vm"), site.Draw(r, "site"), poison)
+			w.send(vm.Draw(r, "vm"), site.Draw(r, "site"), crashing)
 		}
 		next := uint64(1000)
 		for range 10 {
@@ -172,7 +172,7 @@
 			for _, f := range victims { // The gateway retries, and callers send again, at any VM.
 				w.send(vm.Draw(r, "vm"), site.Draw(r, "site"), f.fingerprint)
 			}
-			w.send(vm.Draw(r, "vm"), site.Draw(r, "site"), poison)
+			w.send(vm.Draw(r, "vm"), site.Draw(r, "site"), crashing)
 			for range rapid.IntRange(0, 5).Draw(r, "fresh") {
 				next++
 				w.send(vm.Draw(r, "vm"), site.Draw(r, "site"), next)
@@ -208,10 +208,10 @@
 	s := request.NewSuspects("entry-1", time.Hour, 2*time.Second, nil)
 	for i := range 2 {
 		upstream := fmt.Sprint(i)
-		must.True(t, s.Begin(upstream, poison, epoch))
-		s.End(upstream, poison, crash, epoch)
+		must.True(t, s.Begin(upstream, crashing, epoch))
+		s.End(upstream, crashing, crash, epoch)
 	}
-	must.Error(t, s.Admit(poison, epoch))
+	must.Error(t, s.Admit(crashing, epoch))
 	random := rand.New(rand.NewPCG(1, 2))
 	for i := range 60_000 {
 		fingerprint := random.Uint64()
@@ -219,7 +219,7 @@
 		s.End("u", fingerprint, crash, epoch.Add(time.Duration(i)*time.Millisecond))
 	}
 	must.LessEq(t, 64*512, s.Len())
-	must.Error(t, s.Admit(poison, epoch.Add(time.Minute))) // Convicted ones are forgotten last.
+	must.Error(t, s.Admit(crashing, epoch.Add(time.Minute))) // Convicted ones are forgotten last.
 }
 
 // TestOneSuspectOnAnUpstream guards against two suspects on one upstream, whose
