--- a/request/world_test.go
+++ b/request/world_test.go
@@ -198,7 +198,7 @@
 			w.answers[key] = text
 		}
 	})
-	time.Sleep(period)
+	<-time.After(period)
 	if v.IsCut() {
 		w.note(func() { w.died[key] = true })
 		return
