--- a/request/suspects.go
+++ b/request/suspects.go
@@ -128,6 +128,17 @@
 	shared  []uint64  // Suspects that ran there when it crashed.
 }
 
+// at returns the site of an upstream, which it creates when there is none. The
+// shard is locked by the caller.
+func (s *siteShard) at(upstream string) *site {
+	found := s.sites[upstream]
+	if found == nil {
+		found = &site{}
+		s.sites[upstream] = found
+	}
+	return found
+}
+
 // run is a request on an upstream.
 type run struct {
 	fingerprint uint64
@@ -162,11 +173,7 @@
 	shard := s.siteShard(upstream)
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
-	at := shard.sites[upstream]
-	if at == nil {
-		at = &site{}
-		shard.sites[upstream] = at
-	}
+	at := shard.at(upstream)
 	if suspect && slices.ContainsFunc(at.running, func(r run) bool { return !r.counted && s.isSuspect(r.fingerprint, now) }) {
 		return false
 	}
@@ -293,11 +300,7 @@
 	shard := s.siteShard(upstream)
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
-	at := shard.sites[upstream]
-	if at == nil {
-		at = &site{}
-		shard.sites[upstream] = at
-	}
+	at := shard.at(upstream)
 	if gap := when.Sub(at.crashed); gap > s.Window {
 		at.crashed, at.shared = when, nil
 	} else if gap < -s.Window {
