--- a/clock/clock.go
+++ b/clock/clock.go
@@ -61,3 +61,13 @@
 	defer m.mutex.Unlock()
 	m.now = m.now.Add(max(0, step))
 }
+
+// Monotonic is the clock of the machine with its monotonic reading. Steps of
+// the wall clock do not move it, and the time that a VM is suspended is not
+// counted: it is for timeouts of work that stands still too.
+type Monotonic struct{}
+
+// Now returns the time with its monotonic reading.
+func (Monotonic) Now() time.Time {
+	return time.Now()
+}
--- /dev/null
+++ b/deployment.go
@@ -0,0 +1,146 @@
+package kumquathitch
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Deployment is what the operator of a platform decides: one version, in full.
+// It is not changed after it was decoded.
+type Deployment struct {
+	Version  uint64
+	Routes   DeploymentRoutes
+	Services Services
+	Tenants  Tenants // Empty when callers present no keys.
+	Limits   CallerLimits
+}
+
+// DeploymentRoute sends the calls of a host below a path to services.
+type DeploymentRoute struct {
+	Name        string
+	Host        string
+	PathPrefix  string // Begins and ends with a slash.
+	Kind        RunKind
+	Stream      bool // The answer is a stream of events.
+	Open        bool // Callers need no key.
+	Shares      ServiceShares
+	MaxRuns     int           // Upstreams that one call may run on.
+	Timeout     time.Duration // Longest time for the whole answer; 0 when the operator sets none.
+	Objective   time.Duration // Time to the answer, or to the first event of a stream, for full credit.
+	GapLimit    time.Duration // Longest pause between events for full credit; 0 when not stated.
+	Priority    int           // 0 is the highest.
+	SharedParts bool          // Calls share parts of prompts.
+}
+
+// DeploymentRoutes is a list of routes.
+type DeploymentRoutes []DeploymentRoute
+
+// ServiceShare is a part of a route's calls that goes to a service.
+type ServiceShare struct {
+	Service string
+	Weight  int
+}
+
+// ServiceShares split a route over services.
+type ServiceShares []ServiceShare
+
+// Service is a group of instances that run the same program.
+type Service struct {
+	Name           string
+	MaxConnections int          // That one instance accepts from all callers.
+	Engine         *EngineClass // Nil for a plain service.
+}
+
+// Services is a list of services.
+type Services []Service
+
+// EngineClass describes the model engines of a service.
+type EngineClass struct {
+	Slots          int // Calls that run at once.
+	KVTokens       int64
+	MemoryMB       float64 // For weights and adapters together.
+	AdapterSlots   int
+	LoadsPerSecond float64 // From the weight store, over all instances.
+	Models         ModelClasses
+}
+
+// ModelClass is a model that the engines of a service may hold.
+type ModelClass struct {
+	Name      string
+	MemoryMB  float64
+	Load      time.Duration // From the weight store.
+	Adapters  int           // Named a1, a2 and so on.
+	AdapterMB float64
+}
+
+// ModelClasses is a list of models.
+type ModelClasses []ModelClass
+
+// Tenant is a client account of a deployment, with a rate over all VMs.
+type Tenant struct {
+	Name        string
+	Keys        []string
+	Priority    int // 0 is the highest; negative when not stated.
+	Rate        float64
+	Burst       float64
+	PlainTokens int64 // What a call without token counts costs.
+	Limited     bool  // Rate and Burst apply.
+}
+
+// Tenants is a list of client accounts.
+type Tenants []Tenant
+
+// CallerLimits bound what callers may send.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Validate returns a *ValidationError with every problem of the deployment, or nil.
+func (d *Deployment) Validate() error {
+	var problems Problems
+	names := map[string]bool{}
+	for _, s := range d.Services {
+		names[s.Name] = true
+	}
+	for i, r := range d.Routes {
+		field := fmt.Sprintf("routes[%d]", i)
+		if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+			problems.Add(field+".path-prefix", r.PathPrefix, "a path that begins and ends with a slash")
+		}
+		for _, s := range r.Shares {
+			if !names[s.Service] {
+				problems.Add(field+".service", s.Service, "the name of a listed service")
+			}
+		}
+	}
+	for i, t := range d.Tenants {
+		if t.Limited && t.Rate < 0 || t.Burst < 0 {
+			problems.Add(fmt.Sprintf("tenants[%d].rate", i), t.Rate, "tokens per second, 0 or more")
+		}
+	}
+	return problems.Err()
+}
+
+// Find returns the service with a name, or nil.
+func (s Services) Find(name string) *Service {
+	for i := range s {
+		if s[i].Name == name {
+			return &s[i]
+		}
+	}
+	return nil
+}
+
+// Find returns the model with a name, or nil.
+func (m ModelClasses) Find(name string) *ModelClass {
+	for i := range m {
+		if m[i].Name == name {
+			return &m[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch.go
@@ -0,0 +1,120 @@
+package kumquathitch
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// InstanceWant is what the choice of an instance needs to know of a call.
+type InstanceWant struct {
+	Service   string
+	Model     string // Empty for a plain service.
+	Adapter   string
+	Prompt    PromptParts
+	Tokens    int64 // Of the prompt.
+	Objective time.Duration
+	Exclude   []string // Instances that were tried.
+}
+
+// InstanceChoice is the instance chosen for one send of a call.
+type InstanceChoice struct {
+	Instance Instance
+	Missing  int64 // Prompt tokens that the instance is expected to read.
+	Expected time.Duration
+	Trial    bool // The instance has failed before, and is tried again.
+	Sent     time.Time
+}
+
+// SendOutcome tells how one send to an instance ended.
+type SendOutcome int
+
+// Outcomes of sends.
+const (
+	SendAnswered    SendOutcome = iota // A whole answer, also one that reports a failure of the caller.
+	SendFailed                         // A whole answer that reports a failure of the instance.
+	SendNotRun                         // The instance states that it did not run the call.
+	SendMoved                          // Another instance has the address, or the model is not resident.
+	SendUnreachable                    // No connection: no byte of the call left.
+	SendStale                          // A kept connection was closed before any byte of an answer.
+	SendBroken                         // The connection broke, or the answer cannot be used.
+	SendSilent                         // No answer, or no further event, in time.
+	SendCancelled                      // The caller left, or the deadline was reached.
+)
+
+// SendResult reports one send.
+type SendResult struct {
+	Outcome SendOutcome
+	First   time.Time // Arrival of the head of the answer; zero when none came.
+	Ended   time.Time
+	Load    LoadCount
+	HasLoad bool
+}
+
+// Chooser chooses instances. Implementations are safe for concurrent use.
+type Chooser interface {
+	// Choose returns the instance for a call. It returns a *NoInstanceError
+	// when none can take it. Every choice is ended by one call of Report.
+	Choose(want InstanceWant, now time.Time) (InstanceChoice, error)
+	// Report ends a choice.
+	Report(want InstanceWant, choice InstanceChoice, result SendResult)
+}
+
+// NoInstanceError reports that no instance can take a call now.
+type NoInstanceError struct {
+	Service string
+	Model   string
+	Adapter string
+	// NoAdapter tells that the model is resident somewhere, the adapter nowhere.
+	NoAdapter bool
+	// NoModel tells that instances live, and none holds the model.
+	NoModel bool
+}
+
+func (e *NoInstanceError) Error() string {
+	return "no instance of service " + e.Service + " can take a call for model " + e.Model + " adapter " + e.Adapter
+}
+
+// Purse holds this VM's part of the rates of client accounts. Implementations
+// are safe for concurrent use.
+type Purse interface {
+	// Spend takes tokens of an account, and waits for them until a time. It
+	// returns a *RefusalError with status 429 when they are not to be had.
+	Spend(ctx context.Context, tenant *Tenant, tokens float64, until time.Time) error
+	// Refund gives back the tokens of a call that did not run.
+	Refund(account string, tokens float64)
+}
+
+// RetryBudget bounds further sends of calls over all VMs. Implementations are
+// safe for concurrent use.
+type RetryBudget interface {
+	// Arrived counts a call for a service.
+	Arrived(service string, now time.Time)
+	// Allow reports whether a call may be sent once more, and counts that send.
+	Allow(service string, now time.Time) bool
+}
+
+// CrashGuard keeps calls that crash instances from being sent again and again.
+// Implementations are safe for concurrent use.
+type CrashGuard interface {
+	// Condemned reports whether a call has crashed too many instances.
+	Condemned(fingerprint uint64, now time.Time) bool
+	// Crashed counts an instance that broke off while it ran the call.
+	Crashed(fingerprint uint64, now time.Time)
+}
+
+// AdapterFinder gets adapters placed. Implementations are safe for concurrent use.
+type AdapterFinder interface {
+	// FindAdapter asks for an adapter that no instance is known to hold, and
+	// reports whether some instance holds it now.
+	FindAdapter(ctx context.Context, want AdapterWant) bool
+}
+
+// String names an outcome for logs and metrics.
+func (o SendOutcome) String() string {
+	names := []string{"answered", "failed", "not-run", "moved", "unreachable", "stale", "broken", "silent", "cancelled"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return fmt.Sprintf("outcome-%d", int(o))
+}
--- /dev/null
+++ b/exchange.go
@@ -0,0 +1,59 @@
+package kumquathitch
+
+import "time"
+
+// Exchange is what an entry VM tells the leader, or another VM when the leader
+// cannot be reached, a few times a second.
+type Exchange struct {
+	From       string             `json:"from"`
+	Version    uint64             `json:"version"`              // Of the deployment in force.
+	Demand     map[string]float64 `json:"demand,omitempty"`     // Tokens per second by service, a slash, and model or adapter.
+	Draw       map[string]float64 `json:"draw,omitempty"`       // Tokens wanted by account.
+	Return     map[string]float64 `json:"return,omitempty"`     // Tokens given back by account.
+	Suspects   Suspects           `json:"suspects,omitempty"`   // News of this VM.
+	Revision   uint64             `json:"revision"`             // Of the store, as last heard.
+	WithoutKV  bool               `json:"without-kv,omitempty"` // The store does not answer this VM.
+	NeedDeploy bool               `json:"need-deploy,omitempty"`
+}
+
+// ExchangeReply answers an exchange.
+type ExchangeReply struct {
+	Leader     bool               `json:"leader"`            // The answering VM holds the lease of the leader.
+	Members    int                `json:"members,omitempty"` // VMs that share the rates; 0 when not known.
+	Granted    map[string]float64 `json:"granted,omitempty"` // Tokens by account.
+	Dry        map[string]float64 `json:"dry,omitempty"`     // Accounts without tokens: seconds until some come.
+	Suspects   Suspects           `json:"suspects,omitempty"`
+	Version    uint64             `json:"version"`
+	Deployment []byte             `json:"deployment,omitempty"` // Encoded as in the store.
+	Instances  []KeyItem          `json:"instances,omitempty"`  // Descriptions as in the store, for a VM without it.
+	Revision   uint64             `json:"revision"`             // That Instances were read at.
+}
+
+// Suspect is a request after whose start upstreams broke off.
+type Suspect struct {
+	Fingerprint uint64    `json:"fingerprint"`
+	Crashes     int       `json:"crashes"`
+	Seen        time.Time `json:"seen"`
+}
+
+// Suspects is a list of suspect requests.
+type Suspects []Suspect
+
+// AdapterWant asks the leader for an adapter that no instance is known to hold.
+type AdapterWant struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+}
+
+// AdapterPlace answers an AdapterWant.
+type AdapterPlace struct {
+	Instances []string `json:"instances,omitempty"` // That hold it now.
+}
+
+// Member is the record of an entry VM in the store, kept alive by a lease.
+type Member struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"` // For calls between entry VMs.
+	DataCentre string `json:"data-centre"`
+}
--- /dev/null
+++ b/fleet/choice.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// sampleSize bounds the members whose cost is worked out for one choice.
+	sampleSize = 48
+	// remoteCost is added for an instance in another data centre: the way is a
+	// millisecond longer, and bytes between data centres are paid for.
+	remoteCost = 1.5
+	// coldCost is added where another instance is preferred for the shared parts
+	// of the prompt, so that all VMs send them to the same one.
+	coldCost = 4.0
+	// occupancyCost is the part of the objective that a full batch costs: tokens
+	// come slower the more calls run.
+	occupancyCost = 0.1
+	// meanWeight is the weight of one send in a service's share of failures.
+	meanWeight = 0.02
+)
+
+// serviceStats is what was learned of a service as a whole.
+type serviceStats struct {
+	failures float64
+}
+
+// Choose returns the instance with the least expected time to the answer.
+func (f *Fleet) Choose(want kumquathitch.InstanceWant, now time.Time) (kumquathitch.InstanceChoice, error) {
+	candidates := f.members(group{service: want.Service, model: want.Model})
+	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
+	best := choice{cost: math.Inf(1)}
+	last := choice{cost: math.Inf(1)} // The best of those that are left alone.
+	holders := 0
+	offset := 0
+	if len(candidates) > sampleSize {
+		offset = rand.IntN(len(candidates)) //nolint:gosec // Spreads load; nothing depends on secrecy.
+	}
+	preferred := f.preferred(candidates, c)
+	for i := range min(sampleSize, len(candidates)) {
+		m := candidates[(offset+i)%len(candidates)]
+		found, usable := m.cost(want, c, f.dataCentre, now)
+		if !usable {
+			continue
+		}
+		holders++
+		if m != preferred {
+			found.cost += coldCost
+		}
+		if found.paused && found.cost < last.cost {
+			last = found
+		} else if !found.paused && found.cost < best.cost {
+			best = found
+		}
+	}
+	if best.member == nil {
+		best = last
+	}
+	if best.member == nil {
+		return kumquathitch.InstanceChoice{}, f.noInstance(want, len(candidates))
+	}
+	best.member.begin(c, best.missing, best.trial)
+	return kumquathitch.InstanceChoice{
+		Instance: best.member.description(), Missing: best.missing, Trial: best.trial, Sent: now,
+		Expected: time.Duration(best.wait * float64(time.Millisecond)),
+	}, nil
+}
+
+func (f *Fleet) noInstance(want kumquathitch.InstanceWant, holders int) error {
+	return &kumquathitch.NoInstanceError{
+		Service: want.Service, Model: want.Model, Adapter: want.Adapter,
+		NoAdapter: want.Adapter != "" && holders > 0 && len(want.Exclude) == 0,
+		NoModel:   want.Model != "" && holders == 0 && len(f.members(group{service: want.Service})) > 0,
+	}
+}
+
+// preferred returns the member that all VMs send the shared parts of a prompt to.
+func (f *Fleet) preferred(candidates []*member, c chain) *member {
+	shared, ok := c.shared()
+	if !ok {
+		return nil
+	}
+	key := strconv.FormatUint(shared, 16)
+	var best *member
+	var highest uint64
+	for _, m := range candidates {
+		if weight := kumquathitch.RendezvousWeight(key, m.id); best == nil || weight > highest {
+			best, highest = m, weight
+		}
+	}
+	return best
+}
+
+// choice is a candidate with its cost in milliseconds.
+type choice struct {
+	member  *member
+	cost    float64
+	wait    float64
+	missing int64
+	paused  bool
+	trial   bool
+}
+
+// cost estimates the time to the answer. It reports false for a member that
+// must not be used.
+func (m *member) cost(want kumquathitch.InstanceWant, c chain, dataCentre string, now time.Time) (choice, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found := choice{member: m}
+	for _, tried := range want.Exclude {
+		if tried == m.id {
+			return found, false
+		}
+	}
+	if m.instance.Leaving || (want.Adapter != "" && !m.instance.Models.Holds(want.Model, want.Adapter)) {
+		return found, false
+	}
+	load, slots := m.load(now), float64(max(1, m.instance.Slots))
+	over := max(0, load+1-slots)
+	if want.Model == "" {
+		found.wait = milliseconds(m.latency) * (1 + 0.5*load/slots + over/slots)
+	} else {
+		found.missing = max(0, want.Tokens-m.prompts.kept(c))
+		found.wait = float64(m.reading+found.missing)/max(m.rate, 0.1) + over*milliseconds(m.running)/slots
+	}
+	found.cost = found.wait + occupancyCost*milliseconds(want.Objective)*load/slots
+	if m.instance.DataCentre != dataCentre {
+		found.cost += remoteCost
+	}
+	// An instance that fails part of its calls costs the share that is lost.
+	found.cost += m.failures * milliseconds(want.Objective)
+	if now.Before(m.busyTo) {
+		found.cost += milliseconds(want.Objective)
+	}
+	found.trial = m.pauses > 0
+	found.paused = m.pauses > 0 && (m.trial || now.Before(m.pausedTo))
+	return found, true
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// Report ends a choice.
+func (f *Fleet) Report(want kumquathitch.InstanceWant, made kumquathitch.InstanceChoice, result kumquathitch.SendResult) {
+	mean := f.note(want.Service, result.Outcome)
+	s := f.shard(made.Instance.ID)
+	s.mutex.RLock()
+	m := s.members[made.Instance.ID]
+	s.mutex.RUnlock()
+	if m == nil {
+		return
+	}
+	m.end(made, result, want.Model != "", mean)
+}
+
+// note counts an outcome for the service and returns its share of failures.
+func (f *Fleet) note(service string, outcome kumquathitch.SendOutcome) float64 {
+	s := &f.services[kumquathitch.ShardOf(service, shardCount)]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	stats := s.services[service]
+	if stats == nil {
+		stats = &serviceStats{}
+		s.services[service] = stats
+	}
+	failed := 0.0
+	if outcome != kumquathitch.SendAnswered && outcome != kumquathitch.SendCancelled {
+		failed = 1
+	}
+	stats.failures += meanWeight * (failed - stats.failures)
+	return stats.failures
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,215 @@
+// Package fleet keeps the instances of upstreams that the platform lists, with
+// what this VM has seen of each, and chooses the instance for a call.
+//
+// # Usage
+//
+//	f := fleet.NewFleet("montreal-1")
+//	f.Put(instance, now)          // From the platform's list.
+//	f.Remove(id)                  // Gone from the list.
+//	choice, err := f.Choose(want, now)
+//	f.Report(want, choice, result) // Exactly once for each choice.
+//
+// An instance is judged by what this VM's own calls met: health answers can be
+// false either way. A failing instance is left alone for a time that doubles
+// with each failed trial, and comes back after one good trial.
+package fleet
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const shardCount = 16
+
+// Fleet holds instances. It is safe for concurrent use.
+type Fleet struct {
+	dataCentre string
+	shards     [shardCount]shard // Members by id.
+	groups     [shardCount]groupShard
+	services   [shardCount]serviceShard
+}
+
+type shard struct {
+	mutex   sync.RWMutex
+	members map[string]*member
+}
+
+// groupShard holds the members of a service that have a model resident.
+type groupShard struct {
+	mutex  sync.RWMutex
+	groups map[group][]*member
+}
+
+type group struct {
+	service string
+	model   string // Empty for all members of a service.
+}
+
+// serviceShard holds what was learned of a service as a whole.
+type serviceShard struct {
+	mutex    sync.Mutex
+	services map[string]*serviceStats
+}
+
+// NewFleet returns a fleet without instances, seen from a data centre.
+func NewFleet(dataCentre string) *Fleet {
+	f := &Fleet{dataCentre: dataCentre}
+	for i := range f.shards {
+		f.shards[i].members = map[string]*member{}
+		f.groups[i].groups = map[group][]*member{}
+		f.services[i].services = map[string]*serviceStats{}
+	}
+	return f
+}
+
+// Put adds an instance or replaces its description. A description that is
+// older than the one held, by its revision, is ignored.
+func (f *Fleet) Put(instance kumquathitch.Instance, now time.Time) {
+	s := f.shard(instance.ID)
+	s.mutex.Lock()
+	held := s.members[instance.ID]
+	if held == nil {
+		held = newMember(instance, now)
+		s.members[instance.ID] = held
+	}
+	s.mutex.Unlock()
+	before, changed := held.describe(instance, now)
+	if changed {
+		f.regroup(held, before, groupsOf(&instance))
+	}
+}
+
+// Remove drops an instance.
+func (f *Fleet) Remove(id string) {
+	s := f.shard(id)
+	s.mutex.Lock()
+	held := s.members[id]
+	delete(s.members, id)
+	s.mutex.Unlock()
+	if held != nil {
+		f.regroup(held, held.retire(), nil)
+	}
+}
+
+// Replace makes a list of instances the whole fleet. Instances that are missing
+// from it are removed.
+func (f *Fleet) Replace(instances kumquathitch.Instances, now time.Time) {
+	listed := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		listed[instance.ID] = true
+		f.Put(instance, now)
+	}
+	for _, instance := range f.Instances() {
+		if !listed[instance.ID] {
+			f.Remove(instance.ID)
+		}
+	}
+}
+
+// Hold notes that an instance holds an adapter, before its description says so.
+func (f *Fleet) Hold(id, model, adapter string) {
+	s := f.shard(id)
+	s.mutex.RLock()
+	m := s.members[id]
+	s.mutex.RUnlock()
+	if m != nil {
+		m.hold(model, adapter)
+	}
+}
+
+// Instances returns the descriptions of all instances, in order of ids.
+func (f *Fleet) Instances() kumquathitch.Instances {
+	var all kumquathitch.Instances
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mutex.RLock()
+		for _, m := range s.members {
+			all = append(all, m.description())
+		}
+		s.mutex.RUnlock()
+	}
+	slices.SortFunc(all, func(a, b kumquathitch.Instance) int { return compare(a.ID, b.ID) })
+	return all
+}
+
+// Instance returns the description of an instance.
+func (f *Fleet) Instance(id string) (kumquathitch.Instance, bool) {
+	s := f.shard(id)
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	m := s.members[id]
+	if m == nil {
+		return kumquathitch.Instance{}, false
+	}
+	return m.description(), true
+}
+
+// Revision returns the highest revision of the descriptions held.
+func (f *Fleet) Revision() uint64 {
+	var highest uint64
+	for _, instance := range f.Instances() {
+		highest = max(highest, instance.Revision)
+	}
+	return highest
+}
+
+// regroup moves a member from its former groups to its present ones.
+func (f *Fleet) regroup(m *member, before, after []group) {
+	for _, g := range before {
+		if !slices.Contains(after, g) {
+			s := f.groupShard(g)
+			s.mutex.Lock()
+			s.groups[g] = slices.DeleteFunc(slices.Clone(s.groups[g]), func(other *member) bool { return other == m })
+			if len(s.groups[g]) == 0 {
+				delete(s.groups, g)
+			}
+			s.mutex.Unlock()
+		}
+	}
+	for _, g := range after {
+		s := f.groupShard(g)
+		s.mutex.Lock()
+		if !slices.Contains(s.groups[g], m) {
+			s.groups[g] = append(slices.Clone(s.groups[g]), m)
+		}
+		s.mutex.Unlock()
+	}
+}
+
+// members returns the members of a group. The list is never changed.
+func (f *Fleet) members(g group) []*member {
+	s := f.groupShard(g)
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.groups[g]
+}
+
+// groupsOf returns the groups of an instance: its service, and each resident model.
+func groupsOf(instance *kumquathitch.Instance) []group {
+	groups := []group{{service: instance.Service}}
+	for _, r := range instance.Models {
+		groups = append(groups, group{service: instance.Service, model: r.Name})
+	}
+	return groups
+}
+
+func (f *Fleet) shard(id string) *shard {
+	return &f.shards[kumquathitch.ShardOf(id, shardCount)]
+}
+
+func (f *Fleet) groupShard(g group) *groupShard {
+	return &f.groups[kumquathitch.ShardOf(g.service+"/"+g.model, shardCount)]
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- a/model/demand.go
+++ b/model/demand.go
@@ -21,17 +21,16 @@
 
 const (
 	shardCount = 32
-	// demandDecay is the time constant of the decay, seconds. A tenfold step
-	// shows as a fivefold one within 20 s, and a lull of a minute halves nothing twice over.
-	demandDecay = 30.0
+	// demandMemory is the time constant of the decay. A tenfold step shows as a
+	// fivefold one within 20 s, and a lull of a minute halves nothing twice over.
+	demandMemory = 30 * time.Second
 	// demandFloor is the rate, tokens per second, below which an entry is dropped.
 	demandFloor = 1e-3
-	// remoteTerm is how long the demand that another VM reported counts.
-	remoteTerm = 30 * time.Second
 )
 
 // Demand is the decayed demand for models and adapters. It is safe for concurrent use.
 type Demand struct {
+	memory time.Duration // Time constant of the decay, and how long the report of another VM counts.
 	shards [shardCount]demandShard
 	remote [shardCount]remoteShard
 }
@@ -59,7 +58,12 @@
 
 // NewDemand returns a demand of zero.
 func NewDemand() *Demand {
-	d := &Demand{}
+	return NewDemandOver(demandMemory)
+}
+
+// NewDemandOver returns a demand of zero that decays with a time constant.
+func NewDemandOver(memory time.Duration) *Demand {
+	d := &Demand{memory: memory}
 	for i := range shardCount {
 		d.shards[i].rates = map[string]rate{}
 		d.remote[i].reports = map[string]remoteReport{}
@@ -72,8 +76,8 @@
 	s := &d.shards[kumquathitch.ShardOf(model, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	r := s.rates[model].at(now)
-	r.Value += float64(tokens) / demandDecay
+	r := s.rates[model].at(now, d.memory)
+	r.Value += float64(tokens) / d.memory.Seconds()
 	s.rates[model] = r
 }
 
@@ -84,7 +88,7 @@
 		s := &d.shards[i]
 		s.mutex.Lock()
 		for name, r := range s.rates {
-			r = r.at(now)
+			r = r.at(now, d.memory)
 			if r.Value < demandFloor {
 				delete(s.rates, name)
 				continue
@@ -96,12 +100,12 @@
 	return local
 }
 
-// Report takes in the demand at another VM, which counts for half a minute.
+// Report takes in the demand at another VM, which counts for the memory's time.
 func (d *Demand) Report(vm string, rates map[string]float64, now time.Time) {
 	s := &d.remote[kumquathitch.ShardOf(vm, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.reports[vm] = remoteReport{Rates: rates, Deadline: now.Add(remoteTerm)}
+	s.reports[vm] = remoteReport{Rates: rates, Deadline: now.Add(d.memory)}
 }
 
 // Total returns the demand at this VM and those that reported to it.
@@ -124,9 +128,9 @@
 	return total
 }
 
-func (r rate) at(now time.Time) rate {
+func (r rate) at(now time.Time, memory time.Duration) rate {
 	if elapsed := now.Sub(r.Updated).Seconds(); elapsed > 0 {
-		r.Value *= math.Exp(-elapsed / demandDecay)
+		r.Value *= math.Exp(-elapsed / memory.Seconds())
 		r.Updated = now
 	}
 	return r
--- /dev/null
+++ b/placement/owner.go
@@ -0,0 +1,323 @@
+package placement
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	shardCount = 16
+	// loadBurst is how many loads from the weight store may begin at once.
+	loadBurst = 2.5
+	// adapterSettle is how long a call waits for an adapter that was just
+	// ordered. An adapter is fetched in some milliseconds.
+	adapterSettle = 30 * time.Millisecond
+	// ordersAtOnce bounds the instances that get orders at the same time.
+	ordersAtOnce = 32
+)
+
+// Orderer tells whether this VM may give orders now, and under which fence.
+type Orderer func() (fence uint64, ok bool)
+
+// Owner plans and gives orders. It is safe for concurrent use.
+type Owner struct {
+	control kumquathitch.EngineControl
+	holder  string
+	may     Orderer
+	clock   kumquathitch.Clock
+	log     *zap.Logger
+	orders  *metrics.Counter
+	shards  [shardCount]ownerShard
+	store   weightStore
+}
+
+type ownerShard struct {
+	mutex    sync.Mutex
+	holdings map[string]*holding // By instance.
+}
+
+// weightStore bounds the loads of all services that begin in a time.
+type weightStore struct {
+	mutex  sync.Mutex
+	levels map[string]*loadLevel // By service.
+}
+
+type loadLevel struct {
+	level   float64
+	counted time.Time
+}
+
+// NewOwner returns an owner that gives orders while may allows it.
+func NewOwner(control kumquathitch.EngineControl, holder string, may Orderer, clock kumquathitch.Clock, log *zap.Logger, set *metrics.Set) *Owner {
+	o := &Owner{
+		control: control, holder: holder, may: may, clock: clock, log: log,
+		orders: set.NewCounter("kumquathitch_orders_total"),
+		store:  weightStore{levels: map[string]*loadLevel{}},
+	}
+	for i := range o.shards {
+		o.shards[i].holdings = map[string]*holding{}
+	}
+	return o
+}
+
+// Tick plans for the engines of all services and gives the orders. Demand is
+// in tokens per second by service, a slash, and model or adapter.
+func (o *Owner) Tick(ctx context.Context, services kumquathitch.Services, instances kumquathitch.Instances, demand map[string]float64) {
+	if _, ok := o.may(); !ok {
+		return
+	}
+	now := o.clock.Now()
+	o.describe(instances, now)
+	for i := range services {
+		s := &services[i]
+		if s.Engine == nil {
+			continue
+		}
+		engines := o.engines(s, instances, now)
+		if len(engines) == 0 {
+			continue
+		}
+		byModel, byAdapter := split(demand, s.Name)
+		actions := Plan(s.Engine, engines, byModel, o.store.allowed(s, now))
+		engines = withPlanned(engines, actions)
+		actions = append(actions, PlanAdapters(s.Engine, engines, byAdapter)...)
+		o.carryOut(ctx, s, actions)
+	}
+}
+
+// withPlanned marks the engines that are about to lose a model.
+func withPlanned(engines Engines, actions []Action) Engines {
+	for _, a := range actions {
+		for i := range engines {
+			if engines[i].Instance.ID == a.Instance.ID {
+				engines[i].InFlight = adaptersInTransit // One kind of order at a time.
+			}
+		}
+	}
+	return engines
+}
+
+// split divides the demand for a service into that by model and that by adapter.
+func split(demand map[string]float64, service string) (byModel, byAdapter map[string]float64) {
+	byModel, byAdapter = map[string]float64{}, map[string]float64{}
+	for name, tokens := range demand {
+		target, ok := strings.CutPrefix(name, service+"/")
+		if !ok {
+			continue
+		}
+		model, _, adapted := strings.Cut(target, "/")
+		byModel[model] += tokens
+		if adapted {
+			byAdapter[target] += tokens
+		}
+	}
+	return byModel, byAdapter
+}
+
+// describe takes in the descriptions, and forgets instances that are gone.
+func (o *Owner) describe(instances kumquathitch.Instances, now time.Time) {
+	listed := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		listed[instance.ID] = true
+		o.with(instance.ID, func(h *holding) { h.describe(instance, now) })
+	}
+	for i := range o.shards {
+		s := &o.shards[i]
+		s.mutex.Lock()
+		for id := range s.holdings {
+			if !listed[id] {
+				delete(s.holdings, id)
+			}
+		}
+		s.mutex.Unlock()
+	}
+}
+
+func (o *Owner) with(id string, use func(h *holding)) {
+	s := &o.shards[kumquathitch.ShardOf(id, shardCount)]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	h := s.holdings[id]
+	if h == nil {
+		h = &holding{}
+		s.holdings[id] = h
+	}
+	use(h)
+}
+
+func (o *Owner) engines(s *kumquathitch.Service, instances kumquathitch.Instances, now time.Time) Engines {
+	var engines Engines
+	for _, instance := range instances {
+		if instance.Service == s.Name && !instance.Leaving {
+			o.with(instance.ID, func(h *holding) { engines = append(engines, h.engine(s.Engine, now)) })
+		}
+	}
+	return engines
+}
+
+// carryOut gives the orders, those of one instance one after the other.
+func (o *Owner) carryOut(ctx context.Context, s *kumquathitch.Service, actions []Action) {
+	byInstance := map[string][]Action{}
+	for _, a := range actions {
+		byInstance[a.Instance.ID] = append(byInstance[a.Instance.ID], a)
+	}
+	ended := make(chan struct{}, len(byInstance))
+	slots := make(chan struct{}, ordersAtOnce)
+	for _, list := range byInstance {
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots; ended <- struct{}{} }()
+			for _, a := range list {
+				if o.order(ctx, s, a) != kumquathitch.OrderAccepted {
+					return
+				}
+			}
+		}()
+	}
+	for range byInstance {
+		<-ended
+	}
+}
+
+// order gives one order, unless this VM may not.
+func (o *Owner) order(ctx context.Context, s *kumquathitch.Service, a Action) kumquathitch.OrderOutcome {
+	var expected uint64
+	var unsure bool
+	o.with(a.Instance.ID, func(h *holding) { expected, unsure = h.orders, h.unsure })
+	if unsure && !o.ask(ctx, a.Instance, &expected) {
+		return kumquathitch.OrderUnsent
+	}
+	fence, ok := o.may()
+	if !ok {
+		return kumquathitch.OrderUnsent
+	}
+	counted := a.Counted && !a.Unload && a.Adapter == ""
+	if counted && !o.store.take(s, o.clock.Now()) {
+		return kumquathitch.OrderUnsent
+	}
+	outcome, err := o.control.Order(ctx, kumquathitch.EngineOrder{
+		Instance: a.Instance.ID, Address: a.Instance.Address, Unload: a.Unload,
+		Model: a.Model, Adapter: a.Adapter, Expected: expected, Holder: o.holder, Fence: fence,
+	})
+	o.orders.Inc()
+	var load time.Duration
+	if m := s.Engine.Models.Find(a.Model); m != nil && a.Adapter == "" {
+		load = m.Load
+	}
+	o.with(a.Instance.ID, func(h *holding) { h.answered(a, expected, outcome, load, o.clock.Now()) })
+	o.log.Info("order", zap.String("instance", a.Instance.ID), zap.Bool("unload", a.Unload), zap.String("model", a.Model),
+		zap.String("adapter", a.Adapter), zap.String("reason", a.Reason), zap.Uint64("expected", expected),
+		zap.Uint64("fence", fence), zap.Uint64("described-at", a.Instance.Revision), zap.String("outcome", outcome.String()), zap.Error(err))
+	return outcome
+}
+
+// ask gets an instance's count of orders.
+func (o *Owner) ask(ctx context.Context, instance kumquathitch.Instance, expected *uint64) bool {
+	state, err := o.control.State(ctx, instance.Address)
+	now := o.clock.Now()
+	if err != nil {
+		o.log.Info("instance gave no report", zap.String("instance", instance.ID), zap.Error(err))
+		o.with(instance.ID, func(h *holding) { h.pausedTo = now.Add(conflictPause) })
+		return false
+	}
+	o.with(instance.ID, func(h *holding) {
+		h.reported(state, now)
+		*expected = h.orders
+	})
+	return !state.Busy
+}
+
+// Adapter places an adapter that is nowhere, and returns the instances that
+// hold it when it is there.
+func (o *Owner) Adapter(ctx context.Context, s *kumquathitch.Service, want kumquathitch.AdapterWant, instances kumquathitch.Instances) []string {
+	now := o.clock.Now()
+	o.describe(instances, now)
+	engines := o.engines(s, instances, now)
+	if held := holdersOf(engines, want); len(held) > 0 {
+		return held
+	}
+	demand := map[string]float64{want.Model + "/" + want.Adapter: wantedDemand}
+	p := &adapterPlanner{class: s.Engine, engines: engines, demand: demand}
+	holders := p.holders(want.Model)
+	for range 2 { // A place may have to be freed first.
+		action, ok := p.place(holders, want.Model, want.Adapter)
+		if !ok {
+			return nil
+		}
+		outcome := o.order(ctx, s, action)
+		if outcome != kumquathitch.OrderAccepted && outcome != kumquathitch.OrderHolds {
+			return nil
+		}
+		if !action.Unload {
+			pause(ctx, adapterSettle)
+			return []string{action.Instance.ID}
+		}
+		for i := range p.engines {
+			if p.engines[i].Instance.ID == action.Instance.ID {
+				p.engines[i].Adapters--
+				p.engines[i].InFlight = 0
+			}
+		}
+	}
+	return nil
+}
+
+// wantedDemand is a demand that counts as asked for, tokens per second.
+const wantedDemand = 2 * quietDemand
+
+func holdersOf(engines Engines, want kumquathitch.AdapterWant) []string {
+	var held []string
+	for _, e := range engines {
+		if e.Models.Holds(want.Model, want.Adapter) {
+			held = append(held, e.Instance.ID)
+		}
+	}
+	return held
+}
+
+// allowed returns how many loads of a service may begin now.
+func (w *weightStore) allowed(s *kumquathitch.Service, now time.Time) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return int(w.at(s, now).level)
+}
+
+func (w *weightStore) take(s *kumquathitch.Service, now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	l := w.at(s, now)
+	if l.level < 1 {
+		return false
+	}
+	l.level--
+	return true
+}
+
+// at returns the level of a service. A new term starts without a burst, since
+// the leader before it may have used one. The caller holds the lock.
+func (w *weightStore) at(s *kumquathitch.Service, now time.Time) *loadLevel {
+	l := w.levels[s.Name]
+	if l == nil {
+		l = &loadLevel{counted: now}
+		w.levels[s.Name] = l
+	}
+	l.level = min(loadBurst, l.level+s.Engine.LoadsPerSecond*max(0, now.Sub(l.counted).Seconds()))
+	l.counted = now
+	return l
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/quota/bank.go
@@ -0,0 +1,145 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// dryWait is the shortest time for which an account is reported as dry.
+const dryWait = 50 * time.Millisecond
+
+// memberMemory is how long a VM that is not heard from counts as one that
+// issues its own part: it may be cut off from the leader only.
+const memberMemory = 45 * time.Second
+
+// Bank issues the tokens of all accounts, on the leader. It is safe for concurrent use.
+type Bank struct {
+	shards  [shardCount]bankShard
+	members bankMembers
+}
+
+type bankShard struct {
+	mutex  sync.Mutex
+	vaults map[string]*vault
+}
+
+// vault holds what may be issued of one account.
+type vault struct {
+	level   float64
+	counted time.Time
+}
+
+// bankMembers are the VMs that draw.
+type bankMembers struct {
+	mutex sync.Mutex
+	heard map[string]time.Time
+	full  bool // Vaults start with the whole burst.
+	from  time.Time
+}
+
+// NewBank returns a bank that issues from a time on. A bank of a new term
+// starts after the purses have stopped relying on the one before; its vaults
+// are empty, unless full is set.
+func NewBank(full bool, from time.Time) *Bank {
+	b := &Bank{members: bankMembers{heard: map[string]time.Time{}, full: full, from: from}}
+	for i := range b.shards {
+		b.shards[i].vaults = map[string]*vault{}
+	}
+	return b
+}
+
+// Expect names the VMs that the store lists, so that the part of those that
+// have not been heard from is held back.
+func (b *Bank) Expect(names []string, now time.Time) {
+	b.members.mutex.Lock()
+	defer b.members.mutex.Unlock()
+	for _, name := range names {
+		if _, known := b.members.heard[name]; !known {
+			b.members.heard[name] = now.Add(-BankSilence)
+		}
+	}
+}
+
+// Exchange answers the draws of a VM.
+func (b *Bank) Exchange(message *kumquathitch.Exchange, tenants kumquathitch.Tenants, now time.Time) kumquathitch.ExchangeReply {
+	reply := kumquathitch.ExchangeReply{Leader: true, Granted: map[string]float64{}, Dry: map[string]float64{}}
+	members, live := b.hear(message.From, now)
+	reply.Members = members
+	for i := range tenants {
+		tenant := &tenants[i]
+		if !tenant.Limited {
+			continue
+		}
+		back := max(0, message.Return[tenant.Name])
+		want := message.Draw[tenant.Name]
+		if want <= 0 && back <= 0 {
+			continue
+		}
+		granted, dry := b.issue(tenant, back, want, live, now)
+		if granted > 0 {
+			reply.Granted[tenant.Name] = granted
+		}
+		if dry > 0 {
+			reply.Dry[tenant.Name] = dry.Seconds()
+		}
+	}
+	return reply
+}
+
+// hear notes a VM, and returns the number of VMs and the part of them that is heard from.
+func (b *Bank) hear(name string, now time.Time) (members int, live float64) {
+	b.members.mutex.Lock()
+	defer b.members.mutex.Unlock()
+	b.members.heard[name] = now
+	recent := 0
+	for other, heard := range b.members.heard {
+		switch silent := now.Sub(heard); {
+		case silent > memberMemory:
+			delete(b.members.heard, other)
+		case silent < BankSilence:
+			recent++
+		}
+	}
+	members = len(b.members.heard)
+	return members, float64(recent) / float64(members)
+}
+
+// issue takes back tokens and issues up to what is wanted. When it is less, it
+// also returns after how long asking again is of use.
+func (b *Bank) issue(tenant *kumquathitch.Tenant, back, want, live float64, now time.Time) (granted float64, dry time.Duration) {
+	s := &b.shards[kumquathitch.ShardOf(tenant.Name, shardCount)]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	v := s.vaults[tenant.Name]
+	if v == nil {
+		v = b.open(tenant)
+		s.vaults[tenant.Name] = v
+	}
+	if passed := now.Sub(v.counted).Seconds(); passed > 0 {
+		v.level = min(tenant.Burst, v.level+tenant.Rate*live*passed)
+		v.counted = now
+	}
+	v.level = min(tenant.Burst, v.level+back)
+	if want <= 0 {
+		return 0, 0
+	}
+	granted = max(0, min(want, v.level))
+	v.level -= granted
+	if granted < want {
+		missing := (want - granted) / max(1, tenant.Rate*live)
+		dry = max(dryWait, min(time.Second, time.Duration(missing*float64(time.Second)))) / 2
+	}
+	return granted, dry
+}
+
+func (b *Bank) open(tenant *kumquathitch.Tenant) *vault {
+	b.members.mutex.Lock()
+	defer b.members.mutex.Unlock()
+	v := &vault{counted: b.members.from}
+	if b.members.full {
+		v.level = tenant.Burst
+	}
+	return v
+}
--- /dev/null
+++ b/relay/job.go
@@ -0,0 +1,329 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// job is one call on its way.
+type job struct {
+	*Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	received time.Time
+
+	call        kumquathitch.Call
+	route       *kumquathitch.DeploymentRoute
+	tenant      *kumquathitch.Tenant // Nil on open routes.
+	version     uint64               // Of the deployment that decided.
+	want        kumquathitch.InstanceWant
+	listed      bool // The operator lists the model; other names are not counted.
+	body        []byte
+	deadline    time.Time
+	tokens      float64 // Spent of the account.
+	fingerprint uint64
+
+	sends  int  // Tries, also those that reached no instance.
+	runs   int  // Sends that may have run.
+	begun  bool // The head of an answer was passed on.
+	stream streamState
+}
+
+var errCallerLeft = errors.New("the caller left")
+
+// admit decides whether the call may be sent to an instance.
+func (j *job) admit() *kumquathitch.RefusalError {
+	j.Metrics.Calls.Inc()
+	view := j.Current.View()
+	if view == nil {
+		return kumquathitch.NotRun(http.StatusServiceUnavailable, "no-deployment", "this VM knows no configuration yet")
+	}
+	j.version = view.Deployment.Version
+	call, err := j.Dialect.DecodeCall(j.request, j.received)
+	if err != nil {
+		return asRefusal(err)
+	}
+	j.call = call
+	if j.route = view.Route(call.Host, call.Path); j.route == nil {
+		return kumquathitch.NotRun(http.StatusNotFound, "no-route", "no route of host "+call.Host+" begins the path")
+	}
+	if view.Keyed() && !j.route.Open {
+		if j.tenant = view.Tenant(call.Key); j.tenant == nil {
+			return kumquathitch.NotRun(http.StatusUnauthorized, "unknown-key", "no client account holds the key")
+		}
+	}
+	if refusal := j.readBody(view.Deployment.Limits.BodyBytes); refusal != nil {
+		return refusal
+	}
+	j.plan(view.Deployment.Services)
+	if j.Crashes.Condemned(j.fingerprint, j.received) {
+		return kumquathitch.NotRun(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
+	}
+	return j.spend()
+}
+
+func asRefusal(err error) *kumquathitch.RefusalError {
+	var refusal *kumquathitch.RefusalError
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return kumquathitch.NotRun(http.StatusServiceUnavailable, "internal", err.Error())
+}
+
+func (j *job) readBody(limit int64) *kumquathitch.RefusalError {
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(j.writer, j.request.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return kumquathitch.NotRun(http.StatusRequestEntityTooLarge, "body-too-large",
+			fmt.Sprintf("the body has more than %d bytes", limit))
+	case err != nil:
+		return kumquathitch.NotRun(http.StatusBadRequest, "body-unreadable", "the body could not be read: "+err.Error())
+	}
+	j.body = body
+	return nil
+}
+
+// plan works out what the sends of the call need.
+func (j *job) plan(services kumquathitch.Services) {
+	timeout := j.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	j.deadline = j.received.Add(timeout)
+	if d := j.call.Deadline; !d.IsZero() && d.Add(-deadlineMargin).Before(j.deadline) {
+		j.deadline = d.Add(-deadlineMargin)
+	}
+	objective := j.route.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	j.want = kumquathitch.InstanceWant{
+		Service: j.service(), Model: j.call.Model, Adapter: j.call.Adapter,
+		Prompt: j.call.Prompt, Tokens: j.call.PromptTokens, Objective: objective,
+	}
+	if service := services.Find(j.want.Service); service != nil && service.Engine != nil {
+		j.listed = service.Engine.Models.Find(j.call.Model) != nil
+	}
+	digest := xxhash.New()
+	for _, part := range []string{j.call.Method, j.call.Host, j.request.RequestURI, j.call.Key, j.call.Model} {
+		_, _ = digest.WriteString(part + "\x00")
+	}
+	_, _ = digest.Write(j.body)
+	j.fingerprint = digest.Sum64()
+	j.stream.last = j.call.LastEvent
+}
+
+// service picks one of the route's services by its weight, the same one for one id.
+func (j *job) service() string {
+	shares := j.route.Shares
+	total := 0
+	for _, s := range shares {
+		total += max(0, s.Weight)
+	}
+	if len(shares) == 1 || total == 0 {
+		return shares[0].Service
+	}
+	at := int(xxhash.Sum64String(j.call.ID) % uint64(total)) //nolint:gosec // Both are small and positive.
+	for _, s := range shares {
+		if at -= max(0, s.Weight); at < 0 {
+			return s.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
+
+// spend takes the call's tokens of the account's rate.
+func (j *job) spend() *kumquathitch.RefusalError {
+	if j.tenant == nil {
+		return nil
+	}
+	tokens := float64(j.call.Tokens(j.tenant.PlainTokens))
+	until := j.received.Add(min(longestRateWait, j.want.Objective/refusalWindow))
+	if err := j.Purse.Spend(j.request.Context(), j.tenant, tokens, until); err != nil {
+		return asRefusal(err)
+	}
+	j.tokens = tokens
+	return nil
+}
+
+// run sends the call until it is answered, or must not be sent again.
+func (j *job) run() {
+	ctx, span := j.Tracer.Start(j.request.Context(), "call", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	j.Retries.Arrived(j.want.Service, j.received)
+	if j.listed {
+		j.Demand.Add(j.want.Service+"/"+j.call.Target(), j.call.PromptTokens+j.call.OutputTokens, j.received)
+	}
+	for {
+		choice, err := j.choose(ctx)
+		if err != nil {
+			j.fail(j.withoutInstance(err))
+			return
+		}
+		result, sent := j.send(ctx, choice)
+		result.Ended = j.Clock.Now()
+		j.Chooser.Report(j.want, choice, result)
+		j.note(choice, sent, result)
+		if sent.done {
+			return
+		}
+		if !j.again(choice, result, sent) {
+			j.fail(j.afterSend(ctx, result, sent))
+			return
+		}
+	}
+}
+
+// choose returns the instance for the next send. A call for an adapter that is
+// nowhere waits until it is placed, which takes milliseconds.
+func (j *job) choose(ctx context.Context) (kumquathitch.InstanceChoice, error) {
+	choice, err := j.Chooser.Choose(j.want, j.Clock.Now())
+	var none *kumquathitch.NoInstanceError
+	if !errors.As(err, &none) || !none.NoAdapter {
+		return choice, err
+	}
+	wanted := kumquathitch.AdapterWant{Service: j.want.Service, Model: j.want.Model, Adapter: j.want.Adapter}
+	if !j.Adapters.FindAdapter(ctx, wanted) {
+		return choice, err
+	}
+	return j.Chooser.Choose(j.want, j.Clock.Now())
+}
+
+// again decides whether the call is sent once more after a send that failed.
+func (j *job) again(choice kumquathitch.InstanceChoice, result kumquathitch.SendResult, sent sendEnd) bool {
+	if sent.left || !j.Clock.Now().Before(j.deadline) {
+		return false
+	}
+	j.want.Exclude = append(j.want.Exclude, choice.Instance.ID)
+	switch {
+	case sent.ran && (j.route.Kind == kumquathitch.RunOnce || j.runs >= j.route.MaxRuns):
+		return false
+	case sent.ran && j.begun && j.route.Kind != kumquathitch.RunResume:
+		return false
+	case j.sends >= j.route.MaxRuns+extraSends:
+		return false
+	case sent.ran && j.Crashes.Condemned(j.fingerprint, j.Clock.Now()):
+		return false
+	}
+	if sent.reached && !sent.paid && !j.Retries.Allow(j.want.Service, j.Clock.Now()) {
+		j.Log.Info("resend refused", zap.String("call", j.call.ID), zap.String("reason", "retry budget spent"))
+		return false
+	}
+	j.Metrics.Resends.Inc()
+	if result.Outcome == kumquathitch.SendStale {
+		j.want.Exclude = j.want.Exclude[:len(j.want.Exclude)-1] // Only the connection was old.
+	}
+	return true
+}
+
+// withoutInstance returns the refusal of a call that no instance can take.
+func (j *job) withoutInstance(err error) *kumquathitch.RefusalError {
+	if j.runs > 0 {
+		return kumquathitch.Unknown(http.StatusBadGateway, "upstream-failed", "the call failed, and no other instance can take it")
+	}
+	var none *kumquathitch.NoInstanceError
+	code := "no-instance"
+	if errors.As(err, &none) && (none.NoModel || none.NoAdapter) {
+		code = "model-not-resident"
+	}
+	refusal := kumquathitch.NotRun(http.StatusServiceUnavailable, code, err.Error())
+	refusal.RetryAfter = j.Clock.Now().Add(retryPause)
+	if code == "model-not-resident" {
+		refusal.RetryAfter = j.Clock.Now().Add(modelPause)
+	}
+	return refusal
+}
+
+const (
+	// retryPause is when a refused caller is asked to come back: instances that
+	// are full or restart take calls again within it.
+	retryPause = 700 * time.Millisecond
+	// modelPause is when a caller is asked to come back for a model that is
+	// nowhere. A model loads in seconds.
+	modelPause = 4 * time.Second
+)
+
+// afterSend returns the refusal of a call whose last send failed.
+func (j *job) afterSend(ctx context.Context, result kumquathitch.SendResult, sent sendEnd) *kumquathitch.RefusalError {
+	if j.runs == 0 {
+		refusal := kumquathitch.NotRun(http.StatusServiceUnavailable, "instances-busy", "no instance ran the call: "+result.Outcome.String())
+		refusal.RetryAfter = j.Clock.Now().Add(retryPause)
+		return refusal
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !j.Clock.Now().Before(j.deadline) {
+		return kumquathitch.Unknown(http.StatusGatewayTimeout, "deadline", "the call did not end in time")
+	}
+	return kumquathitch.Unknown(http.StatusBadGateway, "upstream-failed", "the call may have run: "+sent.reason())
+}
+
+// fail ends a call without an instance's answer.
+func (j *job) fail(refusal *kumquathitch.RefusalError) {
+	if j.request.Context().Err() != nil {
+		j.Metrics.Left.Inc()
+		j.Log.Info("caller left", j.fields()...)
+		return
+	}
+	if j.begun {
+		j.Log.Info("answer broken off", append(j.fields(), zap.String("code", refusal.Code), zap.String("reason", refusal.Message))...)
+		j.Metrics.answered(0, "broken-off")
+		panic(http.ErrAbortHandler) // Closes the connection, so that the answer does not look complete.
+	}
+	if refusal.Run == kumquathitch.RunNot && j.tenant != nil {
+		j.Purse.Refund(j.tenant.Name, j.tokens)
+	}
+	j.refuse(refusal)
+}
+
+// refuse answers a call in place of an instance.
+func (j *job) refuse(refusal *kumquathitch.RefusalError) {
+	now := j.Clock.Now()
+	j.Metrics.answered(refusal.Status, refusal.Code)
+	j.Log.Info("call refused", append(j.fields(), zap.Int("status", refusal.Status), zap.String("code", refusal.Code),
+		zap.String("run", refusal.Run), zap.String("reason", refusal.Message), zap.Duration("after", now.Sub(j.received)))...)
+	header := j.writer.Header()
+	if !refusal.RetryAfter.IsZero() {
+		wait := max(0, refusal.RetryAfter.Sub(now))
+		if left := j.call.Deadline.Sub(now) / 3; !j.call.Deadline.IsZero() && wait > left {
+			wait = max(0, left)
+		}
+		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	text := refusal.Code + ": " + refusal.Message + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	j.writer.WriteHeader(refusal.Status)
+	_, _ = io.Copy(j.writer, bytes.NewReader([]byte(text))) // A caller that left reads no refusal.
+}
+
+// fields returns what every line about the call carries.
+func (j *job) fields() []zap.Field {
+	fields := []zap.Field{
+		zap.String("call", j.call.ID), zap.Uint64("version", j.version), zap.String("service", j.want.Service),
+		zap.String("model", j.call.Target()), zap.Int("sends", j.sends), zap.Int("runs", j.runs),
+	}
+	if j.route != nil {
+		fields = append(fields, zap.String("route", j.route.Name))
+	}
+	if j.tenant != nil {
+		fields = append(fields, zap.String("account", j.tenant.Name))
+	}
+	return fields
+}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Metrics counts what callers and instances met. Routes and instances are not
+// labels, so that the number of series is bounded.
+type Metrics struct {
+	set       *metrics.Set
+	Calls     *metrics.Counter
+	Dials     *metrics.Counter
+	Resends   *metrics.Counter
+	Resumes   *metrics.Counter
+	Left      *metrics.Counter // Callers that left before their answer.
+	FirstByte *metrics.Histogram
+	Whole     *metrics.Histogram
+}
+
+// NewMetrics registers the metrics in a set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{
+		set:       set,
+		Calls:     set.NewCounter("kumquathitch_calls_total"),
+		Dials:     set.NewCounter("kumquathitch_instance_connections_opened_total"),
+		Resends:   set.NewCounter("kumquathitch_resends_total"),
+		Resumes:   set.NewCounter("kumquathitch_stream_resumes_total"),
+		Left:      set.NewCounter("kumquathitch_callers_left_total"),
+		FirstByte: set.NewHistogram("kumquathitch_first_byte_seconds"),
+		Whole:     set.NewHistogram("kumquathitch_answer_seconds"),
+	}
+}
+
+// answered counts a status sent to a caller, with the code of a refusal.
+func (m *Metrics) answered(status int, code string) {
+	m.set.GetOrCreateCounter(`kumquathitch_answers_total{status="` + strconv.Itoa(status) + `",code="` + code + `"}`).Inc()
+}
+
+// sent counts how a send to an instance ended.
+func (m *Metrics) sent(outcome string) {
+	m.set.GetOrCreateCounter(`kumquathitch_sends_total{outcome="` + outcome + `"}`).Inc()
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// eventLimit bounds one event of a stream, in bytes.
+	eventLimit = 1 << 20
+	// streamBuffer holds what is read of a stream at once, in bytes.
+	streamBuffer = 4 << 10
+	// gapFactor is how many times the longest pause for full credit a stream
+	// may be silent before it goes on elsewhere: engines pause streams that
+	// lost their memory to more urgent ones, and resume them.
+	gapFactor = 4
+	// gapFloor is the shortest such time on routes that state no pause.
+	gapFloor = time.Second
+)
+
+var eventEnd = []byte("\n\n")
+
+// streamState is what the caller has of a stream.
+type streamState struct {
+	last    string // Id of the last event passed on, or of the one that the caller named.
+	resumed bool
+	passed  bool // An event was passed on.
+}
+
+// resumeAt returns the event after which an instance goes on, empty when it
+// has what the caller sent.
+func (s *streamState) resumeAt() string {
+	if s.passed {
+		return s.last
+	}
+	return ""
+}
+
+// carryStream passes on the events of a stream as they arrive.
+func (x *exchange) carryStream(ctx context.Context) (kumquathitch.SendResult, sendEnd) {
+	if !x.begun {
+		header := x.writer.Header()
+		x.Dialect.AnswerHeader(header, x.response.Header)
+		x.begun = true
+		x.writer.WriteHeader(x.response.StatusCode)
+	} else {
+		x.Metrics.Resumes.Inc()
+		x.Log.Info("stream resumed", zap.String("call", x.call.ID), zap.String("after-event", x.stream.last),
+			zap.String("instance", x.choice.Instance.ID))
+	}
+	rest, err := x.copyEvents()
+	if err == nil && len(rest) > 0 {
+		err = eris.Errorf("the stream ended within an event of %d bytes", len(rest))
+	}
+	if err == nil {
+		x.reusable = !x.response.Close
+		x.Metrics.answered(x.response.StatusCode, "")
+		x.Metrics.Whole.Update(x.Clock.Now().Sub(x.received).Seconds())
+		return x.result(kumquathitch.SendAnswered), sendEnd{reached: true, ran: true, done: true}
+	}
+	outcome := kumquathitch.SendBroken
+	var timeout net.Error
+	if errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &timeout) && timeout.Timeout()) {
+		outcome = kumquathitch.SendSilent
+	}
+	return x.broken(x.callerOr(ctx, outcome), sendEnd{reached: true, ran: true, cause: err})
+}
+
+// copyEvents passes on whole events until the stream ends. It returns the
+// bytes of an event that was not whole.
+func (x *exchange) copyEvents() ([]byte, error) {
+	control := http.NewResponseController(x.writer)
+	pending := make([]byte, 0, streamBuffer)
+	for {
+		if err := x.connection.SetReadDeadline(x.gapEnd()); err != nil {
+			return pending, err
+		}
+		if len(pending) == cap(pending) {
+			pending = append(pending, make([]byte, len(pending))...)[:len(pending)]
+		}
+		n, err := x.response.Body.Read(pending[len(pending):cap(pending)])
+		pending = pending[:len(pending)+n]
+		if whole := bytes.LastIndex(pending, eventEnd); whole >= 0 {
+			whole += len(eventEnd)
+			if failed := x.passOn(control, pending[:whole]); failed != nil {
+				return nil, failed
+			}
+			pending = pending[:copy(pending, pending[whole:])]
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return pending, nil
+		case err != nil:
+			return pending, err
+		case len(pending) > eventLimit:
+			return pending, errUnframed
+		}
+	}
+}
+
+// passOn writes events to the caller and notes the id of the last one.
+func (x *exchange) passOn(control *http.ResponseController, events []byte) error {
+	if _, err := x.writer.Write(events); err != nil {
+		return err
+	}
+	if err := control.Flush(); err != nil {
+		return err
+	}
+	x.stream.passed = true
+	if x.route.Kind != kumquathitch.RunResume {
+		return nil
+	}
+	body := events[:len(events)-len(eventEnd)]
+	start := bytes.LastIndex(body, eventEnd)
+	if start < 0 {
+		start = 0
+	}
+	if id, ok := x.Dialect.EventID(body[start:]); ok {
+		x.stream.last = id
+	}
+	return nil
+}
+
+// gapEnd returns the time until which the next event must arrive.
+func (x *exchange) gapEnd() time.Time {
+	if x.route.Kind != kumquathitch.RunResume || x.runs+1 >= x.route.MaxRuns {
+		return x.deadline
+	}
+	gap := max(gapFloor, gapFactor*x.route.GapLimit)
+	if until := x.Clock.Now().Add(gap); until.Before(x.deadline) {
+		return until
+	}
+	return x.deadline
+}
--- /dev/null
+++ b/retry/guard.go
@@ -0,0 +1,159 @@
+package retry
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// crashLimit is the number of crashed instances after which a call is not
+	// sent any more. One crash strikes every call on the instance, and the same
+	// innocent call is hardly there three times.
+	crashLimit = 3
+	// suspectMemory is how long a crash counts. Callers that repeat a call do so within a minute.
+	suspectMemory = time.Minute
+	// guardLimit bounds the suspects of a shard; the oldest are dropped first.
+	guardLimit = 512
+)
+
+// Guard counts the instances that broke off while they ran a call. It is safe
+// for concurrent use.
+type Guard struct {
+	shards [shardCount]guardShard
+}
+
+type guardShard struct {
+	mutex    sync.Mutex
+	suspects map[uint64]*suspicion
+}
+
+type suspicion struct {
+	own    int // Crashes that this VM saw.
+	others map[string]int
+	seen   time.Time
+	told   bool // The own count is on its way to the other VMs.
+}
+
+// NewGuard returns a guard without suspects.
+func NewGuard() *Guard {
+	g := &Guard{}
+	for i := range g.shards {
+		g.shards[i].suspects = map[uint64]*suspicion{}
+	}
+	return g
+}
+
+// Condemned reports whether a call has crashed too many instances.
+func (g *Guard) Condemned(fingerprint uint64, now time.Time) bool {
+	s := g.shard(fingerprint)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := s.suspects[fingerprint]
+	return held != nil && now.Sub(held.seen) < suspectMemory && held.crashes() >= crashLimit
+}
+
+// Crashed counts an instance that broke off while it ran the call.
+func (g *Guard) Crashed(fingerprint uint64, now time.Time) {
+	s := g.shard(fingerprint)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := s.suspicion(fingerprint, now)
+	held.own++
+	held.seen, held.told = now, false
+}
+
+// News returns the counts of this VM that have not been told yet.
+func (g *Guard) News() kumquathitch.Suspects {
+	var news kumquathitch.Suspects
+	for i := range g.shards {
+		s := &g.shards[i]
+		s.mutex.Lock()
+		for fingerprint, held := range s.suspects {
+			if held.own > 0 && !held.told {
+				held.told = true
+				news = append(news, kumquathitch.Suspect{Fingerprint: fingerprint, Crashes: held.own, Seen: held.seen})
+			}
+		}
+		s.mutex.Unlock()
+	}
+	return news
+}
+
+// Untell marks counts as not told, after the message that carried them failed.
+func (g *Guard) Untell(news kumquathitch.Suspects) {
+	for _, one := range news {
+		s := g.shard(one.Fingerprint)
+		s.mutex.Lock()
+		if held := s.suspects[one.Fingerprint]; held != nil {
+			held.told = false
+		}
+		s.mutex.Unlock()
+	}
+}
+
+// Hear takes in the counts of another VM.
+func (g *Guard) Hear(from string, news kumquathitch.Suspects, now time.Time) {
+	for _, one := range news {
+		s := g.shard(one.Fingerprint)
+		s.mutex.Lock()
+		held := s.suspicion(one.Fingerprint, now)
+		held.others[from] = max(held.others[from], one.Crashes)
+		held.seen = now
+		s.mutex.Unlock()
+	}
+}
+
+// All returns the counts of all VMs other than one, for it to hear.
+func (g *Guard) All(except string, now time.Time) kumquathitch.Suspects {
+	var all kumquathitch.Suspects
+	for i := range g.shards {
+		s := &g.shards[i]
+		s.mutex.Lock()
+		for fingerprint, held := range s.suspects {
+			if count := held.crashes() - held.others[except]; count > 0 && now.Sub(held.seen) < suspectMemory {
+				all = append(all, kumquathitch.Suspect{Fingerprint: fingerprint, Crashes: count, Seen: held.seen})
+			}
+		}
+		s.mutex.Unlock()
+	}
+	return all
+}
+
+func (g *Guard) shard(fingerprint uint64) *guardShard {
+	return &g.shards[fingerprint%shardCount]
+}
+
+// suspicion returns the entry of a fingerprint. The caller holds the lock.
+func (s *guardShard) suspicion(fingerprint uint64, now time.Time) *suspicion {
+	held := s.suspects[fingerprint]
+	if held == nil {
+		if len(s.suspects) >= guardLimit {
+			s.dropOldest()
+		}
+		held = &suspicion{others: map[string]int{}, seen: now}
+		s.suspects[fingerprint] = held
+	}
+	return held
+}
+
+func (s *guardShard) dropOldest() {
+	fingerprints := make([]uint64, 0, len(s.suspects))
+	for fingerprint := range s.suspects {
+		fingerprints = append(fingerprints, fingerprint)
+	}
+	slices.SortFunc(fingerprints, func(a, b uint64) int { return s.suspects[a].seen.Compare(s.suspects[b].seen) })
+	for _, fingerprint := range fingerprints[:len(fingerprints)/2] {
+		delete(s.suspects, fingerprint)
+	}
+}
+
+func (s *suspicion) crashes() int {
+	total := s.own
+	for _, count := range s.others {
+		total += count
+	}
+	return total
+}
--- /dev/null
+++ b/site.go
@@ -0,0 +1,42 @@
+package kumquathitch
+
+import "time"
+
+// Site is what an entry VM is told about the platform that it runs on.
+type Site struct {
+	Name       string // Of this VM.
+	DataCentre string
+	Bootstrap  bool // The whole system starts for the first time.
+
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	Seeds          []string // Addresses for calls between entry VMs; some may be stale.
+
+	MemoryBytes int64
+	Grace       time.Duration // From the signal to shut down to the end of the process by force.
+	LeaseTTL    time.Duration
+
+	RetryRatio  float64 // Further sends for each call of a service, over all VMs.
+	RetrySlack  float64 // Further sends besides, in a window.
+	RetryWindow time.Duration
+
+	Store   Keyspace
+	Dialect Dialect
+	Control EngineControl
+	Codec   SiteCodec
+}
+
+// SiteCodec reads the documents that the platform keeps in its store.
+// Implementations are safe for concurrent use.
+type SiteCodec interface {
+	// DeploymentKey returns the key of the operator's configuration.
+	DeploymentKey() string
+	// InstancePrefix returns the prefix of the keys of instances.
+	InstancePrefix() string
+	// DecodeDeployment returns an error that names the field that cannot be used.
+	DecodeDeployment(document []byte) (*Deployment, error)
+	// DecodeInstance returns an error for an entry that names no instance to use.
+	DecodeInstance(item KeyItem, now time.Time) (Instance, error)
+}
--- /dev/null
+++ b/vm/exchange.go
@@ -0,0 +1,234 @@
+package vm
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/peer"
+	"kumquathitch.example/kumquathitch/quota"
+)
+
+const (
+	// exchangeInterval is the pause between two exchanges with the leader.
+	exchangeInterval = 500 * time.Millisecond
+	// urgentInterval is the least pause when calls wait for tokens.
+	urgentInterval = 25 * time.Millisecond
+	// exchangeTimeout bounds one call of a peer, which answers in milliseconds.
+	exchangeTimeout = 600 * time.Millisecond
+	// adapterTimeout bounds the call for an adapter, which waits for the order.
+	adapterTimeout = 1500 * time.Millisecond
+)
+
+// Methods between entry VMs.
+const (
+	methodExchange = "vm.exchange"
+	methodAdapter  = "placement.adapter"
+)
+
+// office is the bank of the term that this VM leads.
+type office struct {
+	mutex sync.Mutex
+	bank  *quota.Bank
+	fence uint64
+}
+
+// exchangeLoop tells the leader news and draws tokens until ctx ends.
+func (v *VM) exchangeLoop(ctx context.Context) <-chan error {
+	end := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			v.exchange(ctx)
+			sleep(ctx, urgentInterval)
+			timer := time.NewTimer(exchangeInterval - urgentInterval)
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+			case <-v.purse.Urgent():
+			}
+			timer.Stop()
+		}
+		end <- nil
+	}()
+	return end
+}
+
+// exchange tells the leader, or another VM when there is none, and takes in the reply.
+func (v *VM) exchange(ctx context.Context) {
+	now := time.Now()
+	message := kumquathitch.Exchange{
+		From: v.site.Name, Version: v.current.Version(), Demand: v.demand.Local(now),
+		Revision: v.follower.at(), WithoutKV: v.follower.away(now), Suspects: v.guard.News(),
+	}
+	address, self := v.partner(message.WithoutKV)
+	if address == "" && !self {
+		return
+	}
+	message.Draw, message.Return = v.purse.Wants(now)
+	var reply kumquathitch.ExchangeReply
+	if self {
+		reply, _ = v.receive(ctx, message)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		err := v.peers.Call(ctx, address, methodExchange, message, &reply)
+		cancel()
+		if err != nil {
+			v.guard.Untell(message.Suspects)
+			v.log.Info("exchange failed", zap.String("peer", address), zap.Error(err))
+			return
+		}
+	}
+	v.take(&reply)
+}
+
+// partner returns the address to exchange with, or self when this VM leads.
+func (v *VM) partner(away bool) (address string, self bool) {
+	if _, leading := v.candidate.Leading(); leading {
+		return "", true
+	}
+	leader, known := v.candidate.Leader()
+	if known && leader.Name != v.site.Name && (!away || rand.IntN(2) == 0) { //nolint:gosec // Nothing depends on secrecy.
+		return leader.Address, false
+	}
+	if !away {
+		return "", false
+	}
+	// Without the store the leader may have changed; any VM knows more.
+	addresses := append([]string{}, v.site.Seeds...)
+	for _, m := range v.follower.memberList() {
+		addresses = append(addresses, m.Address)
+	}
+	for range addresses {
+		if address = addresses[rand.IntN(len(addresses))]; address != v.site.PeerAddress { //nolint:gosec // Nothing depends on secrecy.
+			return address, false
+		}
+	}
+	return "", false
+}
+
+// take takes in the reply to an exchange.
+func (v *VM) take(reply *kumquathitch.ExchangeReply) {
+	now := time.Now()
+	v.purse.Receive(reply, now)
+	v.guard.Hear("", reply.Suspects, now)
+	if reply.Members > 0 {
+		v.budget.SetMembers(reply.Members)
+	}
+	if len(reply.Deployment) > 0 {
+		v.applyDeployment(reply.Deployment, "peer")
+	}
+	if len(reply.Instances) > 0 {
+		v.follower.adopt(reply.Instances, reply.Revision)
+	}
+}
+
+// receive answers an exchange of another VM, or of this one.
+func (v *VM) receive(_ context.Context, message kumquathitch.Exchange) (kumquathitch.ExchangeReply, error) {
+	now := time.Now()
+	v.guard.Hear(message.From, message.Suspects, now)
+	var reply kumquathitch.ExchangeReply
+	if bank := v.bank(now); bank != nil {
+		if view := v.current.View(); view != nil {
+			reply = bank.Exchange(&message, view.Deployment.Tenants, now)
+		}
+		if message.From != v.site.Name {
+			v.demand.Report(message.From, message.Demand, now)
+		}
+	}
+	reply.Suspects = v.guard.All(message.From, now)
+	document, version := v.current.Document()
+	reply.Version = version
+	if version > message.Version {
+		reply.Deployment = document
+	}
+	if message.WithoutKV && !v.follower.away(now) {
+		reply.Instances, reply.Revision = v.follower.entries(), v.follower.at()
+	}
+	return reply, nil
+}
+
+// bank returns the bank of the present term, or nil when this VM does not lead.
+func (v *VM) bank(now time.Time) *quota.Bank {
+	t, leading := v.candidate.Leading()
+	v.office.mutex.Lock()
+	defer v.office.mutex.Unlock()
+	if !leading {
+		v.office.bank = nil
+		return nil
+	}
+	if v.office.bank == nil || v.office.fence != t.Fence {
+		v.office.bank, v.office.fence = quota.NewBank(t.IsFirst && v.site.Bootstrap, now), t.Fence
+		var names []string
+		for _, m := range v.follower.memberList() {
+			names = append(names, m.Name)
+		}
+		v.office.bank.Expect(names, now)
+	}
+	return v.office.bank
+}
+
+// FindAdapter asks the leader for an adapter that no instance is known to hold.
+func (v *VM) FindAdapter(ctx context.Context, want kumquathitch.AdapterWant) bool {
+	var place kumquathitch.AdapterPlace
+	if _, leading := v.candidate.Leading(); leading {
+		place, _ = v.placeAdapter(ctx, want)
+	} else {
+		leader, known := v.candidate.Leader()
+		if !known || leader.Name == v.site.Name {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(ctx, adapterTimeout)
+		defer cancel()
+		if err := v.peers.Call(ctx, leader.Address, methodAdapter, want, &place); err != nil {
+			v.log.Info("adapter not placed", zap.String("leader", leader.Name), zap.Error(err))
+			return false
+		}
+	}
+	for _, id := range place.Instances {
+		v.fleet.Hold(id, want.Model, want.Adapter)
+	}
+	return len(place.Instances) > 0
+}
+
+func (v *VM) placeAdapter(ctx context.Context, want kumquathitch.AdapterWant) (kumquathitch.AdapterPlace, error) {
+	view := v.current.View()
+	if _, ok := v.mayOrder(); !ok || view == nil {
+		return kumquathitch.AdapterPlace{}, nil
+	}
+	service := view.Deployment.Services.Find(want.Service)
+	if service == nil || service.Engine == nil {
+		return kumquathitch.AdapterPlace{}, nil
+	}
+	return kumquathitch.AdapterPlace{Instances: v.owner.Adapter(ctx, service, want, v.fleet.Instances())}, nil
+}
+
+// peerServer answers the calls of other entry VMs.
+func (v *VM) peerServer() *peer.Server {
+	server := peer.NewServer(v.tracing)
+	peer.Handle(server, methodExchange, v.receive)
+	peer.Handle(server, methodAdapter, v.placeAdapter)
+	return server
+}
+
+// applyDeployment puts a configuration in force when its version is higher.
+func (v *VM) applyDeployment(document []byte, source string) {
+	decoded, err := v.site.Codec.DecodeDeployment(document)
+	if err != nil {
+		v.log.Error("configuration refused, the last good one stays in force",
+			zap.String("source", source), zap.Uint64("in-force", v.current.Version()), zap.Error(err))
+		return
+	}
+	if v.current.Apply(decoded, document) {
+		v.log.Info("configuration in force", zap.Uint64("version", decoded.Version), zap.String("source", source),
+			zap.Int("routes", len(decoded.Routes)), zap.Int("accounts", len(decoded.Tenants)))
+	}
+}
+
+func (v *VM) setMembers(count int) {
+	v.purse.SetMembers(count)
+	v.budget.SetMembers(count)
+}
--- /dev/null
+++ b/vm/vm.go
@@ -0,0 +1,186 @@
+// Package vm runs one entry VM on a platform: it serves callers, follows the
+// platform's store, keeps in touch with the other entry VMs, and gives orders
+// to engines while it is the leader.
+//
+// # Usage
+//
+//	site, err := platform.ReadSite()
+//	if err != nil {
+//		return err
+//	}
+//	v, err := vm.New(site, logger, tracing)
+//	if err != nil {
+//		return err
+//	}
+//	return v.Run(ctx) // Until ctx ends; then callers are served to their end.
+//
+// # Parts
+//
+// The follower takes the operator's configuration and the list of instances
+// from one watch of the store. The exchange tells the leader the demand and
+// draws tokens, and gets news of other VMs back; while the store does not
+// answer this VM, it brings configuration and instances as well. Each of these
+// is a goroutine that reports its end on a channel that Run reads.
+package vm
+
+import (
+	"context"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/deployment"
+	"kumquathitch.example/kumquathitch/fleet"
+	"kumquathitch.example/kumquathitch/model"
+	"kumquathitch.example/kumquathitch/peer"
+	"kumquathitch.example/kumquathitch/placement"
+	"kumquathitch.example/kumquathitch/quota"
+	"kumquathitch.example/kumquathitch/relay"
+	"kumquathitch.example/kumquathitch/retry"
+	"kumquathitch.example/kumquathitch/telemetry"
+	"kumquathitch.example/kumquathitch/term"
+)
+
+const (
+	// demandMemory is short, so that a load is ordered within seconds of a shift of demand.
+	demandMemory = 4 * time.Second
+	// planInterval is the pause between two plans of the leader.
+	planInterval = 250 * time.Millisecond
+	// housekeepingInterval is the pause between closings of idle connections.
+	housekeepingInterval = 2 * time.Second
+	// memoryPart is the part of the VM's memory at which the collector works harder.
+	memoryPart = 0.7
+	// collectorPercent lets the small heap of a VM double twice between collections.
+	collectorPercent = 200
+)
+
+// VM is one entry VM.
+type VM struct {
+	site    kumquathitch.Site
+	clock   kumquathitch.Clock
+	log     *zap.Logger
+	set     *metrics.Set
+	tracing *telemetry.Tracing
+
+	current   *deployment.Current
+	fleet     *fleet.Fleet
+	purse     *quota.Purse
+	budget    *retry.Budget
+	guard     *retry.Guard
+	demand    *model.Demand
+	candidate *term.Candidate
+	owner     *placement.Owner
+	peers     *peer.Client
+	follower  *follower
+	office    office
+	handler   *relay.Handler
+	closing   atomic.Bool
+}
+
+// New builds an entry VM.
+func New(site kumquathitch.Site, log *zap.Logger, tracing *telemetry.Tracing) *VM {
+	if site.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(site.MemoryBytes)))
+	}
+	debug.SetGCPercent(collectorPercent)
+	system := clock.NewSystem()
+	v := &VM{
+		site: site, clock: system, log: log, set: metrics.NewSet(), tracing: tracing,
+		current: deployment.NewCurrent(),
+		fleet:   fleet.NewFleet(site.DataCentre),
+		purse:   quota.NewPurse(clock.Monotonic{}, site.Bootstrap),
+		budget:  retry.NewBudget(retry.Limits{Ratio: site.RetryRatio, Slack: site.RetrySlack, Window: site.RetryWindow}),
+		guard:   retry.NewGuard(),
+		demand:  model.NewDemandOver(demandMemory),
+		peers:   peer.NewClient(tracing),
+	}
+	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre}
+	v.candidate = term.NewCandidate(site.Store, system, member, site.LeaseTTL, log)
+	v.owner = placement.NewOwner(site.Control, site.Name, v.mayOrder, clock.Monotonic{}, log, v.set)
+	v.follower = newFollower(v)
+	counts := relay.NewMetrics(v.set)
+	v.handler = &relay.Handler{
+		Dialect: site.Dialect, Current: v.current, Chooser: v.fleet, Purse: v.purse, Retries: v.budget,
+		Crashes: v.guard, Adapters: v, Demand: v.demand, Clock: clock.Monotonic{}, Log: log,
+		Tracer: tracing.Tracer, Metrics: counts, Pool: relay.NewPool(counts), Closing: v.closing.Load,
+	}
+	return v
+}
+
+// mayOrder tells whether this VM may give orders to engines now.
+func (v *VM) mayOrder() (uint64, bool) {
+	t, ok := v.candidate.Held()
+	return t.Fence, ok
+}
+
+// Run serves until ctx ends, and then until the callers' requests have ended or
+// the grace of the site is nearly over.
+func (v *VM) Run(ctx context.Context) error {
+	v.log.Info("starting", zap.String("vm", v.site.Name), zap.String("data-centre", v.site.DataCentre),
+		zap.Bool("bootstrap", v.site.Bootstrap), zap.String("callers", v.site.CallerAddress), zap.String("peers", v.site.PeerAddress))
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	// A VM that shuts down gives up its duties at once, and follows the store to the end.
+	onDuty, leave := context.WithCancel(working)
+	defer leave()
+	servers, err := v.listen(working)
+	if err != nil {
+		return err
+	}
+	ends := []<-chan error{
+		v.candidate.Run(onDuty),
+		v.follower.run(working),
+		v.every(onDuty, planInterval, v.plan),
+		v.every(working, housekeepingInterval, func(context.Context) { v.handler.Pool.Expire(time.Now()) }),
+		v.exchangeLoop(working),
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-servers.failed:
+		v.log.Error("listener failed", zap.Error(err))
+	}
+	v.closing.Store(true)
+	v.log.Info("stopping", zap.Duration("grace", v.site.Grace))
+	leave()
+	servers.drain(v.site.Grace)
+	stop()
+	for _, end := range ends {
+		<-end
+	}
+	v.peers.Close()
+	v.log.Info("stopped")
+	return err
+}
+
+// every calls a function at an interval until ctx ends.
+func (v *VM) every(ctx context.Context, interval time.Duration, call func(ctx context.Context)) <-chan error {
+	end := make(chan error, 1)
+	go func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				end <- nil
+				return
+			case <-ticker.C:
+				call(ctx)
+			}
+		}
+	}()
+	return end
+}
+
+// plan lets the leader give orders.
+func (v *VM) plan(ctx context.Context) {
+	view := v.current.View()
+	if _, ok := v.mayOrder(); !ok || view == nil {
+		return
+	}
+	v.owner.Tick(ctx, view.Deployment.Services, v.fleet.Instances(), v.demand.Total(time.Now()))
+}
