Ask engines for their count of orders, and keep a stock for each account

Cause: the field seq of a server's entry counts heartbeats, not orders, so that every order conflicted; a purse without stock refused the first calls of an account; a call whose deadline closed its connection was promised as not run.

--- a/instance.go
+++ b/instance.go
@@ -19,7 +19,6 @@
 	Started    time.Time // Tells two starts under one id apart.
 	Models     Residents
 	Cached     []string // Models whose weights load from the instance's own memory or disk.
-	Orders     uint64   // Orders accepted since the start.
 	Revision   uint64   // Of the description in the store.
 }
 
--- a/placement/holding.go
+++ b/placement/holding.go
@@ -33,7 +33,6 @@
 type openOrder struct {
 	action   Action
 	accepted bool
-	number   uint64 // Of the order, when it was accepted.
 	expected uint64
 	until    time.Time
 }
@@ -41,10 +40,9 @@
 // describe takes in the instance's description.
 func (h *holding) describe(instance kumquathitch.Instance, now time.Time) {
 	if !h.instance.SameStart(&instance) {
-		*h = holding{}
+		*h = holding{unsure: true}
 	}
 	h.instance = instance
-	h.orders = max(h.orders, instance.Orders)
 	h.open = slices.DeleteFunc(h.open, func(o openOrder) bool { return h.settled(&o, now) })
 }
 
@@ -54,16 +52,13 @@
 		return true
 	}
 	shown := h.instance.Models.Holds(o.action.Model, o.action.Adapter) != o.action.Unload
-	if o.accepted {
-		return shown && h.instance.Orders >= o.number
-	}
-	// An order in doubt holds only while no other one has been accepted.
-	return h.instance.Orders > o.expected && (shown || h.instance.Orders > o.expected+1)
+	// An order in doubt can show its effect before it is known to be accepted.
+	return shown && (o.accepted || h.orders > o.expected)
 }
 
 // engine returns what the plan needs to know.
 func (h *holding) engine(class *kumquathitch.EngineClass, now time.Time) Engine {
-	e := Engine{Instance: h.instance, Busy: now.Before(h.pausedTo) || h.unsure}
+	e := Engine{Instance: h.instance, Busy: now.Before(h.pausedTo)}
 	for _, r := range h.instance.Models {
 		e.Models = append(e.Models, kumquathitch.Resident{Name: r.Name, Version: r.Version, Adapters: slices.Clone(r.Adapters)})
 	}
@@ -103,9 +98,10 @@
 	switch outcome {
 	case kumquathitch.OrderAccepted:
 		h.orders = max(h.orders, expected+1)
+		// An order in doubt that expected the same count did not come first, and holds no more.
+		h.open = slices.DeleteFunc(h.open, func(o openOrder) bool { return !o.accepted && o.expected <= expected })
 		h.open = append(h.open, openOrder{
-			action: action, accepted: true, number: expected + 1, expected: expected,
-			until: now.Add(settleTime + slowdown*load),
+			action: action, accepted: true, expected: expected, until: now.Add(settleTime + slowdown*load),
 		})
 	case kumquathitch.OrderHolds:
 		h.unsure = true // The answer does not say whether the order was counted.
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -146,7 +146,7 @@
 	defer s.mutex.Unlock()
 	h := s.holdings[id]
 	if h == nil {
-		h = &holding{}
+		h = &holding{unsure: true}
 		s.holdings[id] = h
 	}
 	use(h)
--- a/quota/purse.go
+++ b/quota/purse.go
@@ -7,7 +7,7 @@
 //
 //	purse := quota.NewPurse(clock, bootstrap)
 //	err := purse.Spend(ctx, tenant, 1460, clock.Now().Add(100*time.Millisecond))
-//	draw, returned := purse.Wants(now) // Sent to the leader in an exchange,
+//	draw, returned := purse.Wants(tenants, now) // Sent to the leader in an exchange,
 //	purse.Receive(reply, now)          // whose reply carries the tokens.
 //
 // All purses together hold no more than the bank issued. A purse that has not
@@ -34,8 +34,9 @@
 	stockTime = 1200 * time.Millisecond
 	// excessTime is how much of its demand a purse keeps before it returns tokens.
 	excessTime = 3 * time.Second
-	// leastStock is the tokens kept for an account that is asked for rarely, in calls.
-	leastStock = 1.5
+	// leastStock is the part of an account's burst that all purses together keep
+	// in stock for the first calls of an account.
+	leastStock = 0.2
 	// BankSilence is the time after the last reply of a bank from which a purse
 	// issues its VM's part itself. A bank holds that part back for VMs that it
 	// has not heard from for as long.
@@ -73,7 +74,6 @@
 	demand  float64 // Tokens per second.
 	counted time.Time
 	waiting float64 // Tokens of calls that wait.
-	mean    float64 // Tokens of a call.
 	dryTo   time.Time
 	change  chan struct{} // Closed when tokens come, or are refused.
 }
@@ -134,15 +134,10 @@
 	s := p.shard(tenant.Name)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	held := s.stock(tenant, now)
-	if held.counted.IsZero() {
-		held.counted = now
-		held.level = p.startLevel(tenant)
-	}
+	held := p.stock(s, tenant, now)
 	held.advance(now, own)
 	if arrived {
 		held.demand += tokens / demandMemory.Seconds()
-		held.mean += 0.2 * (tokens - held.mean)
 	}
 	if held.level >= tokens || (own > 0 && held.level > 0) {
 		held.level -= tokens
@@ -197,27 +192,38 @@
 
 // Wants returns the tokens to draw, and those given back, by account. The
 // latter are out of the purse when it returns.
-func (p *Purse) Wants(now time.Time) (draw, returned map[string]float64) {
+func (p *Purse) Wants(tenants kumquathitch.Tenants, now time.Time) (draw, returned map[string]float64) {
 	draw, returned = map[string]float64{}, map[string]float64{}
-	for i := range p.shards {
-		s := &p.shards[i]
+	members := float64(p.memberCount())
+	for i := range tenants {
+		tenant := &tenants[i]
+		if !tenant.Limited {
+			continue
+		}
+		s := p.shard(tenant.Name)
 		s.mutex.Lock()
-		for name, held := range s.accounts {
-			held.advance(now, 0)
-			want := max(leastStock*held.mean, held.demand*stockTime.Seconds()) + held.waiting
-			switch excess := held.level - max(2*leastStock*held.mean, held.demand*excessTime.Seconds()); {
-			case held.level < want:
-				draw[name] = math.Ceil(want - held.level)
-			case excess > held.mean:
-				held.level -= excess
-				returned[name] = excess
-			}
+		held := p.stock(s, tenant, now)
+		held.advance(now, 0)
+		least := leastStock * tenant.Burst / members
+		want := max(least, held.demand*stockTime.Seconds()) + held.waiting
+		excess := held.level - max(2*least, held.demand*excessTime.Seconds())
+		if held.level < want {
+			draw[tenant.Name] = math.Ceil(want - held.level)
+		} else if excess > least {
+			held.level -= excess
+			returned[tenant.Name] = excess
 		}
 		s.mutex.Unlock()
 	}
 	return draw, returned
 }
 
+func (p *Purse) memberCount() int {
+	p.bank.mutex.Lock()
+	defer p.bank.mutex.Unlock()
+	return max(1, p.bank.members)
+}
+
 // Receive takes in the reply of another VM. Only the leader's issues tokens.
 func (p *Purse) Receive(reply *kumquathitch.ExchangeReply, now time.Time) {
 	p.bank.mutex.Lock()
@@ -260,11 +266,12 @@
 	return &p.shards[kumquathitch.ShardOf(account, shardCount)]
 }
 
-// stock returns the stock of an account, with the newest rate. The caller holds the lock.
-func (s *purseShard) stock(tenant *kumquathitch.Tenant, now time.Time) *stock {
+// stock returns the stock of an account, with the newest rate. The caller
+// holds the lock of the shard.
+func (p *Purse) stock(s *purseShard, tenant *kumquathitch.Tenant, now time.Time) *stock {
 	held := s.accounts[tenant.Name]
 	if held == nil {
-		held = &stock{change: make(chan struct{}), dryTo: now}
+		held = &stock{change: make(chan struct{}), dryTo: now, counted: now, level: p.startLevel(tenant)}
 		s.accounts[tenant.Name] = held
 	}
 	held.tenant = *tenant
--- a/relay/job.go
+++ b/relay/job.go
@@ -154,7 +154,7 @@
 		return nil
 	}
 	tokens := float64(j.call.Tokens(j.tenant.PlainTokens))
-	until := j.received.Add(min(longestRateWait, j.want.Objective/refusalWindow))
+	until := j.received.Add(max(leastRateWait, min(longestRateWait, j.want.Objective/refusalWindow)))
 	if err := j.Purse.Spend(j.request.Context(), j.tenant, tokens, until); err != nil {
 		return asRefusal(err)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,8 @@
 	refusalWindow = 8
 	// longestRateWait bounds the wait for tokens of an account.
 	longestRateWait = 250 * time.Millisecond
+	// leastRateWait is enough for one exchange with the leader.
+	leastRateWait = 50 * time.Millisecond
 	// dialLimit is the time for a connection to an instance. Connections inside
 	// a region open in milliseconds, and a lost first packet is repeated after a second.
 	dialLimit = 400 * time.Millisecond
--- a/relay/send.go
+++ b/relay/send.go
@@ -222,6 +222,8 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return x.broken(kumquathitch.SendSilent, end)
+	case x.expired(): // The deadline, or the caller's leaving, closed the connection.
+		return x.broken(kumquathitch.SendCancelled, end)
 	case x.connection.reused && x.connection.reader.Buffered() == 0 && isClosed(err):
 		// The instance dropped a kept connection; a call that may run once may still have run.
 		end.ran = x.route.Kind == kumquathitch.RunOnce
@@ -230,6 +232,10 @@
 	return x.broken(kumquathitch.SendBroken, end)
 }
 
+func (x *exchange) expired() bool {
+	return x.left() || !x.Clock.Now().Before(x.deadline)
+}
+
 func isClosed(err error) bool {
 	var operation *net.OpError
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &operation)
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -17,7 +17,7 @@
 	// exchangeInterval is the pause between two exchanges with the leader.
 	exchangeInterval = 500 * time.Millisecond
 	// urgentInterval is the least pause when calls wait for tokens.
-	urgentInterval = 25 * time.Millisecond
+	urgentInterval = 10 * time.Millisecond
 	// exchangeTimeout bounds one call of a peer, which answers in milliseconds.
 	exchangeTimeout = 600 * time.Millisecond
 	// adapterTimeout bounds the call for an adapter, which waits for the order.
@@ -68,7 +68,9 @@
 	if address == "" && !self {
 		return
 	}
-	message.Draw, message.Return = v.purse.Wants(now)
+	if view := v.current.View(); view != nil {
+		message.Draw, message.Return = v.purse.Wants(view.Deployment.Tenants, now)
+	}
 	var reply kumquathitch.ExchangeReply
 	if self {
 		reply, _ = v.receive(ctx, message)
