Believe an engine's answers until its description can be newer

Cause: descriptions of engines are up to some seconds old; a description from before an order made room that was taken, and three engines crashed from too many adapters. Adapters noted at the fleet had leaked into the plan as well. Change: the leader keeps its own belief of each engine, from answers and reports; an order without an answer is given again with the same expected count before anything else; streams over their objective or pause are logged.

--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -117,7 +117,7 @@
 			return found, false
 		}
 	}
-	if m.instance.Leaving || (want.Adapter != "" && !m.instance.Models.Holds(want.Model, want.Adapter)) {
+	if m.instance.Leaving || (want.Adapter != "" && !m.holds(want.Model, want.Adapter, now)) {
 		return found, false
 	}
 	load, slots := m.load(now), float64(max(1, m.instance.Slots))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -110,13 +110,13 @@
 }
 
 // Hold notes that an instance holds an adapter, before its description says so.
-func (f *Fleet) Hold(id, model, adapter string) {
+func (f *Fleet) Hold(id, model, adapter string, now time.Time) {
 	s := f.shard(id)
 	s.mutex.RLock()
 	m := s.members[id]
 	s.mutex.RUnlock()
 	if m != nil {
-		m.hold(model, adapter)
+		m.hold(model+"/"+adapter, now.Add(placedTime))
 	}
 }
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
+	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +29,9 @@
 	// that of its service before it is left alone. Services answer some calls
 	// with failures of their own.
 	failureExcess = 0.3
+	// placedTime is how long an adapter counts as there that was ordered and is
+	// not in the description yet: descriptions come about once a second.
+	placedTime = 4 * time.Second
 	// learningWeight is the weight of one answer in the moving times.
 	learningWeight = 0.2
 	// startRate is the prompt tokens read in a millisecond that an engine is
@@ -61,6 +64,7 @@
 	trial    bool // A trial is under way.
 	busyTo   time.Time
 
+	placed  map[string]time.Time // Adapters not yet listed, and until when that counts.
 	prompts promptCache
 }
 
@@ -77,6 +81,7 @@
 	m.reported, m.rate, m.latency = 0, startRate, startLatency
 	m.failures, m.broken, m.pauses = 0, 0, 0
 	m.pausedTo, m.busyTo = time.Time{}, time.Time{}
+	m.placed = map[string]time.Time{}
 	m.prompts = newPromptCache()
 }
 
@@ -100,21 +105,23 @@
 			m.prompts.drop(r.Name)
 		}
 	}
+	maps.DeleteFunc(m.placed, func(_ string, until time.Time) bool { return !now.Before(until) })
 	m.instance, m.seen = instance, now
 	return before, true
 }
 
-// hold adds an adapter to the description.
-func (m *member) hold(model, adapter string) {
+// hold notes an adapter that the description does not list yet. The
+// description itself stays as the instance gave it: orders are planned by it.
+func (m *member) hold(target string, until time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.instance.Models.Holds(model, adapter) {
-		return
-	}
-	m.instance.Models = slices.Clone(m.instance.Models)
-	if r := m.instance.Models.Find(model); r != nil {
-		r.Adapters = append(slices.Clone(r.Adapters), adapter)
-	}
+	m.placed[target] = until
+}
+
+// holds reports whether a model, and its adapter unless that is empty, are
+// there. The caller holds the lock.
+func (m *member) holds(model, adapter string, now time.Time) bool {
+	return m.instance.Models.Holds(model, adapter) || now.Before(m.placed[model+"/"+adapter])
 }
 
 func (m *member) retire() []group {
--- a/placement/adapters.go
+++ b/placement/adapters.go
@@ -49,7 +49,7 @@
 func (p *adapterPlanner) holders(model string) []int {
 	var held []int
 	for i := range p.engines {
-		if p.engines[i].Instance.Models.Holds(model, "") && p.engines[i].Models.Holds(model, "") {
+		if e := &p.engines[i]; e.Loading != model && e.Models.Holds(model, "") {
 			held = append(held, i)
 		}
 	}
--- a/placement/holding.go
+++ b/placement/holding.go
@@ -8,62 +8,92 @@
 )
 
 const (
-	// doubtTime is how long an order without an answer may still be carried out.
-	doubtTime = 15 * time.Second
-	// settleTime is how long an accepted order may take before its effect shows
-	// in the instance's description, beyond the time of the load itself.
+	// quietTime is how long after an order a description may still be from
+	// before it: instances describe themselves about once a second, and the
+	// store's news takes a moment.
+	quietTime = 4 * time.Second
+	// reportLag is how old an instance's own report may be.
+	reportLag = 700 * time.Millisecond
+	// settleTime is how long an accepted order for a model may take beyond the
+	// time of the load itself before its effect shows.
 	settleTime = 6 * time.Second
 	// slowdown is how much longer a load may take while many run.
 	slowdown = 4
-	// conflictPause is the wait after an instance refused an order because
-	// another one is under way.
-	conflictPause = 700 * time.Millisecond
+	// conflictPause is the wait after an instance refused an order: its report,
+	// which tells the count of orders, is some hundred milliseconds old.
+	conflictPause = 400 * time.Millisecond
 )
 
-// holding is what may be in the memory of one instance.
+// holding is what the leader believes an instance to hold. Right after an
+// order its answer says more than the instance's description; after a quiet
+// time the description says more.
 type holding struct {
 	instance kumquathitch.Instance
-	orders   uint64 // Orders accepted, by the last word of the instance or of its answers.
-	open     []openOrder
+	models   kumquathitch.Residents
+	orders   uint64 // Orders accepted.
+	unsure   bool   // The count of orders, and the models, have to be asked for.
+	pending  *openOrder
+	doubt    *openOrder // An order without an answer: nothing else is ordered until it is settled.
+	ordered  time.Time  // When the last order was answered.
 	pausedTo time.Time
-	unsure   bool // The count of orders has to be asked for.
 }
 
 // openOrder is an order whose effect has not shown yet.
 type openOrder struct {
 	action   Action
-	accepted bool
 	expected uint64
+	revision uint64 // Of the description when the order was given.
 	until    time.Time
 }
 
 // describe takes in the instance's description.
 func (h *holding) describe(instance kumquathitch.Instance, now time.Time) {
 	if !h.instance.SameStart(&instance) {
-		*h = holding{unsure: true}
+		*h = holding{instance: instance, models: cloneResidents(instance.Models), unsure: true}
+		return
 	}
 	h.instance = instance
-	h.open = slices.DeleteFunc(h.open, func(o openOrder) bool { return h.settled(&o, now) })
+	if p := h.pending; p != nil {
+		shown := instance.Revision > p.revision && instance.Models.Holds(p.action.Model, "") != p.action.Unload
+		if shown || !now.Before(p.until) {
+			h.unsure = h.unsure || !shown
+			h.pending = nil
+			h.set(p.action.Model, "", !p.action.Unload)
+		}
+	}
+	if h.pending == nil && h.doubt == nil && now.Sub(h.ordered) > quietTime {
+		h.models = cloneResidents(instance.Models)
+	}
 }
 
-// settled reports whether an order's effect has shown, or can come no more.
-func (h *holding) settled(o *openOrder, now time.Time) bool {
-	if !now.Before(o.until) {
-		return true
+// set notes that a model or adapter is held, or is not.
+func (h *holding) set(model, adapter string, held bool) {
+	r := h.models.Find(model)
+	switch {
+	case adapter == "" && held && r == nil:
+		h.models = append(h.models, kumquathitch.Resident{Name: model})
+	case adapter == "" && !held:
+		h.models = slices.DeleteFunc(h.models, func(r kumquathitch.Resident) bool { return r.Name == model })
+	case adapter != "" && r != nil && held && !slices.Contains(r.Adapters, adapter):
+		r.Adapters = append(r.Adapters, adapter)
+	case adapter != "" && r != nil && !held:
+		r.Adapters = slices.DeleteFunc(r.Adapters, func(name string) bool { return name == adapter })
 	}
-	shown := h.instance.Models.Holds(o.action.Model, o.action.Adapter) != o.action.Unload
-	// An order in doubt can show its effect before it is known to be accepted.
-	return shown && (o.accepted || h.orders > o.expected)
 }
 
-// engine returns what the plan needs to know.
+// engine returns what the plan needs to know. A model that is being unloaded
+// still counts as memory.
 func (h *holding) engine(class *kumquathitch.EngineClass, now time.Time) Engine {
-	e := Engine{Instance: h.instance, Busy: now.Before(h.pausedTo)}
-	for _, r := range h.instance.Models {
-		e.Models = append(e.Models, kumquathitch.Resident{Name: r.Name, Version: r.Version, Adapters: slices.Clone(r.Adapters)})
+	e := Engine{Instance: h.instance, Models: cloneResidents(h.models)}
+	e.Busy = now.Before(h.pausedTo) || h.pending != nil || h.doubt != nil
+	if e.Busy {
+		e.InFlight = adaptersInTransit
 	}
-	for i := range h.open {
-		e.count(&h.open[i])
+	for _, open := range []*openOrder{h.pending, h.doubt} {
+		if open != nil && !open.action.Unload && open.action.Adapter == "" && !e.Models.Holds(open.action.Model, "") {
+			e.Models = append(e.Models, kumquathitch.Resident{Name: open.action.Model})
+			e.Loading = open.action.Model
+		}
 	}
 	for _, r := range e.Models {
 		if m := class.Models.Find(r.Name); m != nil {
@@ -74,45 +104,29 @@
 	return e
 }
 
-// count adds what an open order may make resident. What an open unload may
-// have removed still counts as memory.
-func (e *Engine) count(o *openOrder) {
-	if o.action.Adapter == "" {
-		e.Busy = true
-		if !o.action.Unload && !e.Models.Holds(o.action.Model, "") {
-			e.Models = append(e.Models, kumquathitch.Resident{Name: o.action.Model})
-		}
-		return
-	}
-	e.InFlight++
-	if o.action.Unload {
-		return
-	}
-	if r := e.Models.Find(o.action.Model); r != nil && !slices.Contains(r.Adapters, o.action.Adapter) {
-		r.Adapters = append(r.Adapters, o.action.Adapter)
-	}
-}
-
 // answered takes in the outcome of an order.
 func (h *holding) answered(action Action, expected uint64, outcome kumquathitch.OrderOutcome, load time.Duration, now time.Time) {
+	open := &openOrder{action: action, expected: expected, revision: h.instance.Revision, until: now.Add(settleTime + slowdown*load)}
 	switch outcome {
 	case kumquathitch.OrderAccepted:
-		h.orders = max(h.orders, expected+1)
-		// An order in doubt that expected the same count did not come first, and holds no more.
-		h.open = slices.DeleteFunc(h.open, func(o openOrder) bool { return !o.accepted && o.expected <= expected })
-		h.open = append(h.open, openOrder{
-			action: action, accepted: true, expected: expected, until: now.Add(settleTime + slowdown*load),
-		})
+		// An order in doubt that expected the same count is void now.
+		h.orders, h.doubt, h.ordered = expected+1, nil, now
+		if action.Adapter == "" {
+			h.pending = open
+		} else {
+			h.set(action.Model, action.Adapter, !action.Unload)
+		}
 	case kumquathitch.OrderHolds:
-		h.unsure = true // The answer does not say whether the order was counted.
-		if action.Adapter != "" {
-			h.open = append(h.open, openOrder{action: action, accepted: true, expected: expected, until: now.Add(settleTime)})
+		h.ordered = now
+		if action.Unload && action.Adapter != "" {
+			h.orders = expected + 1 // The unload of an adapter is over at once, and counted.
 		}
+		h.set(action.Model, action.Adapter, !action.Unload)
 	case kumquathitch.OrderUnknown:
-		h.open = append(h.open, openOrder{action: action, expected: expected, until: now.Add(doubtTime)})
-		h.unsure = true
+		h.doubt, h.ordered = open, now
+		h.pausedTo = now.Add(conflictPause)
 	case kumquathitch.OrderConflict:
-		h.unsure = true
+		h.orders, h.unsure = 0, true
 		h.pausedTo = now.Add(conflictPause)
 	default:
 		h.pausedTo = now.Add(conflictPause)
@@ -121,9 +135,21 @@
 
 // reported takes in the instance's own report.
 func (h *holding) reported(state kumquathitch.EngineState, now time.Time) {
-	h.unsure = false
-	h.orders = max(h.orders, state.Orders)
-	if state.Busy {
+	if state.Busy || now.Sub(h.ordered) < reportLag {
 		h.pausedTo = now.Add(conflictPause)
+		return
+	}
+	h.unsure, h.orders = false, state.Orders
+	h.models = cloneResidents(state.Models)
+	if h.doubt != nil && state.Orders > h.doubt.expected {
+		h.doubt = nil // It was carried out, or another order was, and it is void.
+	}
+}
+
+func cloneResidents(models kumquathitch.Residents) kumquathitch.Residents {
+	cloned := slices.Clone(models)
+	for i := range cloned {
+		cloned[i].Adapters = slices.Clone(cloned[i].Adapters)
 	}
+	return cloned
 }
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,9 @@
 	// adapterSettle is how long a call waits for an adapter that was just
 	// ordered. An adapter is fetched in some milliseconds.
 	adapterSettle = 30 * time.Millisecond
+	// adapterTries bounds the orders for one adapter: a place may have to be
+	// freed first, and a count of orders may be old.
+	adapterTries = 4
 	// ordersAtOnce bounds the instances that get orders at the same time.
 	ordersAtOnce = 32
 )
@@ -34,6 +38,7 @@
 	clock   kumquathitch.Clock
 	log     *zap.Logger
 	orders  *metrics.Counter
+	fence   atomic.Uint64 // Of the term that the holdings are from.
 	shards  [shardCount]ownerShard
 	store   weightStore
 }
@@ -70,10 +75,12 @@
 // Tick plans for the engines of all services and gives the orders. Demand is
 // in tokens per second by service, a slash, and model or adapter.
 func (o *Owner) Tick(ctx context.Context, services kumquathitch.Services, instances kumquathitch.Instances, demand map[string]float64) {
-	if _, ok := o.may(); !ok {
+	fence, ok := o.may()
+	if !ok {
 		return
 	}
 	now := o.clock.Now()
+	o.begin(fence)
 	o.describe(instances, now)
 	for i := range services {
 		s := &services[i]
@@ -87,6 +94,7 @@
 		byModel, byAdapter := split(demand, s.Name)
 		actions := Plan(s.Engine, engines, byModel, o.store.allowed(s, now))
 		engines = withPlanned(engines, actions)
+		actions = append(actions, o.doubtful(s, instances)...)
 		actions = append(actions, PlanAdapters(s.Engine, engines, byAdapter)...)
 		o.carryOut(ctx, s, actions)
 	}
@@ -121,6 +129,37 @@
 	return byModel, byAdapter
 }
 
+// begin forgets the beliefs of an earlier term: other leaders gave orders since.
+func (o *Owner) begin(fence uint64) {
+	if o.fence.Swap(fence) == fence {
+		return
+	}
+	for i := range o.shards {
+		s := &o.shards[i]
+		s.mutex.Lock()
+		clear(s.holdings)
+		s.mutex.Unlock()
+	}
+}
+
+// doubtful returns the orders without an answer, to be given again: an order
+// that expects the same count can take effect only once.
+func (o *Owner) doubtful(s *kumquathitch.Service, instances kumquathitch.Instances) []Action {
+	var again []Action
+	now := o.clock.Now()
+	for _, instance := range instances {
+		if instance.Service != s.Name || instance.Leaving {
+			continue
+		}
+		o.with(instance.ID, func(h *holding) {
+			if h.doubt != nil && !now.Before(h.pausedTo) {
+				again = append(again, h.doubt.action)
+			}
+		})
+	}
+	return again
+}
+
 // describe takes in the descriptions, and forgets instances that are gone.
 func (o *Owner) describe(instances kumquathitch.Instances, now time.Time) {
 	listed := make(map[string]bool, len(instances))
@@ -175,7 +214,7 @@
 		go func() {
 			defer func() { <-slots; ended <- struct{}{} }()
 			for _, a := range list {
-				if o.order(ctx, s, a) != kumquathitch.OrderAccepted {
+				if outcome := o.order(ctx, s, a); outcome != kumquathitch.OrderAccepted && outcome != kumquathitch.OrderHolds {
 					return
 				}
 			}
@@ -190,7 +229,12 @@
 func (o *Owner) order(ctx context.Context, s *kumquathitch.Service, a Action) kumquathitch.OrderOutcome {
 	var expected uint64
 	var unsure bool
-	o.with(a.Instance.ID, func(h *holding) { expected, unsure = h.orders, h.unsure })
+	o.with(a.Instance.ID, func(h *holding) {
+		expected, unsure = h.orders, h.unsure
+		if h.doubt != nil {
+			expected = h.doubt.expected
+		}
+	})
 	if unsure && !o.ask(ctx, a.Instance, &expected) {
 		return kumquathitch.OrderUnsent
 	}
@@ -227,11 +271,12 @@
 		o.with(instance.ID, func(h *holding) { h.pausedTo = now.Add(conflictPause) })
 		return false
 	}
+	sure := false
 	o.with(instance.ID, func(h *holding) {
 		h.reported(state, now)
-		*expected = h.orders
+		sure, *expected = !h.unsure && h.doubt == nil, h.orders
 	})
-	return !state.Busy
+	return sure
 }
 
 // Adapter places an adapter that is nowhere, and returns the instances that
@@ -244,27 +289,18 @@
 		return held
 	}
 	demand := map[string]float64{want.Model + "/" + want.Adapter: wantedDemand}
-	p := &adapterPlanner{class: s.Engine, engines: engines, demand: demand}
-	holders := p.holders(want.Model)
-	for range 2 { // A place may have to be freed first.
-		action, ok := p.place(holders, want.Model, want.Adapter)
+	for range adapterTries {
+		p := &adapterPlanner{class: s.Engine, engines: o.engines(s, instances, o.clock.Now()), demand: demand}
+		action, ok := p.place(p.holders(want.Model), want.Model, want.Adapter)
 		if !ok {
 			return nil
 		}
 		outcome := o.order(ctx, s, action)
-		if outcome != kumquathitch.OrderAccepted && outcome != kumquathitch.OrderHolds {
-			return nil
-		}
-		if !action.Unload {
+		placed := outcome == kumquathitch.OrderAccepted || outcome == kumquathitch.OrderHolds
+		if placed && !action.Unload {
 			pause(ctx, adapterSettle)
 			return []string{action.Instance.ID}
 		}
-		for i := range p.engines {
-			if p.engines[i].Instance.ID == action.Instance.ID {
-				p.engines[i].Adapters--
-				p.engines[i].InFlight = 0
-			}
-		}
 	}
 	return nil
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,6 +37,7 @@
 type Engine struct {
 	Instance kumquathitch.Instance
 	Models   kumquathitch.Residents // Resident, or being loaded.
+	Loading  string                 // The model that is being loaded.
 	UsedMB   float64                // By everything that may become resident.
 	Busy     bool                   // An order for a model is under way or in doubt.
 	Adapters int                    // Adapter places that may be taken.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,8 +34,9 @@
 // streamState is what the caller has of a stream.
 type streamState struct {
 	last    string // Id of the last event passed on, or of the one that the caller named.
-	resumed bool
 	passed  bool // An event was passed on.
+	arrived time.Time
+	longest time.Duration // Between two events.
 }
 
 // resumeAt returns the event after which an instance goes on, empty when it
@@ -65,6 +66,7 @@
 	}
 	if err == nil {
 		x.reusable = !x.response.Close
+		x.noteSlow()
 		x.Metrics.answered(x.response.StatusCode, "")
 		x.Metrics.Whole.Update(x.Clock.Now().Sub(x.received).Seconds())
 		return x.result(kumquathitch.SendAnswered), sendEnd{reached: true, ran: true, done: true}
@@ -77,6 +79,17 @@
 	return x.broken(x.callerOr(ctx, outcome), sendEnd{reached: true, ran: true, cause: err})
 }
 
+// noteSlow logs a stream that missed its objective or its longest pause.
+func (x *exchange) noteSlow() {
+	first := x.first.Sub(x.received)
+	if first <= x.want.Objective && (x.route.GapLimit <= 0 || x.stream.longest <= x.route.GapLimit) {
+		return
+	}
+	x.Log.Info("stream slow", append(x.fields(), zap.Duration("first", first), zap.Duration("longest-pause", x.stream.longest),
+		zap.String("instance", x.choice.Instance.ID), zap.Duration("expected", x.choice.Expected), zap.Int64("tokens", x.call.PromptTokens),
+		zap.Int64("to-read", x.choice.Missing), zap.Int("running", x.reply.Load.Running), zap.Int("waiting", x.reply.Load.Waiting))...)
+}
+
 // copyEvents passes on whole events until the stream ends. It returns the
 // bytes of an event that was not whole.
 func (x *exchange) copyEvents() ([]byte, error) {
@@ -117,7 +130,11 @@
 	if err := control.Flush(); err != nil {
 		return err
 	}
-	x.stream.passed = true
+	now := x.Clock.Now()
+	if x.stream.passed {
+		x.stream.longest = max(x.stream.longest, now.Sub(x.stream.arrived))
+	}
+	x.stream.passed, x.stream.arrived = true, now
 	if x.route.Kind != kumquathitch.RunResume {
 		return nil
 	}
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -191,7 +191,7 @@
 		}
 	}
 	for _, id := range place.Instances {
-		v.fleet.Hold(id, want.Model, want.Adapter)
+		v.fleet.Hold(id, want.Model, want.Adapter, time.Now())
 	}
 	return len(place.Instances) > 0
 }
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -22,7 +22,7 @@
 	followWait = 2 * time.Second
 	// followPause lets several changes come in one answer: each answer is a
 	// call that is paid for, and descriptions of engines change often.
-	followPause = 120 * time.Millisecond
+	followPause = 450 * time.Millisecond
 	// followRetry is the pause after a failed call.
 	followRetry = 250 * time.Millisecond
 	// outageAfter is how long the store may be silent before it counts as away.
