Give one order at a time to each engine, and follow changes in their order

Cause: a call for an adapter and the plan ordered at the same time and passed the adapter places; adapters on their way were taken for free places; removals were followed after later writes, so that a leader stayed unseen for good.

--- a/instance.go
+++ b/instance.go
@@ -88,7 +88,7 @@
 	Orders  uint64
 	Busy    bool
 	Started time.Time
-	Models  Residents
+	Models  Residents // With the adapters that are on their way.
 }
 
 // EngineControl carries orders to instances. Implementations are safe for concurrent use.
--- a/keyspace.go
+++ b/keyspace.go
@@ -20,11 +20,16 @@
 	Revision uint64
 }
 
+// KeyChange is an item as it was written, or the key and revision of a removal.
+type KeyChange struct {
+	KeyItem
+	Removed bool
+}
+
 // KeyChanges are the changes after a revision.
 type KeyChanges struct {
-	Written  []KeyItem // In order of revisions.
-	Removed  []KeyItem // Key and Revision only.
-	Revision uint64    // Continue from here.
+	Changes  []KeyChange // In order of revisions.
+	Revision uint64      // Continue from here.
 }
 
 // KeyWrite is a set of writes that happen together, when all conditions hold, or not at all.
--- a/placement/adapters.go
+++ b/placement/adapters.go
@@ -129,7 +129,7 @@
 			for _, other := range r.Adapters {
 				copies := p.count(p.holders(r.Name), r.Name, other)
 				cost := p.demand[r.Name+"/"+other] / float64(copies)
-				if copies == 1 && cost >= quietDemand {
+				if (copies == 1 && cost >= quietDemand) || e.Fresh[r.Name+"/"+other] {
 					continue
 				}
 				if cost < least {
--- a/placement/holding.go
+++ b/placement/holding.go
@@ -22,6 +22,9 @@
 	// conflictPause is the wait after an instance refused an order: its report,
 	// which tells the count of orders, is some hundred milliseconds old.
 	conflictPause = 400 * time.Millisecond
+	// freshTime keeps an adapter that was just ordered: it may still be on its
+	// way, and the call that asked for it comes first.
+	freshTime = 4 * time.Second
 )
 
 // holding is what the leader believes an instance to hold. Right after an
@@ -36,6 +39,8 @@
 	doubt    *openOrder // An order without an answer: nothing else is ordered until it is settled.
 	ordered  time.Time  // When the last order was answered.
 	pausedTo time.Time
+	busy     bool                 // An order is on its way.
+	fresh    map[string]time.Time // Adapters ordered lately, and until when that counts.
 }
 
 // openOrder is an order whose effect has not shown yet.
@@ -85,7 +90,15 @@
 // still counts as memory.
 func (h *holding) engine(class *kumquathitch.EngineClass, now time.Time) Engine {
 	e := Engine{Instance: h.instance, Models: cloneResidents(h.models)}
-	e.Busy = now.Before(h.pausedTo) || h.pending != nil || h.doubt != nil
+	e.Busy = now.Before(h.pausedTo) || h.pending != nil || h.doubt != nil || h.busy
+	e.Fresh = map[string]bool{}
+	for target, until := range h.fresh {
+		if now.Before(until) {
+			e.Fresh[target] = true
+		} else {
+			delete(h.fresh, target)
+		}
+	}
 	if e.Busy {
 		e.InFlight = adaptersInTransit
 	}
@@ -115,6 +128,7 @@
 			h.pending = open
 		} else {
 			h.set(action.Model, action.Adapter, !action.Unload)
+			h.refresh(action, now)
 		}
 	case kumquathitch.OrderHolds:
 		h.ordered = now
@@ -133,6 +147,36 @@
 	}
 }
 
+func (h *holding) refresh(action Action, now time.Time) {
+	if h.fresh == nil {
+		h.fresh = map[string]time.Time{}
+	}
+	if !action.Unload {
+		h.fresh[action.Model+"/"+action.Adapter] = now.Add(freshTime)
+	}
+}
+
+// allows reports whether an order can be given: the memory and the adapter
+// places that it needs are free by the present belief, and no other order is
+// open. An order in doubt may be given again.
+func (h *holding) allows(class *kumquathitch.EngineClass, a Action, now time.Time) bool {
+	if h.doubt != nil {
+		return h.doubt.action.Model == a.Model && h.doubt.action.Adapter == a.Adapter && h.doubt.action.Unload == a.Unload
+	}
+	if h.pending != nil {
+		return false
+	}
+	if a.Unload {
+		return h.models.Holds(a.Model, a.Adapter)
+	}
+	e := h.engine(class, now)
+	if a.Adapter != "" {
+		return e.Models.Holds(a.Model, "") && e.Adapters < class.AdapterSlots
+	}
+	m := class.Models.Find(a.Model)
+	return m != nil && !e.Models.Holds(a.Model, "") && e.UsedMB+m.MemoryMB+adapterReserve(class) <= class.MemoryMB
+}
+
 // reported takes in the instance's own report.
 func (h *holding) reported(state kumquathitch.EngineState, now time.Time) {
 	if state.Busy || now.Sub(h.ordered) < reportLag {
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -23,6 +23,8 @@
 	// adapterTries bounds the orders for one adapter: a place may have to be
 	// freed first, and a count of orders may be old.
 	adapterTries = 4
+	// adapterRetry is the wait while another order to the instance is open.
+	adapterRetry = 15 * time.Millisecond
 	// ordersAtOnce bounds the instances that get orders at the same time.
 	ordersAtOnce = 32
 )
@@ -225,25 +227,35 @@
 	}
 }
 
-// order gives one order, unless this VM may not.
+// order gives one order, unless this VM may not, or another order to the
+// instance is open.
 func (o *Owner) order(ctx context.Context, s *kumquathitch.Service, a Action) kumquathitch.OrderOutcome {
 	var expected uint64
-	var unsure bool
+	var unsure, free bool
 	o.with(a.Instance.ID, func(h *holding) {
-		expected, unsure = h.orders, h.unsure
-		if h.doubt != nil {
-			expected = h.doubt.expected
+		if free = !h.busy; free {
+			h.busy, unsure = true, h.unsure
 		}
 	})
-	if unsure && !o.ask(ctx, a.Instance, &expected) {
+	if !free {
+		return kumquathitch.OrderUnsent
+	}
+	defer o.with(a.Instance.ID, func(h *holding) { h.busy = false })
+	if unsure && !o.ask(ctx, a.Instance) {
 		return kumquathitch.OrderUnsent
 	}
+	allowed := false
+	o.with(a.Instance.ID, func(h *holding) {
+		allowed, expected = h.allows(s.Engine, a, o.clock.Now()), h.orders
+		if h.doubt != nil {
+			expected = h.doubt.expected
+		}
+	})
 	fence, ok := o.may()
-	if !ok {
+	if !allowed || !ok {
 		return kumquathitch.OrderUnsent
 	}
-	counted := a.Counted && !a.Unload && a.Adapter == ""
-	if counted && !o.store.take(s, o.clock.Now()) {
+	if a.Counted && !o.store.take(s, o.clock.Now()) {
 		return kumquathitch.OrderUnsent
 	}
 	outcome, err := o.control.Order(ctx, kumquathitch.EngineOrder{
@@ -262,8 +274,9 @@
 	return outcome
 }
 
-// ask gets an instance's count of orders.
-func (o *Owner) ask(ctx context.Context, instance kumquathitch.Instance, expected *uint64) bool {
+// ask gets an instance's count of orders and what it holds, and reports
+// whether orders can be given by it.
+func (o *Owner) ask(ctx context.Context, instance kumquathitch.Instance) bool {
 	state, err := o.control.State(ctx, instance.Address)
 	now := o.clock.Now()
 	if err != nil {
@@ -274,7 +287,7 @@
 	sure := false
 	o.with(instance.ID, func(h *holding) {
 		h.reported(state, now)
-		sure, *expected = !h.unsure && h.doubt == nil, h.orders
+		sure = !h.unsure
 	})
 	return sure
 }
@@ -296,6 +309,9 @@
 			return nil
 		}
 		outcome := o.order(ctx, s, action)
+		if outcome == kumquathitch.OrderUnsent {
+			pause(ctx, adapterRetry)
+		}
 		placed := outcome == kumquathitch.OrderAccepted || outcome == kumquathitch.OrderHolds
 		if placed && !action.Unload {
 			pause(ctx, adapterSettle)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,6 +29,13 @@
 	demandedReplicas = 2
 	// adapterSpread is the same for adapters.
 	adapterSpread = 1.3
+	// spareReplicas is the number of replicas of a model that nobody asks for,
+	// where there is free memory for them: demand moves faster than loads.
+	spareReplicas = 2
+	// fetchLoss is added to what an unload costs where the model that gets the
+	// room would come from the weight store, in tokens per second: that takes
+	// seconds longer than a copy that the engine has.
+	fetchLoss = 2000.0
 	// quietDemand is the tokens per second below which a model counts as not asked for.
 	quietDemand = 1.0
 )
@@ -42,6 +49,7 @@
 	Busy     bool                   // An order for a model is under way or in doubt.
 	Adapters int                    // Adapter places that may be taken.
 	InFlight int                    // Adapter orders under way.
+	Fresh    map[string]bool        // Adapters ordered lately, which stay.
 }
 
 // Engines is a list of engines.
@@ -63,10 +71,13 @@
 func Plan(class *kumquathitch.EngineClass, engines Engines, demand map[string]float64, loads int) []Action {
 	p := newPlanner(class, engines, demand)
 	var actions []Action
-	for range len(engines) {
+	for range 2 * len(engines) {
 		model := p.neediest()
 		if model == nil {
-			break
+			if !p.spare() {
+				break
+			}
+			continue
 		}
 		action, ok := p.place(model, loads > 0)
 		if !ok {
@@ -90,6 +101,7 @@
 	targets  map[string]int
 	given    map[string]bool // Models that found no place.
 	reserve  float64         // MB for adapters on each engine.
+	sparing  bool            // Only free memory is filled from now on.
 }
 
 func newPlanner(class *kumquathitch.EngineClass, engines Engines, demand map[string]float64) *planner {
@@ -97,14 +109,10 @@
 		class: class, engines: slices.Clone(engines), demand: demand,
 		replicas: map[string]int{}, targets: map[string]int{}, given: map[string]bool{},
 	}
-	largest := 0.0
 	for _, m := range class.Models {
 		p.total += demand[m.Name]
-		if m.Adapters > 0 {
-			largest = max(largest, m.AdapterMB)
-		}
 	}
-	p.reserve = largest * float64(class.AdapterSlots)
+	p.reserve = adapterReserve(class)
 	for _, e := range engines {
 		for _, r := range e.Models {
 			p.replicas[r.Name]++
@@ -116,6 +124,17 @@
 	return p
 }
 
+// adapterReserve is the memory that is kept for adapters on each engine, in MB.
+func adapterReserve(class *kumquathitch.EngineClass) float64 {
+	largest := 0.0
+	for _, m := range class.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return largest * float64(class.AdapterSlots)
+}
+
 // target returns the number of replicas that a model should have.
 func (p *planner) target(model string) int {
 	if p.demand[model] < quietDemand || p.total <= 0 {
@@ -125,6 +144,18 @@
 	return min(len(p.engines), max(demandedReplicas, int(math.Ceil(part*float64(len(p.engines))*spread))))
 }
 
+// spare raises the targets to fill free memory. It reports false when it did before.
+func (p *planner) spare() bool {
+	if p.sparing {
+		return false
+	}
+	p.sparing = true
+	for _, m := range p.class.Models {
+		p.targets[m.Name] = max(p.targets[m.Name], min(spareReplicas, len(p.engines)))
+	}
+	return true
+}
+
 // neediest returns the model that lacks replicas and loses most by it.
 func (p *planner) neediest() *kumquathitch.ModelClass {
 	var best *kumquathitch.ModelClass
@@ -176,7 +207,7 @@
 			Reason: "replicas below target",
 		}, true
 	}
-	if room {
+	if room || p.sparing {
 		return Action{}, false
 	}
 	return p.evict(m)
@@ -219,6 +250,9 @@
 			if !allowed || e.UsedMB-size+m.MemoryMB+p.reserve > p.class.MemoryMB {
 				continue
 			}
+			if !slices.Contains(e.Instance.Cached, m.Name) {
+				loss += fetchLoss
+			}
 			if loss < least {
 				best, victim, least = i, r.Name, loss
 			}
--- a/quota/purse.go
+++ b/quota/purse.go
@@ -37,6 +37,11 @@
 	// leastStock is the part of an account's burst that all purses together keep
 	// in stock for the first calls of an account.
 	leastStock = 0.2
+	// shortestRetry and longestRetry bound the time after which a refused caller
+	// is asked to come back, in seconds. It grows with the overload: who comes
+	// back early is refused again.
+	shortestRetry = 0.3
+	longestRetry  = 5.0
 	// BankSilence is the time after the last reply of a bank from which a purse
 	// issues its VM's part itself. A bank holds that part back for VMs that it
 	// has not heard from for as long.
@@ -144,8 +149,8 @@
 		return nil, true, now
 	}
 	if !now.Before(until) || now.Before(held.dryTo) {
-		wait := (tokens - held.level) / max(1, tenant.Rate*max(own, 0.1))
-		return nil, false, now.Add(time.Duration(min(2, max(0.2, wait)) * float64(time.Second)))
+		overload := held.demand * float64(p.memberCount()) / max(1, tenant.Rate)
+		return nil, false, now.Add(time.Duration(min(longestRetry, max(shortestRetry, overload)) * float64(time.Second)))
 	}
 	held.waiting += tokens
 	return held.change, false, now
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,7 +34,7 @@
 // streamState is what the caller has of a stream.
 type streamState struct {
 	last    string // Id of the last event passed on, or of the one that the caller named.
-	passed  bool // An event was passed on.
+	passed  bool   // An event was passed on.
 	arrived time.Time
 	longest time.Duration // Between two events.
 }
--- a/site.go
+++ b/site.go
@@ -16,7 +16,12 @@
 
 	MemoryBytes int64
 	Grace       time.Duration // From the signal to shut down to the end of the process by force.
-	LeaseTTL    time.Duration
+	DrainLag    time.Duration // Within which an instance that leaves gets no more calls.
+
+	// TurnTime is how long two leaders may not take turns with orders.
+	// ChecksFences tells that instances refuse orders of an earlier leader.
+	TurnTime     time.Duration
+	ChecksFences bool
 
 	RetryRatio  float64 // Further sends for each call of a service, over all VMs.
 	RetrySlack  float64 // Further sends besides, in a window.
--- a/term/term.go
+++ b/term/term.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c := term.NewCandidate(keyspace, clock, member, 3*time.Second, log)
+//	c := term.NewCandidate(keyspace, clock, member, term.Rules{TTL: 1500*time.Millisecond, TurnTime: 3*time.Second}, log)
 //	end := c.Run(ctx)          // Reports its end when ctx is cancelled.
 //	c.Observe(item)            // Changes of the leader's record, from a watch.
 //	if t, ok := c.Held(); ok { // Checked before each action that must not overlap.
@@ -60,12 +60,19 @@
 	IsFirst bool      // No leader came before.
 }
 
+// Rules say how long a lease lasts, and how long a new leader waits after the
+// lease of another one before it gives orders.
+type Rules struct {
+	TTL      time.Duration
+	TurnTime time.Duration
+}
+
 // Candidate is this VM as a member and as a possible leader. It is safe for concurrent use.
 type Candidate struct {
 	store  kumquathitch.Keyspace
 	clock  kumquathitch.Clock
 	member kumquathitch.Member
-	ttl    time.Duration
+	rules  Rules
 	log    *zap.Logger
 	vacant chan struct{}
 
@@ -76,8 +83,8 @@
 }
 
 // NewCandidate returns a candidate that does nothing until Run.
-func NewCandidate(store kumquathitch.Keyspace, clock kumquathitch.Clock, member kumquathitch.Member, ttl time.Duration, log *zap.Logger) *Candidate {
-	return &Candidate{store: store, clock: clock, member: member, ttl: ttl, log: log, vacant: make(chan struct{}, 1)}
+func NewCandidate(store kumquathitch.Keyspace, clock kumquathitch.Clock, member kumquathitch.Member, rules Rules, log *zap.Logger) *Candidate {
+	return &Candidate{store: store, clock: clock, member: member, rules: rules, log: log, vacant: make(chan struct{}, 1)}
 }
 
 // Observe takes in a change of the leader's record: Revision 0 for its removal.
@@ -143,7 +150,7 @@
 
 // hold registers the member under a fresh lease and renews it until it is lost.
 func (c *Candidate) hold(ctx context.Context) error {
-	lease, err := c.store.Grant(ctx, c.ttl)
+	lease, err := c.store.Grant(ctx, c.rules.TTL)
 	if err != nil {
 		return err
 	}
@@ -268,13 +275,13 @@
 	}
 }
 
-// lead begins a term. After another leader it waits until the lease of that
-// one is over by any clock, since an order of it may still be on its way.
+// lead begins a term. After another leader it waits, since an order of that one
+// may still be on its way.
 func (c *Candidate) lead(record, last kumquathitch.KeyItem, ends time.Time) {
 	now := c.clock.Now()
 	t := Term{Fence: record.Revision, Begins: now, Ends: ends, IsFirst: last.Revision == 0}
 	if last.Revision != 0 && string(last.Value) != c.member.Name {
-		t.Begins = now.Add(c.ttl)
+		t.Begins = now.Add(c.rules.TurnTime)
 	}
 	c.mutex.Lock()
 	c.leader, c.term = record, &t
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -20,13 +20,15 @@
 	// followWait bounds one watch. A connection can go silent without an end,
 	// and the platform grants three seconds until its bounds hold again.
 	followWait = 2 * time.Second
-	// followPause lets several changes come in one answer: each answer is a
-	// call that is paid for, and descriptions of engines change often.
-	followPause = 450 * time.Millisecond
+	// followParts is the part of the time for a leaving instance that is waited
+	// after changes, so that several come in one answer: each answer is a call
+	// that is paid for, and descriptions of engines change often.
+	followParts = 3
 	// followRetry is the pause after a failed call.
 	followRetry = 250 * time.Millisecond
-	// outageAfter is how long the store may be silent before it counts as away.
-	outageAfter = 2500 * time.Millisecond
+	// outageAfter is how long the store may be silent before it counts as away:
+	// longer than a watch without changes and the pause after one with changes.
+	outageAfter = 3300 * time.Millisecond
 	// returnTime is given to instances whose entries lapsed during an outage:
 	// they write again within two seconds of the store's return.
 	returnTime = 2200 * time.Millisecond
@@ -85,15 +87,16 @@
 		return err
 	}
 	f.hear(time.Now())
-	for _, item := range changes.Written {
-		f.put(item)
-	}
-	for _, item := range changes.Removed {
-		f.remove(item.Key)
+	for _, change := range changes.Changes {
+		if change.Removed {
+			f.remove(change.Key)
+		} else {
+			f.put(change.KeyItem)
+		}
 	}
 	f.setRevision(changes.Revision)
-	if len(changes.Written)+len(changes.Removed) > 0 {
-		sleep(ctx, followPause)
+	if len(changes.Changes) > 0 {
+		sleep(ctx, f.vm.site.DrainLag/followParts)
 	}
 	return nil
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -48,7 +48,13 @@
 
 const (
 	// demandMemory is short, so that a load is ordered within seconds of a shift of demand.
-	demandMemory = 4 * time.Second
+	demandMemory = 3 * time.Second
+	// leaseTTL is the time after which the duties of a lost VM pass on. Renewals
+	// come every half second, and a slow store takes a quarter of a second.
+	leaseTTL = 1500 * time.Millisecond
+	// fencedTurnTime is the wait of a new leader where instances refuse orders
+	// of an earlier one: its fence alone keeps them apart.
+	fencedTurnTime = 300 * time.Millisecond
 	// planInterval is the pause between two plans of the leader.
 	planInterval = 250 * time.Millisecond
 	// housekeepingInterval is the pause between closings of idle connections.
@@ -100,7 +106,11 @@
 		peers:   peer.NewClient(tracing),
 	}
 	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre}
-	v.candidate = term.NewCandidate(site.Store, system, member, site.LeaseTTL, log)
+	rules := term.Rules{TTL: leaseTTL, TurnTime: site.TurnTime}
+	if site.ChecksFences {
+		rules.TurnTime = fencedTurnTime
+	}
+	v.candidate = term.NewCandidate(site.Store, system, member, rules, log)
 	v.owner = placement.NewOwner(site.Control, site.Name, v.mayOrder, clock.Monotonic{}, log, v.set)
 	v.follower = newFollower(v)
 	counts := relay.NewMetrics(v.set)
