--- a/placement/adapters.go
+++ b/placement/adapters.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -104,6 +105,11 @@
 func (e *Engine) hold(model, adapter string) {
 	e.Adapters++
 	e.InFlight++
+	e.Fresh = maps.Clone(e.Fresh)
+	if e.Fresh == nil {
+		e.Fresh = map[string]bool{}
+	}
+	e.Fresh[model+"/"+adapter] = true
 	e.Models = slices.Clone(e.Models)
 	for i := range e.Models {
 		if e.Models[i].Name == model {
--- a/placement/holding.go
+++ b/placement/holding.go
@@ -35,6 +35,9 @@
 	models   kumquathitch.Residents
 	orders   uint64 // Orders accepted.
 	unsure   bool   // The count of orders, and the models, have to be asked for.
+	report   *kumquathitch.EngineState
+	asked    time.Time // When the report came.
+	seen     time.Time // When the instance was last listed.
 	pending  *openOrder
 	doubt    *openOrder // An order without an answer: nothing else is ordered until it is settled.
 	ordered  time.Time  // When the last order was answered.
@@ -54,10 +57,10 @@
 // describe takes in the instance's description.
 func (h *holding) describe(instance kumquathitch.Instance, now time.Time) {
 	if !h.instance.SameStart(&instance) {
-		*h = holding{instance: instance, models: cloneResidents(instance.Models), unsure: true}
+		*h = holding{instance: instance, models: cloneResidents(instance.Models), unsure: true, seen: now}
 		return
 	}
-	h.instance = instance
+	h.instance, h.seen = instance, now
 	if p := h.pending; p != nil {
 		shown := instance.Revision > p.revision && instance.Models.Holds(p.action.Model, "") != p.action.Unload
 		if shown || !now.Before(p.until) {
@@ -140,7 +143,7 @@
 		h.doubt, h.ordered = open, now
 		h.pausedTo = now.Add(conflictPause)
 	case kumquathitch.OrderConflict:
-		h.orders, h.unsure = 0, true
+		h.orders, h.unsure, h.report = 0, true, nil
 		h.pausedTo = now.Add(conflictPause)
 	default:
 		h.pausedTo = now.Add(conflictPause)
@@ -177,13 +180,25 @@
 	return m != nil && !e.Models.Holds(a.Model, "") && e.UsedMB+m.MemoryMB+adapterReserve(class) <= class.MemoryMB
 }
 
-// reported takes in the instance's own report.
+// reported takes in the instance's own report. What a report says of models is
+// older than what it says of orders under way, so that only the second of two
+// that agree is believed.
 func (h *holding) reported(state kumquathitch.EngineState, now time.Time) {
+	first, asked := h.report, h.asked
 	if state.Busy || now.Sub(h.ordered) < reportLag {
+		h.report = nil
 		h.pausedTo = now.Add(conflictPause)
 		return
 	}
-	h.unsure, h.orders = false, state.Orders
+	if first == nil || first.Orders != state.Orders {
+		h.report, h.asked = &state, now
+		h.pausedTo = now.Add(reportLag)
+		return
+	}
+	if now.Sub(asked) < reportLag {
+		return
+	}
+	h.report, h.unsure, h.orders = nil, false, state.Orders
 	h.models = cloneResidents(state.Models)
 	if h.doubt != nil && state.Orders > h.doubt.expected {
 		h.doubt = nil // It was carried out, or another order was, and it is void.
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 	// adapterSettle is how long a call waits for an adapter that was just
 	// ordered. An adapter is fetched in some milliseconds.
 	adapterSettle = 30 * time.Millisecond
+	// holdingMemory is how long the belief of an unlisted instance is kept.
+	holdingMemory = 2 * time.Minute
 	// adapterTries bounds the orders for one adapter: a place may have to be
 	// freed first, and a count of orders may be old.
 	adapterTries = 4
@@ -93,11 +96,11 @@
 		if len(engines) == 0 {
 			continue
 		}
-		byModel, byAdapter := split(demand, s.Name)
-		actions := Plan(s.Engine, engines, byModel, o.store.allowed(s, now))
+		asked := demandOf(demand, s.Name)
+		actions := Plan(s.Engine, engines, asked, o.store.allowed(s, now))
 		engines = withPlanned(engines, actions)
 		actions = append(actions, o.doubtful(s, instances)...)
-		actions = append(actions, PlanAdapters(s.Engine, engines, byAdapter)...)
+		actions = append(actions, PlanAdapters(s.Engine, engines, asked.Adapters)...)
 		o.carryOut(ctx, s, actions)
 	}
 }
@@ -114,21 +117,21 @@
 	return engines
 }
 
-// split divides the demand for a service into that by model and that by adapter.
-func split(demand map[string]float64, service string) (byModel, byAdapter map[string]float64) {
-	byModel, byAdapter = map[string]float64{}, map[string]float64{}
+// demandOf returns the part of the demand that is for a service.
+func demandOf(demand map[string]float64, service string) Demand {
+	d := Demand{Models: map[string]float64{}, Adapters: map[string]float64{}}
 	for name, tokens := range demand {
 		target, ok := strings.CutPrefix(name, service+"/")
 		if !ok {
 			continue
 		}
 		model, _, adapted := strings.Cut(target, "/")
-		byModel[model] += tokens
+		d.Models[model] += tokens
 		if adapted {
-			byAdapter[target] += tokens
+			d.Adapters[target] += tokens
 		}
 	}
-	return byModel, byAdapter
+	return d
 }
 
 // begin forgets the beliefs of an earlier term: other leaders gave orders since.
@@ -162,21 +165,16 @@
 	return again
 }
 
-// describe takes in the descriptions, and forgets instances that are gone.
+// describe takes in the descriptions, and forgets instances that are gone for
+// good: an entry can lapse while its instance is cut off from the store.
 func (o *Owner) describe(instances kumquathitch.Instances, now time.Time) {
-	listed := make(map[string]bool, len(instances))
 	for _, instance := range instances {
-		listed[instance.ID] = true
 		o.with(instance.ID, func(h *holding) { h.describe(instance, now) })
 	}
 	for i := range o.shards {
 		s := &o.shards[i]
 		s.mutex.Lock()
-		for id := range s.holdings {
-			if !listed[id] {
-				delete(s.holdings, id)
-			}
-		}
+		maps.DeleteFunc(s.holdings, func(_ string, h *holding) bool { return now.Sub(h.seen) > holdingMemory })
 		s.mutex.Unlock()
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,6 +16,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 
 	"kumquathitch.example/kumquathitch"
 )
@@ -55,6 +56,12 @@
 // Engines is a list of engines.
 type Engines []Engine
 
+// Demand is what is asked of a service, in tokens per second.
+type Demand struct {
+	Models   map[string]float64 // By model, with its adapters.
+	Adapters map[string]float64 // By model, a slash, and adapter.
+}
+
 // Action is an order that the plan asks for.
 type Action struct {
 	Instance kumquathitch.Instance
@@ -66,9 +73,8 @@
 }
 
 // Plan returns the orders for the models of a service, the most urgent first.
-// Demand is in tokens per second by model; loads is the number of loads from
-// the weight store that may begin now.
-func Plan(class *kumquathitch.EngineClass, engines Engines, demand map[string]float64, loads int) []Action {
+// Loads is the number of loads from the weight store that may begin now.
+func Plan(class *kumquathitch.EngineClass, engines Engines, demand Demand, loads int) []Action {
 	p := newPlanner(class, engines, demand)
 	var actions []Action
 	for range 2 * len(engines) {
@@ -97,6 +103,7 @@
 	engines  Engines
 	demand   map[string]float64
 	total    float64
+	adapters map[string]int // Adapters of a model that are asked for.
 	replicas map[string]int
 	targets  map[string]int
 	given    map[string]bool // Models that found no place.
@@ -104,13 +111,18 @@
 	sparing  bool            // Only free memory is filled from now on.
 }
 
-func newPlanner(class *kumquathitch.EngineClass, engines Engines, demand map[string]float64) *planner {
+func newPlanner(class *kumquathitch.EngineClass, engines Engines, demand Demand) *planner {
 	p := &planner{
-		class: class, engines: slices.Clone(engines), demand: demand,
+		class: class, engines: slices.Clone(engines), demand: demand.Models, adapters: map[string]int{},
 		replicas: map[string]int{}, targets: map[string]int{}, given: map[string]bool{},
 	}
 	for _, m := range class.Models {
-		p.total += demand[m.Name]
+		p.total += demand.Models[m.Name]
+	}
+	for target, tokens := range demand.Adapters {
+		if model, _, _ := strings.Cut(target, "/"); tokens >= quietDemand {
+			p.adapters[model]++
+		}
 	}
 	p.reserve = adapterReserve(class)
 	for _, e := range engines {
@@ -135,13 +147,19 @@
 	return largest * float64(class.AdapterSlots)
 }
 
-// target returns the number of replicas that a model should have.
+// target returns the number of replicas that a model should have: its part of
+// the demand, and places for the adapters that are asked for.
 func (p *planner) target(model string) int {
 	if p.demand[model] < quietDemand || p.total <= 0 {
 		return min(1, len(p.engines))
 	}
 	part := p.demand[model] / p.total
-	return min(len(p.engines), max(demandedReplicas, int(math.Ceil(part*float64(len(p.engines))*spread))))
+	byLoad := int(math.Ceil(part * float64(len(p.engines)) * spread))
+	byAdapters := 0
+	if p.class.AdapterSlots > 0 {
+		byAdapters = (p.adapters[model] + p.class.AdapterSlots - 1) / p.class.AdapterSlots
+	}
+	return min(len(p.engines), max(demandedReplicas, byLoad, byAdapters))
 }
 
 // spare raises the targets to fill free memory. It reports false when it did before.
