Plan moves of models by what they gain, with copies staged on disks

Cause: the plan filled memory with single replicas of models that nobody asks for, and demand that moved met one replica; a room made for one model was taken by another; engines stayed busy in the plan until a description came. Change: moves are weighed by the sum of squares of the engines' demand; a move keeps its room; engines are asked about orders that should be over; free loads stage copies; calls wait for a listed model that is nowhere.

--- a/deployment.go
+++ b/deployment.go
@@ -62,6 +62,7 @@
 	MemoryMB       float64 // For weights and adapters together.
 	AdapterSlots   int
 	LoadsPerSecond float64 // From the weight store, over all instances.
+	CopiesMB       float64 // Room for copies of weights on an instance's disk.
 	Models         ModelClasses
 }
 
--- a/placement/adapters.go
+++ b/placement/adapters.go
@@ -12,6 +12,13 @@
 // adapterOrders bounds the adapter orders of one plan.
 const adapterOrders = 24
 
+// Replicas of an adapter: at least adapterReplicas while it is asked for, so
+// that one instance can be lost, and adapterSpread times its part of the demand.
+const (
+	adapterReplicas = 2
+	adapterSpread   = 1.3
+)
+
 // adaptersInTransit is how many adapters may be on their way to one instance.
 const adaptersInTransit = 3 // Instances take four; one place is kept for a call that waits.
 
@@ -77,7 +84,7 @@
 	if own < quietDemand || total <= 0 {
 		return 1
 	}
-	return min(holders, max(demandedReplicas, int(math.Ceil(own/total*float64(holders)*adapterSpread))))
+	return min(holders, max(adapterReplicas, int(math.Ceil(own/total*float64(holders)*adapterSpread))))
 }
 
 // place returns the load of an adapter where a place is free, else the unload
--- a/placement/holding.go
+++ b/placement/holding.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,13 @@
 	// freshTime keeps an adapter that was just ordered: it may still be on its
 	// way, and the call that asked for it comes first.
 	freshTime = 4 * time.Second
+	// pollAfter is when an instance is first asked about an order for a model:
+	// unloads end with the last call, and loads from its own copy take a second.
+	pollAfter = 600 * time.Millisecond
+	// dwellTime is how long a model stays at least after its load.
+	dwellTime = 8 * time.Second
+	// moveTime is how long the load of a move is wanted after its unloads began.
+	moveTime = 8 * time.Second
 )
 
 // holding is what the leader believes an instance to hold. Right after an
@@ -39,9 +47,13 @@
 	asked    time.Time // When the report came.
 	seen     time.Time // When the instance was last listed.
 	pending  *openOrder
+	queue    []Action // The rest of a move, and until when it is wanted.
+	queueTo  time.Time
 	doubt    *openOrder // An order without an answer: nothing else is ordered until it is settled.
-	ordered  time.Time  // When the last order was answered.
+	ordered  time.Time  // When the last order or report was answered.
+	revision uint64     // Of the description at that time; an older one says less.
 	pausedTo time.Time
+	loaded   map[string]time.Time // Models, and when their load began.
 	busy     bool                 // An order is on its way.
 	fresh    map[string]time.Time // Adapters ordered lately, and until when that counts.
 }
@@ -69,7 +81,7 @@
 			h.set(p.action.Model, "", !p.action.Unload)
 		}
 	}
-	if h.pending == nil && h.doubt == nil && now.Sub(h.ordered) > quietTime {
+	if h.pending == nil && h.doubt == nil && now.Sub(h.ordered) > quietTime && instance.Revision > h.revision {
 		h.models = cloneResidents(instance.Models)
 	}
 }
@@ -93,7 +105,16 @@
 // still counts as memory.
 func (h *holding) engine(class *kumquathitch.EngineClass, now time.Time) Engine {
 	e := Engine{Instance: h.instance, Models: cloneResidents(h.models)}
-	e.Busy = now.Before(h.pausedTo) || h.pending != nil || h.doubt != nil || h.busy
+	if !now.Before(h.queueTo) {
+		h.queue = nil
+	}
+	e.Busy = now.Before(h.pausedTo) || h.pending != nil || h.doubt != nil || h.busy || len(h.queue) > 0
+	e.Young = map[string]bool{}
+	for model, since := range h.loaded {
+		if now.Sub(since) < dwellTime {
+			e.Young[model] = true
+		}
+	}
 	e.Fresh = map[string]bool{}
 	for target, until := range h.fresh {
 		if now.Before(until) {
@@ -111,6 +132,12 @@
 			e.Loading = open.action.Model
 		}
 	}
+	for _, next := range h.queue {
+		if !next.Unload && !e.Models.Holds(next.Model, "") {
+			e.Models = append(e.Models, kumquathitch.Resident{Name: next.Model})
+			e.Loading = next.Model
+		}
+	}
 	for _, r := range e.Models {
 		if m := class.Models.Find(r.Name); m != nil {
 			e.UsedMB += m.MemoryMB
@@ -122,13 +149,19 @@
 
 // answered takes in the outcome of an order.
 func (h *holding) answered(action Action, expected uint64, outcome kumquathitch.OrderOutcome, load time.Duration, now time.Time) {
+	h.revision = h.instance.Revision
 	open := &openOrder{action: action, expected: expected, revision: h.instance.Revision, until: now.Add(settleTime + slowdown*load)}
+	if len(h.queue) > 0 && (outcome == kumquathitch.OrderAccepted || outcome == kumquathitch.OrderHolds || outcome == kumquathitch.OrderUnknown) &&
+		h.queue[0].Model == action.Model && h.queue[0].Unload == action.Unload && action.Adapter == "" {
+		h.queue = h.queue[1:]
+	}
 	switch outcome {
 	case kumquathitch.OrderAccepted:
 		// An order in doubt that expected the same count is void now.
 		h.orders, h.doubt, h.ordered = expected+1, nil, now
 		if action.Adapter == "" {
 			h.pending = open
+			h.noteLoad(action, now)
 		} else {
 			h.set(action.Model, action.Adapter, !action.Unload)
 			h.refresh(action, now)
@@ -150,6 +183,25 @@
 	}
 }
 
+func (h *holding) noteLoad(action Action, now time.Time) {
+	if h.loaded == nil {
+		h.loaded = map[string]time.Time{}
+	}
+	maps.DeleteFunc(h.loaded, func(_ string, since time.Time) bool { return now.Sub(since) >= dwellTime })
+	if !action.Unload {
+		h.loaded[action.Model] = now
+	}
+}
+
+// wantsReport reports whether the instance should be asked what it holds: its
+// belief is unsure, or an order for a model should be over by now.
+func (h *holding) wantsReport(now time.Time) bool {
+	if h.busy || now.Before(h.pausedTo) {
+		return false
+	}
+	return h.unsure || (h.pending != nil && now.Sub(h.ordered) > pollAfter)
+}
+
 func (h *holding) refresh(action Action, now time.Time) {
 	if h.fresh == nil {
 		h.fresh = map[string]time.Time{}
@@ -172,7 +224,10 @@
 	if a.Unload {
 		return h.models.Holds(a.Model, a.Adapter)
 	}
+	queue := h.queue
+	h.queue = nil // A load out of the queue does not take its own room.
 	e := h.engine(class, now)
+	h.queue = queue
 	if a.Adapter != "" {
 		return e.Models.Holds(a.Model, "") && e.Adapters < class.AdapterSlots
 	}
@@ -185,6 +240,15 @@
 // that agree is believed.
 func (h *holding) reported(state kumquathitch.EngineState, now time.Time) {
 	first, asked := h.report, h.asked
+	if p := h.pending; p != nil {
+		if !state.Busy && state.Models.Holds(p.action.Model, "") != p.action.Unload {
+			h.pending = nil
+			h.set(p.action.Model, "", !p.action.Unload)
+		} else {
+			h.pausedTo = now.Add(conflictPause)
+		}
+		return
+	}
 	if state.Busy || now.Sub(h.ordered) < reportLag {
 		h.report = nil
 		h.pausedTo = now.Add(conflictPause)
@@ -199,6 +263,7 @@
 		return
 	}
 	h.report, h.unsure, h.orders = nil, false, state.Orders
+	h.ordered, h.revision = now, h.instance.Revision
 	h.models = cloneResidents(state.Models)
 	if h.doubt != nil && state.Orders > h.doubt.expected {
 		h.doubt = nil // It was carried out, or another order was, and it is void.
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +28,8 @@
 	// adapterTries bounds the orders for one adapter: a place may have to be
 	// freed first, and a count of orders may be old.
 	adapterTries = 4
+	// logInterval is the pause between two lines about the whole placement.
+	logInterval = 2 * time.Second
 	// adapterRetry is the wait while another order to the instance is open.
 	adapterRetry = 15 * time.Millisecond
 	// ordersAtOnce bounds the instances that get orders at the same time.
@@ -43,6 +47,7 @@
 	clock   kumquathitch.Clock
 	log     *zap.Logger
 	orders  *metrics.Counter
+	logged  atomic.Int64  // When the placement was logged, nanoseconds since 1970.
 	fence   atomic.Uint64 // Of the term that the holdings are from.
 	shards  [shardCount]ownerShard
 	store   weightStore
@@ -92,29 +97,117 @@
 		if s.Engine == nil {
 			continue
 		}
+		o.refresh(ctx, s, instances)
 		engines := o.engines(s, instances, now)
 		if len(engines) == 0 {
 			continue
 		}
 		asked := demandOf(demand, s.Name)
-		actions := Plan(s.Engine, engines, asked, o.store.allowed(s, now))
-		engines = withPlanned(engines, actions)
-		actions = append(actions, o.doubtful(s, instances)...)
-		actions = append(actions, PlanAdapters(s.Engine, engines, asked.Adapters)...)
+		o.logPlacement(s, engines, asked, now)
+		actions := append(o.doubtful(s, instances), o.queued(s, instances)...)
+		for _, move := range Plan(s.Engine, engines, asked, o.store.allowed(s, now)-o.promised(s, instances)) {
+			actions = append(actions, o.begins(move, now))
+		}
+		actions = append(actions, PlanAdapters(s.Engine, o.engines(s, instances, now), asked.Adapters)...)
 		o.carryOut(ctx, s, actions)
 	}
 }
 
-// withPlanned marks the engines that are about to lose a model.
-func withPlanned(engines Engines, actions []Action) Engines {
-	for _, a := range actions {
-		for i := range engines {
-			if engines[i].Instance.ID == a.Instance.ID {
-				engines[i].InFlight = adaptersInTransit // One kind of order at a time.
+// logPlacement writes, now and then, what the plan goes by.
+func (o *Owner) logPlacement(s *kumquathitch.Service, engines Engines, asked Demand, now time.Time) {
+	last := time.Unix(0, o.logged.Load())
+	if now.Sub(last) < logInterval || !o.logged.CompareAndSwap(last.UnixNano(), now.UnixNano()) {
+		return
+	}
+	p := newPlanner(s.Engine, engines, asked)
+	models := make([]string, 0, len(p.parts))
+	busy := 0
+	for i := range engines {
+		if engines[i].Busy {
+			busy++
+		}
+	}
+	for _, m := range p.neediest() {
+		models = append(models, fmt.Sprintf("%s:%.2f/%d", m.Name, p.parts[m.Name], len(p.holders[m.Name])))
+	}
+	o.log.Info("placement", zap.String("service", s.Name), zap.Int("engines", len(engines)), zap.Int("busy", busy),
+		zap.Int("loads-allowed", o.store.allowed(s, now)), zap.String("part-and-replicas", strings.Join(models, " ")))
+}
+
+// begins keeps the rest of a move for later and returns its first order.
+func (o *Owner) begins(move Move, now time.Time) Action {
+	steps := append(slices.Clone(move.Unloads), move.Load)
+	o.with(move.Load.Instance.ID, func(h *holding) { h.queue, h.queueTo = steps[1:], now.Add(moveTime) })
+	return steps[0]
+}
+
+// queued returns the next orders of moves under way.
+func (o *Owner) queued(s *kumquathitch.Service, instances kumquathitch.Instances) []Action {
+	var next []Action
+	now := o.clock.Now()
+	for _, instance := range instances {
+		if instance.Service != s.Name || instance.Leaving {
+			continue
+		}
+		o.with(instance.ID, func(h *holding) {
+			if len(h.queue) > 0 && h.pending == nil && h.doubt == nil && !now.Before(h.pausedTo) && now.Before(h.queueTo) {
+				next = append(next, h.queue[0])
 			}
+		})
+	}
+	return next
+}
+
+// refresh asks the instances whose belief is unsure, or whose orders should be
+// over, all at the same time.
+func (o *Owner) refresh(ctx context.Context, s *kumquathitch.Service, instances kumquathitch.Instances) {
+	now := o.clock.Now()
+	var asked kumquathitch.Instances
+	for _, instance := range instances {
+		if instance.Service == s.Name && !instance.Leaving {
+			o.with(instance.ID, func(h *holding) {
+				if h.wantsReport(now) {
+					asked = append(asked, instance)
+				}
+			})
 		}
 	}
-	return engines
+	o.together(len(asked), func(i int) { o.ask(ctx, asked[i]) })
+}
+
+// together calls a function for each number below count, some at a time, and
+// waits for all.
+func (o *Owner) together(count int, call func(i int)) {
+	ended := make(chan struct{}, count)
+	slots := make(chan struct{}, ordersAtOnce)
+	for i := range count {
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots; ended <- struct{}{} }()
+			call(i)
+		}()
+	}
+	for range count {
+		<-ended
+	}
+}
+
+// promised returns the loads from the weight store that moves under way still need.
+func (o *Owner) promised(s *kumquathitch.Service, instances kumquathitch.Instances) int {
+	loads := 0
+	for _, instance := range instances {
+		if instance.Service != s.Name {
+			continue
+		}
+		o.with(instance.ID, func(h *holding) {
+			for _, a := range h.queue {
+				if a.Counted {
+					loads++
+				}
+			}
+		})
+	}
+	return loads
 }
 
 // demandOf returns the part of the demand that is for a service.
@@ -207,22 +300,14 @@
 	for _, a := range actions {
 		byInstance[a.Instance.ID] = append(byInstance[a.Instance.ID], a)
 	}
-	ended := make(chan struct{}, len(byInstance))
-	slots := make(chan struct{}, ordersAtOnce)
-	for _, list := range byInstance {
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots; ended <- struct{}{} }()
-			for _, a := range list {
-				if outcome := o.order(ctx, s, a); outcome != kumquathitch.OrderAccepted && outcome != kumquathitch.OrderHolds {
-					return
-				}
+	lists := slices.Collect(maps.Values(byInstance))
+	o.together(len(lists), func(i int) {
+		for _, a := range lists[i] {
+			if outcome := o.order(ctx, s, a); outcome != kumquathitch.OrderAccepted && outcome != kumquathitch.OrderHolds {
+				return
 			}
-		}()
-	}
-	for range byInstance {
-		<-ended
-	}
+		}
+	})
 }
 
 // order gives one order, unless this VM may not, or another order to the
@@ -239,8 +324,8 @@
 		return kumquathitch.OrderUnsent
 	}
 	defer o.with(a.Instance.ID, func(h *holding) { h.busy = false })
-	if unsure && !o.ask(ctx, a.Instance) {
-		return kumquathitch.OrderUnsent
+	if unsure {
+		return kumquathitch.OrderUnsent // The next tick asks what the instance holds.
 	}
 	allowed := false
 	o.with(a.Instance.ID, func(h *holding) {
@@ -267,27 +352,21 @@
 	}
 	o.with(a.Instance.ID, func(h *holding) { h.answered(a, expected, outcome, load, o.clock.Now()) })
 	o.log.Info("order", zap.String("instance", a.Instance.ID), zap.Bool("unload", a.Unload), zap.String("model", a.Model),
-		zap.String("adapter", a.Adapter), zap.String("reason", a.Reason), zap.Uint64("expected", expected),
+		zap.String("adapter", a.Adapter), zap.String("reason", a.Reason), zap.Bool("from-store", a.Counted), zap.Uint64("expected", expected),
 		zap.Uint64("fence", fence), zap.Uint64("described-at", a.Instance.Revision), zap.String("outcome", outcome.String()), zap.Error(err))
 	return outcome
 }
 
-// ask gets an instance's count of orders and what it holds, and reports
-// whether orders can be given by it.
-func (o *Owner) ask(ctx context.Context, instance kumquathitch.Instance) bool {
+// ask gets an instance's count of orders and what it holds.
+func (o *Owner) ask(ctx context.Context, instance kumquathitch.Instance) {
 	state, err := o.control.State(ctx, instance.Address)
 	now := o.clock.Now()
 	if err != nil {
 		o.log.Info("instance gave no report", zap.String("instance", instance.ID), zap.Error(err))
 		o.with(instance.ID, func(h *holding) { h.pausedTo = now.Add(conflictPause) })
-		return false
+		return
 	}
-	sure := false
-	o.with(instance.ID, func(h *holding) {
-		h.reported(state, now)
-		sure = !h.unsure
-	})
-	return sure
+	o.with(instance.ID, func(h *holding) { h.reported(state, now) })
 }
 
 // Adapter places an adapter that is nowhere, and returns the instances that
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,7 +14,8 @@
 package placement
 
 import (
-	"math"
+	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -22,23 +23,34 @@
 )
 
 const (
-	// spread is how many replicas a model gets beyond its part of the demand,
-	// so that demand can rise before a load ends.
-	spread = 1.25
-	// demandedReplicas is the least number of replicas of a model that is asked
-	// for: one instance can be lost without a gap.
-	demandedReplicas = 2
-	// adapterSpread is the same for adapters.
-	adapterSpread = 1.3
-	// spareReplicas is the number of replicas of a model that nobody asks for,
-	// where there is free memory for them: demand moves faster than loads.
-	spareReplicas = 2
-	// fetchLoss is added to what an unload costs where the model that gets the
-	// room would come from the weight store, in tokens per second: that takes
-	// seconds longer than a copy that the engine has.
-	fetchLoss = 2000.0
 	// quietDemand is the tokens per second below which a model counts as not asked for.
 	quietDemand = 1.0
+	// nowhereCost is what a model costs that is asked for and held nowhere, for
+	// its whole part of the demand. A balanced fleet costs 1.
+	nowhereCost = 100.0
+	// unheldCost is what any listed model costs that is held nowhere: a caller
+	// may ask for it at any time. With a copy on an engine's disk it is copiedCost,
+	// since it is back within a second or two.
+	unheldCost = 0.1
+	copiedCost = 0.02
+	// singleCost is what a model on one engine costs for its part of the
+	// demand, because one loss takes it away.
+	singleCost = 0.4
+	// fetchCost is the least gain for which a model is loaded from the weight
+	// store, and moveCost that for a load from an engine's own copy. A load
+	// takes seconds, and an engine that unloads drops what it kept of prompts.
+	fetchCost = 0.06
+	moveCost  = 0.03
+	// movesAtOnce bounds the moves of one plan.
+	movesAtOnce = 3
+	// stagedAtOnce is the part of the engines that may load a model only to keep
+	// a copy of its weights, and stageLoss what the placement may lose by that.
+	stagedAtOnce = 0.25
+	stageLoss    = 0.012
+	// stageLoads is how many loads must be free for that: demand comes first.
+	stageLoads = 2
+	// modelsTried bounds the models for which moves are worked out.
+	modelsTried = 8
 )
 
 // Engine is an instance as the plan sees it.
@@ -51,6 +63,7 @@
 	Adapters int                    // Adapter places that may be taken.
 	InFlight int                    // Adapter orders under way.
 	Fresh    map[string]bool        // Adapters ordered lately, which stay.
+	Young    map[string]bool        // Models loaded lately, which stay.
 }
 
 // Engines is a list of engines.
@@ -72,66 +85,95 @@
 	Reason   string
 }
 
-// Plan returns the orders for the models of a service, the most urgent first.
-// Loads is the number of loads from the weight store that may begin now.
-func Plan(class *kumquathitch.EngineClass, engines Engines, demand Demand, loads int) []Action {
+// Move brings a model to an engine, after unloads that make room.
+type Move struct {
+	Unloads []Action
+	Load    Action
+}
+
+// Plan returns the moves of models of a service that gain most. Loads is the
+// number of loads from the weight store that may begin.
+//
+// It weighs a placement by the sum of the squares of the engines' parts of the
+// demand, when each model's demand is spread evenly over its replicas. A move
+// is made when it lowers that by more than it costs.
+func Plan(class *kumquathitch.EngineClass, engines Engines, demand Demand, loads int) []Move {
 	p := newPlanner(class, engines, demand)
-	var actions []Action
-	for range 2 * len(engines) {
-		model := p.neediest()
-		if model == nil {
-			if !p.spare() {
-				break
-			}
-			continue
-		}
-		action, ok := p.place(model, loads > 0)
+	var moves []Move
+	for range movesAtOnce {
+		best, ok := p.best(loads > 0)
 		if !ok {
-			p.given[model.Name] = true
-			continue
+			break
 		}
-		if action.Counted {
+		if best.counted {
 			loads--
 		}
-		actions = append(actions, action)
+		moves = append(moves, p.apply(best))
+	}
+	if len(moves) == 0 && loads >= stageLoads {
+		if staged, ok := p.stage(); ok {
+			moves = append(moves, p.apply(staged))
+		}
 	}
-	return actions
+	return moves
 }
 
 type planner struct {
-	class    *kumquathitch.EngineClass
-	engines  Engines
-	demand   map[string]float64
-	total    float64
-	adapters map[string]int // Adapters of a model that are asked for.
-	replicas map[string]int
-	targets  map[string]int
-	given    map[string]bool // Models that found no place.
-	reserve  float64         // MB for adapters on each engine.
-	sparing  bool            // Only free memory is filled from now on.
+	class   *kumquathitch.EngineClass
+	engines Engines
+	parts   map[string]float64 // Of the demand, by model.
+	needs   map[string]int     // Replicas for the adapters that are asked for.
+	holders map[string][]int   // Places of engines, by model.
+	copies  map[string]int     // Engines with a copy of the weights, by model.
+	loads   []float64          // Parts of the demand, by engine.
+	reserve float64            // MB for adapters on each engine.
+}
+
+// candidate is a move with its gain.
+type candidate struct {
+	model   *kumquathitch.ModelClass
+	engine  int
+	victims []string
+	counted bool
+	gain    float64
 }
 
 func newPlanner(class *kumquathitch.EngineClass, engines Engines, demand Demand) *planner {
 	p := &planner{
-		class: class, engines: slices.Clone(engines), demand: demand.Models, adapters: map[string]int{},
-		replicas: map[string]int{}, targets: map[string]int{}, given: map[string]bool{},
+		class: class, engines: slices.Clone(engines), parts: map[string]float64{}, needs: map[string]int{},
+		holders: map[string][]int{}, copies: map[string]int{}, loads: make([]float64, len(engines)), reserve: adapterReserve(class),
+	}
+	total := 0.0
+	for _, m := range class.Models {
+		if demand.Models[m.Name] >= quietDemand {
+			total += demand.Models[m.Name]
+		}
 	}
 	for _, m := range class.Models {
-		p.total += demand.Models[m.Name]
+		if tokens := demand.Models[m.Name]; tokens >= quietDemand {
+			p.parts[m.Name] = tokens / total
+		}
 	}
 	for target, tokens := range demand.Adapters {
 		if model, _, _ := strings.Cut(target, "/"); tokens >= quietDemand {
-			p.adapters[model]++
+			p.needs[model]++
 		}
 	}
-	p.reserve = adapterReserve(class)
-	for _, e := range engines {
-		for _, r := range e.Models {
-			p.replicas[r.Name]++
+	for model, adapters := range p.needs {
+		p.needs[model] = (adapters + max(1, class.AdapterSlots) - 1) / max(1, class.AdapterSlots)
+	}
+	for i := range engines {
+		for _, r := range engines[i].Models {
+			p.holders[r.Name] = append(p.holders[r.Name], i)
+		}
+		for _, name := range copiesOf(&engines[i]) {
+			p.copies[name]++
 		}
 	}
-	for _, m := range class.Models {
-		p.targets[m.Name] = p.target(m.Name)
+	for model, held := range p.holders {
+		for _, i := range held {
+			p.loads[i] += p.parts[model] / float64(len(held))
+		}
 	}
 	return p
 }
@@ -147,158 +189,205 @@
 	return largest * float64(class.AdapterSlots)
 }
 
-// target returns the number of replicas that a model should have: its part of
-// the demand, and places for the adapters that are asked for.
-func (p *planner) target(model string) int {
-	if p.demand[model] < quietDemand || p.total <= 0 {
-		return min(1, len(p.engines))
+// best returns the move with the greatest gain. Without fetch, only engines
+// that have a copy of the weights are looked at.
+func (p *planner) best(fetch bool) (candidate, bool) {
+	var best candidate
+	for _, m := range p.neediest() {
+		for i := range p.engines {
+			e := &p.engines[i]
+			counted := !slices.Contains(e.Instance.Cached, m.Name)
+			if e.Busy || e.Models.Holds(m.Name, "") || (counted && !fetch) {
+				continue
+			}
+			cost := moveCost
+			if counted {
+				cost = fetchCost
+			}
+			for _, victims := range p.victims(m, e) {
+				gain := p.gain(m.Name, i, victims) - cost
+				if gain > best.gain {
+					best = candidate{model: m, engine: i, victims: victims, counted: counted, gain: gain}
+				}
+			}
+		}
 	}
-	part := p.demand[model] / p.total
-	byLoad := int(math.Ceil(part * float64(len(p.engines)) * spread))
-	byAdapters := 0
-	if p.class.AdapterSlots > 0 {
-		byAdapters = (p.adapters[model] + p.class.AdapterSlots - 1) / p.class.AdapterSlots
+	return best, best.model != nil
+}
+
+// copiesOf returns the models whose weights an engine has.
+func copiesOf(e *Engine) []string {
+	names := slices.Clone(e.Instance.Cached)
+	for _, r := range e.Models {
+		names = append(names, r.Name)
 	}
-	return min(len(p.engines), max(demandedReplicas, byLoad, byAdapters))
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
-// spare raises the targets to fill free memory. It reports false when it did before.
-func (p *planner) spare() bool {
-	if p.sparing {
-		return false
+// stage returns the load of a model with few copies on an engine that has room
+// on its disk, so that the model can be had within a second or two later.
+func (p *planner) stage() (candidate, bool) {
+	busy, size := 0, 0.0
+	for i := range p.engines {
+		if p.engines[i].Busy {
+			busy++
+		}
 	}
-	p.sparing = true
 	for _, m := range p.class.Models {
-		p.targets[m.Name] = max(p.targets[m.Name], min(spareReplicas, len(p.engines)))
+		size = max(size, m.MemoryMB)
 	}
-	return true
-}
-
-// neediest returns the model that lacks replicas and loses most by it.
-func (p *planner) neediest() *kumquathitch.ModelClass {
-	var best *kumquathitch.ModelClass
-	most := 0.0
+	if size == 0 || float64(busy) >= stagedAtOnce*float64(len(p.engines)) {
+		return candidate{}, false
+	}
+	places := int(p.class.CopiesMB / size) // On one engine.
+	enough := places * len(p.engines) / max(1, len(p.class.Models))
+	var best candidate
 	for i := range p.class.Models {
 		m := &p.class.Models[i]
-		have := p.replicas[m.Name]
-		if p.given[m.Name] || have >= p.targets[m.Name] {
+		if p.copies[m.Name] >= enough || (best.model != nil && p.copies[m.Name] >= p.copies[best.model.Name]) {
 			continue
 		}
-		// A model without a replica answers nobody; otherwise the load on each replica counts.
-		score := (1 + p.demand[m.Name]) / float64(have*have+1)
-		if have == 0 {
-			score *= 1000
-		}
-		if best == nil || score > most {
-			best, most = m, score
+		if found, ok := p.stageOn(m, places); ok {
+			best = found
 		}
 	}
-	return best
+	return best, best.model != nil
 }
 
-// place returns the order that brings a model closer to its target: a load
-// where there is room, else an unload that makes room. Without fetch, only
-// engines that have the weights at hand are ordered to load.
-func (p *planner) place(m *kumquathitch.ModelClass, fetch bool) (Action, bool) {
-	best, room := -1, false
+// stageOn returns the engine where the load of a model costs least.
+func (p *planner) stageOn(m *kumquathitch.ModelClass, places int) (candidate, bool) {
+	var best candidate
 	for i := range p.engines {
 		e := &p.engines[i]
-		if e.Busy || e.Models.Holds(m.Name, "") || e.UsedMB+m.MemoryMB+p.reserve > p.class.MemoryMB {
+		copies := copiesOf(e)
+		if e.Busy || slices.Contains(copies, m.Name) || len(copies) >= places {
 			continue
 		}
-		room = true
-		if !fetch && !slices.Contains(e.Instance.Cached, m.Name) {
-			continue
-		}
-		if best < 0 || p.better(m.Name, e, &p.engines[best]) {
-			best = i
+		for _, victims := range p.victims(m, e) {
+			gain := p.gain(m.Name, i, victims)
+			if gain > -stageLoss && (best.model == nil || gain > best.gain) {
+				best = candidate{model: m, engine: i, victims: victims, counted: true, gain: gain}
+			}
 		}
 	}
-	if best >= 0 {
-		e := &p.engines[best]
-		e.Busy = true
-		e.UsedMB += m.MemoryMB
-		e.Models = append(slices.Clone(e.Models), kumquathitch.Resident{Name: m.Name})
-		p.replicas[m.Name]++
-		return Action{
-			Instance: e.Instance, Model: m.Name, Counted: !slices.Contains(e.Instance.Cached, m.Name),
-			Reason: "replicas below target",
-		}, true
-	}
-	if room || p.sparing {
-		return Action{}, false
-	}
-	return p.evict(m)
+	return best, best.model != nil
 }
 
-// better reports whether an engine suits a load better than another one: with
-// the weights at hand first, then the one whose models are asked for least.
-func (p *planner) better(model string, e, other *Engine) bool {
-	cached, otherCached := slices.Contains(e.Instance.Cached, model), slices.Contains(other.Instance.Cached, model)
-	if cached != otherCached {
-		return cached
+// neediest returns the models with the most demand on each replica, those that
+// are nowhere first.
+func (p *planner) neediest() []*kumquathitch.ModelClass {
+	models := make([]*kumquathitch.ModelClass, 0, len(p.class.Models))
+	for i := range p.class.Models {
+		models = append(models, &p.class.Models[i])
 	}
-	return p.pressure(e) < p.pressure(other)
-}
-
-// pressure is the demand that falls on an engine.
-func (p *planner) pressure(e *Engine) float64 {
-	total := 0.0
-	for _, r := range e.Models {
-		total += p.demand[r.Name] / float64(max(1, p.replicas[r.Name]))
+	weight := func(m *kumquathitch.ModelClass) float64 {
+		held := len(p.holders[m.Name])
+		if held == 0 {
+			return nowhereCost * (unheldCost + p.parts[m.Name])
+		}
+		return p.parts[m.Name] / float64(held)
 	}
-	return total
+	slices.SortStableFunc(models, func(a, b *kumquathitch.ModelClass) int { return cmp.Compare(weight(b), weight(a)) })
+	return models[:min(modelsTried, len(models))]
 }
 
-// evict returns the unload that costs least and makes room for a model. A
-// model keeps its target; only for a model that is nowhere may others fall
-// below it, and the last replica goes only when nobody asks for it.
-func (p *planner) evict(m *kumquathitch.ModelClass) (Action, bool) {
-	nowhere := p.replicas[m.Name] == 0 && p.demand[m.Name] >= quietDemand
-	best, victim := -1, ""
-	least := math.Inf(1)
-	for i := range p.engines {
-		e := &p.engines[i]
-		if e.Busy || e.Models.Holds(m.Name, "") {
+// victims returns the sets of models whose unloads make room for a model on an
+// engine: none, one, or two.
+func (p *planner) victims(m *kumquathitch.ModelClass, e *Engine) [][]string {
+	free := p.class.MemoryMB - p.reserve - e.UsedMB
+	if free >= m.MemoryMB {
+		return [][]string{nil}
+	}
+	var sets [][]string
+	for i, first := range e.Models {
+		if e.Young[first.Name] {
 			continue
 		}
-		for _, r := range e.Models {
-			loss, allowed := p.loss(r.Name, nowhere)
-			size := p.size(r.Name)
-			if !allowed || e.UsedMB-size+m.MemoryMB+p.reserve > p.class.MemoryMB {
-				continue
-			}
-			if !slices.Contains(e.Instance.Cached, m.Name) {
-				loss += fetchLoss
+		if size := p.size(first.Name); free+size >= m.MemoryMB {
+			sets = append(sets, []string{first.Name})
+			continue
+		}
+		for _, second := range e.Models[i+1:] {
+			if !e.Young[second.Name] && free+p.size(first.Name)+p.size(second.Name) >= m.MemoryMB {
+				sets = append(sets, []string{first.Name, second.Name})
 			}
-			if loss < least {
-				best, victim, least = i, r.Name, loss
+		}
+	}
+	return sets
+}
+
+// gain returns by how much a move lowers the cost of the placement.
+func (p *planner) gain(model string, engine int, victims []string) float64 {
+	change := map[int]float64{}
+	gain := 0.0
+	shift := func(name string, add int) {
+		held := p.holders[name]
+		part, before := p.parts[name], float64(len(held))
+		after := before + float64(add)
+		gain += p.standing(name, len(held)) - p.standing(name, len(held)+add)
+		for _, i := range held {
+			change[i] -= part / before
+			if after > 0 && (add > 0 || i != engine) {
+				change[i] += part / after
 			}
 		}
+		if add > 0 {
+			change[engine] += part / after
+		}
 	}
-	if best < 0 {
-		return Action{}, false
+	shift(model, 1)
+	for _, victim := range victims {
+		shift(victim, -1)
 	}
-	e := &p.engines[best]
-	e.Busy = true
-	p.replicas[victim]--
-	p.given[m.Name] = true
-	return Action{Instance: e.Instance, Unload: true, Model: victim, Reason: "room for " + m.Name}, true
+	for i, d := range change {
+		before, after := p.loads[i], p.loads[i]+d
+		gain += float64(len(p.engines)) * (before*before - after*after)
+	}
+	return gain
 }
 
-// loss is what a replica less costs, and whether it may go.
-func (p *planner) loss(model string, nowhere bool) (float64, bool) {
-	have, target := p.replicas[model], p.targets[model]
-	demand := p.demand[model]
+// standing is the cost of a model by its number of replicas alone.
+func (p *planner) standing(model string, replicas int) float64 {
+	part := p.parts[model]
+	cost := 0.0
 	switch {
-	case have > target:
-		return demand / float64(have), true
-	case nowhere && have > 1:
-		return 1e6 + demand/float64(have), true
-	case nowhere && have == 1 && demand < quietDemand:
-		return 1e9, true
+	case replicas <= 0 && p.copies[model] > 0:
+		cost = copiedCost + nowhereCost*part
+	case replicas <= 0:
+		cost = unheldCost + nowhereCost*part
+	case replicas == 1:
+		cost = singleCost * part
+	}
+	if part > 0 && replicas < p.needs[model] {
+		cost += singleCost * part * float64(p.needs[model]-replicas)
+	}
+	return cost
+}
+
+// apply makes a move in the plan's own picture and returns it.
+func (p *planner) apply(c candidate) Move {
+	e := &p.engines[c.engine]
+	move := Move{Load: Action{Instance: e.Instance, Model: c.model.Name, Counted: c.counted, Reason: fmt.Sprintf("gain %.3f", c.gain)}}
+	for _, victim := range c.victims {
+		move.Unloads = append(move.Unloads, Action{Instance: e.Instance, Unload: true, Model: victim, Reason: "room for " + c.model.Name})
+		p.spread(victim, slices.DeleteFunc(slices.Clone(p.holders[victim]), func(i int) bool { return i == c.engine }))
+	}
+	p.spread(c.model.Name, append(slices.Clone(p.holders[c.model.Name]), c.engine))
+	e.Busy = true
+	return move
+}
+
+// spread replaces the holders of a model.
+func (p *planner) spread(model string, holders []int) {
+	part := p.parts[model]
+	for _, i := range p.holders[model] {
+		p.loads[i] -= part / float64(len(p.holders[model]))
+	}
+	for _, i := range holders {
+		p.loads[i] += part / float64(len(holders))
 	}
-	return 0, false
+	p.holders[model] = holders
 }
 
 func (p *planner) size(model string) float64 {
--- a/relay/job.go
+++ b/relay/job.go
@@ -193,18 +193,51 @@
 }
 
 // choose returns the instance for the next send. A call for an adapter that is
-// nowhere waits until it is placed, which takes milliseconds.
+// nowhere waits until it is placed, which takes milliseconds; one for a listed
+// model that is nowhere waits while it may be loaded in time.
 func (j *job) choose(ctx context.Context) (kumquathitch.InstanceChoice, error) {
-	choice, err := j.Chooser.Choose(j.want, j.Clock.Now())
-	var none *kumquathitch.NoInstanceError
-	if !errors.As(err, &none) || !none.NoAdapter {
-		return choice, err
+	until := j.modelWait()
+	for {
+		choice, err := j.Chooser.Choose(j.want, j.Clock.Now())
+		var none *kumquathitch.NoInstanceError
+		if !errors.As(err, &none) {
+			return choice, err
+		}
+		switch {
+		case none.NoAdapter:
+			wanted := kumquathitch.AdapterWant{Service: j.want.Service, Model: j.want.Model, Adapter: j.want.Adapter}
+			if !j.Adapters.FindAdapter(ctx, wanted) && !j.pause(ctx, until) {
+				return choice, err
+			}
+		case none.NoModel && j.listed:
+			if !j.pause(ctx, until) {
+				return choice, err
+			}
+		default:
+			return choice, err
+		}
+	}
+}
+
+// modelWait returns the time until which the call waits for its model.
+func (j *job) modelWait() time.Time {
+	now := j.Clock.Now()
+	return now.Add(min(modelWaitPart*j.want.Objective, j.deadline.Sub(now)/2))
+}
+
+// pause waits a moment, and reports false when the time is over.
+func (j *job) pause(ctx context.Context, until time.Time) bool {
+	if !j.Clock.Now().Add(modelPoll).Before(until) {
+		return false
 	}
-	wanted := kumquathitch.AdapterWant{Service: j.want.Service, Model: j.want.Model, Adapter: j.want.Adapter}
-	if !j.Adapters.FindAdapter(ctx, wanted) {
-		return choice, err
+	timer := time.NewTimer(modelPoll)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return j.Chooser.Choose(j.want, j.Clock.Now())
 }
 
 // again decides whether the call is sent once more after a send that failed.
@@ -256,6 +289,11 @@
 	// retryPause is when a refused caller is asked to come back: instances that
 	// are full or restart take calls again within it.
 	retryPause = 700 * time.Millisecond
+	// modelWaitPart is how many times its objective a call waits for its model.
+	// Callers leave streams without an event after four times the objective.
+	modelWaitPart = 2
+	// modelPoll is the pause between two looks for the model.
+	modelPoll = 60 * time.Millisecond
 	// modelPause is when a caller is asked to come back for a model that is
 	// nowhere. A model loads in seconds.
 	modelPause = 4 * time.Second
--- a/relay/send.go
+++ b/relay/send.go
@@ -309,7 +309,8 @@
 func (j *job) note(choice kumquathitch.InstanceChoice, sent sendEnd, result kumquathitch.SendResult) {
 	j.Metrics.sent(result.Outcome.String())
 	if sent.done && j.sends == 1 && result.Outcome == kumquathitch.SendAnswered {
-		j.Log.Debug("call answered", j.fields()...)
+		j.Log.Debug("call answered", append(j.fields(), zap.String("instance", choice.Instance.ID), zap.Duration("expected", choice.Expected),
+			zap.Duration("took", result.Ended.Sub(choice.Sent)))...)
 		return
 	}
 	fields := append(j.fields(), zap.String("outcome", result.Outcome.String()), zap.String("instance", choice.Instance.ID),
