Pace prompts at each engine, and wait for a silent stream that nothing can take over

Cause: an event holds several tokens and parts of other prompts are read before each, so that a few prompts at once delay every stream on an engine past its pause; reading was counted to the end of a stream. A new bank started empty, so that calls inside their rate were refused after each change of the leader. Change: each VM prefers its own engine for a model and holds calls while that one reads; a watchdog moves a call only when another engine can take it and the retry budget allows it; banks start from the levels told last; the youngest VM leads.

--- a/dispatch.go
+++ b/dispatch.go
@@ -14,7 +14,9 @@
 	Prompt    PromptParts
 	Tokens    int64 // Of the prompt.
 	Objective time.Duration
-	Exclude   []string // Instances that were tried.
+	GapLimit  time.Duration // Longest pause between events of a stream; 0 when there is none.
+	HoldTo    time.Time     // Until then the call may wait for an instance that is not crowded.
+	Exclude   []string      // Instances that were tried.
 }
 
 // InstanceChoice is the instance chosen for one send of a call.
@@ -56,8 +58,16 @@
 	// Choose returns the instance for a call. It returns a *NoInstanceError
 	// when none can take it. Every choice is ended by one call of Report.
 	Choose(want InstanceWant, now time.Time) (InstanceChoice, error)
+	// CanMove reports whether another instance than the chosen one could take
+	// the call now.
+	CanMove(want InstanceWant, choice InstanceChoice, now time.Time) bool
+	// Began tells that the answer has begun: the instance has read the prompt.
+	Began(choice InstanceChoice)
 	// Report ends a choice.
 	Report(want InstanceWant, choice InstanceChoice, result SendResult)
+	// Freed returns a channel that is closed when an instance may have become
+	// less crowded.
+	Freed() <-chan struct{}
 }
 
 // NoInstanceError reports that no instance can take a call now.
@@ -69,6 +79,9 @@
 	NoAdapter bool
 	// NoModel tells that instances live, and none holds the model.
 	NoModel bool
+	// Crowded tells that the call would delay streams on every instance, and
+	// can still wait.
+	Crowded bool
 }
 
 func (e *NoInstanceError) Error() string {
--- a/exchange.go
+++ b/exchange.go
@@ -21,6 +21,7 @@
 	Leader     bool               `json:"leader"`            // The answering VM holds the lease of the leader.
 	Members    int                `json:"members,omitempty"` // VMs that share the rates; 0 when not known.
 	Granted    map[string]float64 `json:"granted,omitempty"` // Tokens by account.
+	Levels     map[string]float64 `json:"levels,omitempty"`  // Tokens that the bank still holds, by account.
 	Dry        map[string]float64 `json:"dry,omitempty"`     // Accounts without tokens: seconds until some come.
 	Suspects   Suspects           `json:"suspects,omitempty"`
 	Version    uint64             `json:"version"`
@@ -53,7 +54,8 @@
 
 // Member is the record of an entry VM in the store, kept alive by a lease.
 type Member struct {
-	Name       string `json:"name"`
-	Address    string `json:"address"` // For calls between entry VMs.
-	DataCentre string `json:"data-centre"`
+	Name       string    `json:"name"`
+	Address    string    `json:"address"` // For calls between entry VMs.
+	DataCentre string    `json:"data-centre"`
+	Started    time.Time `json:"started"`
 }
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -15,9 +14,13 @@
 	// remoteCost is added for an instance in another data centre: the way is a
 	// millisecond longer, and bytes between data centres are paid for.
 	remoteCost = 1.5
-	// coldCost is added where another instance is preferred for the shared parts
-	// of the prompt, so that all VMs send them to the same one.
-	coldCost = 4.0
+	// otherCost is added where this VM prefers another instance for the model:
+	// each instance then gets most calls from few VMs, which can pace them.
+	otherCost = 5.0
+	// pacePart is the part of the longest pause of a stream that prompts read
+	// beside it may take: an event holds several tokens, and a part of a prompt
+	// is read before each.
+	pacePart = 0.6
 	// occupancyCost is the part of the objective that a full batch costs: tokens
 	// come slower the more calls run.
 	occupancyCost = 0.1
@@ -34,30 +37,40 @@
 func (f *Fleet) Choose(want kumquathitch.InstanceWant, now time.Time) (kumquathitch.InstanceChoice, error) {
 	candidates := f.members(group{service: want.Service, model: want.Model})
 	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
+	pace := f.pace(want, len(candidates))
 	best := choice{cost: math.Inf(1)}
 	last := choice{cost: math.Inf(1)} // The best of those that are left alone.
-	holders := 0
+	crowded := false
 	offset := 0
 	if len(candidates) > sampleSize {
 		offset = rand.IntN(len(candidates)) //nolint:gosec // Spreads load; nothing depends on secrecy.
 	}
-	preferred := f.preferred(candidates, c)
+	preferred := f.preferred(candidates, want.Model)
 	for i := range min(sampleSize, len(candidates)) {
 		m := candidates[(offset+i)%len(candidates)]
-		found, usable := m.cost(want, c, f.dataCentre, now)
+		found, usable := m.cost(want, c, f.dataCentre, pace, now)
 		if !usable {
 			continue
 		}
-		holders++
 		if m != preferred {
-			found.cost += coldCost
+			found.cost += otherCost
 		}
-		if found.paused && found.cost < last.cost {
-			last = found
-		} else if !found.paused && found.cost < best.cost {
+		switch {
+		case found.paused:
+			if found.cost < last.cost {
+				last = found
+			}
+		case found.crowded && now.Before(want.HoldTo):
+			crowded = true
+		case found.cost < best.cost:
 			best = found
 		}
 	}
+	if best.member == nil && crowded {
+		return kumquathitch.InstanceChoice{}, &kumquathitch.NoInstanceError{
+			Service: want.Service, Model: want.Model, Adapter: want.Adapter, Crowded: true,
+		}
+	}
 	if best.member == nil {
 		best = last
 	}
@@ -71,6 +84,46 @@
 	}, nil
 }
 
+// CanMove reports whether another instance than the chosen one could take the call now.
+func (f *Fleet) CanMove(want kumquathitch.InstanceWant, made kumquathitch.InstanceChoice, now time.Time) bool {
+	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
+	for _, m := range f.members(group{service: want.Service, model: want.Model}) {
+		if m.id == made.Instance.ID {
+			continue
+		}
+		if found, usable := m.cost(want, c, f.dataCentre, math.Inf(1), now); usable && !found.paused {
+			return true
+		}
+	}
+	return false
+}
+
+// pace returns for how long an instance may read prompts of this VM at once,
+// in milliseconds: its part of the pause that streams may have.
+func (f *Fleet) pace(want kumquathitch.InstanceWant, replicas int) float64 {
+	if want.Model == "" || want.GapLimit <= 0 {
+		return math.Inf(1)
+	}
+	each := min(1, float64(replicas)/float64(f.sharers.Load()))
+	return pacePart * milliseconds(want.GapLimit) * each
+}
+
+// Began tells that an instance has read the prompt of a call.
+func (f *Fleet) Began(made kumquathitch.InstanceChoice) {
+	if m := f.member(made.Instance.ID); m != nil {
+		m.began(made)
+	}
+	f.free()
+}
+
+// member returns the member with an id, or nil.
+func (f *Fleet) member(id string) *member {
+	s := f.shard(id)
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.members[id]
+}
+
 func (f *Fleet) noInstance(want kumquathitch.InstanceWant, holders int) error {
 	return &kumquathitch.NoInstanceError{
 		Service: want.Service, Model: want.Model, Adapter: want.Adapter,
@@ -79,13 +132,12 @@
 	}
 }
 
-// preferred returns the member that all VMs send the shared parts of a prompt to.
-func (f *Fleet) preferred(candidates []*member, c chain) *member {
-	shared, ok := c.shared()
-	if !ok {
+// preferred returns the member that this VM sends calls for a model to first.
+func (f *Fleet) preferred(candidates []*member, model string) *member {
+	if model == "" {
 		return nil
 	}
-	key := strconv.FormatUint(shared, 16)
+	key := f.vm + "/" + model
 	var best *member
 	var highest uint64
 	for _, m := range candidates {
@@ -103,12 +155,13 @@
 	wait    float64
 	missing int64
 	paused  bool
+	crowded bool
 	trial   bool
 }
 
 // cost estimates the time to the answer. It reports false for a member that
 // must not be used.
-func (m *member) cost(want kumquathitch.InstanceWant, c chain, dataCentre string, now time.Time) (choice, bool) {
+func (m *member) cost(want kumquathitch.InstanceWant, c chain, dataCentre string, pace float64, now time.Time) (choice, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	found := choice{member: m}
@@ -126,6 +179,7 @@
 		found.wait = milliseconds(m.latency) * (1 + 0.5*load/slots + over/slots)
 	} else {
 		found.missing = max(0, want.Tokens-m.prompts.kept(c))
+		found.crowded = m.reading > 0 && float64(m.reading+found.missing)/max(m.rate, 0.1) > pace
 		found.wait = float64(m.reading+found.missing)/max(m.rate, 0.1) + over*milliseconds(m.running)/slots
 	}
 	found.cost = found.wait + occupancyCost*milliseconds(want.Objective)*load/slots
@@ -149,10 +203,8 @@
 // Report ends a choice.
 func (f *Fleet) Report(want kumquathitch.InstanceWant, made kumquathitch.InstanceChoice, result kumquathitch.SendResult) {
 	mean := f.note(want.Service, result.Outcome)
-	s := f.shard(made.Instance.ID)
-	s.mutex.RLock()
-	m := s.members[made.Instance.ID]
-	s.mutex.RUnlock()
+	defer f.free()
+	m := f.member(made.Instance.ID)
 	if m == nil {
 		return
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	f := fleet.NewFleet("montreal-1")
+//	f := fleet.NewFleet("entry-1", "montreal-1")
 //	f.Put(instance, now)          // From the platform's list.
 //	f.Remove(id)                  // Gone from the list.
 //	choice, err := f.Choose(want, now)
@@ -17,6 +17,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -26,7 +27,10 @@
 
 // Fleet holds instances. It is safe for concurrent use.
 type Fleet struct {
+	vm         string
 	dataCentre string
+	sharers    atomic.Int64 // VMs that send calls to the same instances.
+	freed      freedNotice
 	shards     [shardCount]shard // Members by id.
 	groups     [shardCount]groupShard
 	services   [shardCount]serviceShard
@@ -54,9 +58,17 @@
 	services map[string]*serviceStats
 }
 
-// NewFleet returns a fleet without instances, seen from a data centre.
-func NewFleet(dataCentre string) *Fleet {
-	f := &Fleet{dataCentre: dataCentre}
+// freedNotice wakes calls that wait for an instance.
+type freedNotice struct {
+	mutex   sync.Mutex
+	changed chan struct{}
+}
+
+// NewFleet returns a fleet without instances, seen from a VM in a data centre.
+func NewFleet(vm, dataCentre string) *Fleet {
+	f := &Fleet{vm: vm, dataCentre: dataCentre}
+	f.sharers.Store(1)
+	f.freed.changed = make(chan struct{})
 	for i := range f.shards {
 		f.shards[i].members = map[string]*member{}
 		f.groups[i].groups = map[group][]*member{}
@@ -65,6 +77,25 @@
 	return f
 }
 
+// SetMembers states how many VMs send calls to the same instances.
+func (f *Fleet) SetMembers(count int) {
+	f.sharers.Store(int64(max(1, count)))
+}
+
+// Freed returns a channel that is closed when an instance may have become less crowded.
+func (f *Fleet) Freed() <-chan struct{} {
+	f.freed.mutex.Lock()
+	defer f.freed.mutex.Unlock()
+	return f.freed.changed
+}
+
+func (f *Fleet) free() {
+	f.freed.mutex.Lock()
+	defer f.freed.mutex.Unlock()
+	close(f.freed.changed)
+	f.freed.changed = make(chan struct{})
+}
+
 // Put adds an instance or replaces its description. A description that is
 // older than the one held, by its revision, is ignored.
 func (f *Fleet) Put(instance kumquathitch.Instance, now time.Time) {
@@ -111,11 +142,7 @@
 
 // Hold notes that an instance holds an adapter, before its description says so.
 func (f *Fleet) Hold(id, model, adapter string, now time.Time) {
-	s := f.shard(id)
-	s.mutex.RLock()
-	m := s.members[id]
-	s.mutex.RUnlock()
-	if m != nil {
+	if m := f.member(id); m != nil {
 		m.hold(model+"/"+adapter, now.Add(placedTime))
 	}
 }
@@ -137,10 +164,7 @@
 
 // Instance returns the description of an instance.
 func (f *Fleet) Instance(id string) (kumquathitch.Instance, bool) {
-	s := f.shard(id)
-	s.mutex.RLock()
-	defer s.mutex.RUnlock()
-	m := s.members[id]
+	m := f.member(id)
 	if m == nil {
 		return kumquathitch.Instance{}, false
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -158,12 +158,21 @@
 	}
 }
 
+// began notes that the prompt of a send was read.
+func (m *member) began(choice kumquathitch.InstanceChoice) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.reading -= choice.Missing
+}
+
 // end takes in the result of a send.
 func (m *member) end(choice kumquathitch.InstanceChoice, result kumquathitch.SendResult, engine bool, mean float64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.sent--
-	m.reading -= choice.Missing
+	if result.First.IsZero() {
+		m.reading -= choice.Missing // Otherwise began has done so.
+	}
 	if choice.Trial {
 		m.trial = false
 	}
--- a/fleet/prompts.go
+++ b/fleet/prompts.go
@@ -42,14 +42,6 @@
 	return c
 }
 
-// shared returns the hash of all parts but the last, which belongs to one caller.
-func (c chain) shared() (uint64, bool) {
-	if len(c.hashes) < 2 {
-		return 0, false
-	}
-	return c.hashes[len(c.hashes)-2], true
-}
-
 // kept returns the tokens of the leading parts that the instance has seen.
 func (p promptCache) kept(c chain) int64 {
 	var tokens int64
--- a/quota/bank.go
+++ b/quota/bank.go
@@ -1,12 +1,17 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
 )
 
+// unheardTime is how much of its rate a bank may have issued after the levels
+// that a VM heard last: an exchange comes twice a second.
+const unheardTime = 500 * time.Millisecond
+
 // dryWait is the shortest time for which an account is reported as dry.
 const dryWait = 50 * time.Millisecond
 
@@ -35,15 +40,16 @@
 type bankMembers struct {
 	mutex sync.Mutex
 	heard map[string]time.Time
-	full  bool // Vaults start with the whole burst.
+	full  bool               // Vaults start with the whole burst.
+	known map[string]float64 // Levels of the bank of the term before, by account.
 	from  time.Time
 }
 
-// NewBank returns a bank that issues from a time on. A bank of a new term
-// starts after the purses have stopped relying on the one before; its vaults
-// are empty, unless full is set.
-func NewBank(full bool, from time.Time) *Bank {
-	b := &Bank{members: bankMembers{heard: map[string]time.Time{}, full: full, from: from}}
+// NewBank returns a bank that issues from a time on. With full set, no bank came
+// before. Otherwise its vaults start with the levels that the bank before it
+// told last, less what that one may have issued since, and empty where none is known.
+func NewBank(full bool, known map[string]float64, from time.Time) *Bank {
+	b := &Bank{members: bankMembers{heard: map[string]time.Time{}, full: full, known: known, from: from}}
 	for i := range b.shards {
 		b.shards[i].vaults = map[string]*vault{}
 	}
@@ -64,7 +70,7 @@
 
 // Exchange answers the draws of a VM.
 func (b *Bank) Exchange(message *kumquathitch.Exchange, tenants kumquathitch.Tenants, now time.Time) kumquathitch.ExchangeReply {
-	reply := kumquathitch.ExchangeReply{Leader: true, Granted: map[string]float64{}, Dry: map[string]float64{}}
+	reply := kumquathitch.ExchangeReply{Leader: true, Granted: map[string]float64{}, Dry: map[string]float64{}, Levels: map[string]float64{}}
 	members, live := b.hear(message.From, now)
 	reply.Members = members
 	for i := range tenants {
@@ -74,10 +80,8 @@
 		}
 		back := max(0, message.Return[tenant.Name])
 		want := message.Draw[tenant.Name]
-		if want <= 0 && back <= 0 {
-			continue
-		}
-		granted, dry := b.issue(tenant, back, want, live, now)
+		granted, level, dry := b.issue(tenant, back, want, live, now)
+		reply.Levels[tenant.Name] = math.Floor(level)
 		if granted > 0 {
 			reply.Granted[tenant.Name] = granted
 		}
@@ -107,8 +111,8 @@
 }
 
 // issue takes back tokens and issues up to what is wanted. When it is less, it
-// also returns after how long asking again is of use.
-func (b *Bank) issue(tenant *kumquathitch.Tenant, back, want, live float64, now time.Time) (granted float64, dry time.Duration) {
+// also returns after how long asking again is of use. The level is what is left.
+func (b *Bank) issue(tenant *kumquathitch.Tenant, back, want, live float64, now time.Time) (granted, level float64, dry time.Duration) {
 	s := &b.shards[kumquathitch.ShardOf(tenant.Name, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -123,7 +127,7 @@
 	}
 	v.level = min(tenant.Burst, v.level+back)
 	if want <= 0 {
-		return 0, 0
+		return 0, v.level, 0
 	}
 	granted = max(0, min(want, v.level))
 	v.level -= granted
@@ -131,13 +135,13 @@
 		missing := (want - granted) / max(1, tenant.Rate*live)
 		dry = max(dryWait, min(time.Second, time.Duration(missing*float64(time.Second)))) / 2
 	}
-	return granted, dry
+	return granted, v.level, dry
 }
 
 func (b *Bank) open(tenant *kumquathitch.Tenant) *vault {
 	b.members.mutex.Lock()
 	defer b.members.mutex.Unlock()
-	v := &vault{counted: b.members.from}
+	v := &vault{counted: b.members.from, level: max(0, b.members.known[tenant.Name]-unheardTime.Seconds()*tenant.Rate)}
 	if b.members.full {
 		v.level = tenant.Burst
 	}
--- a/quota/purse.go
+++ b/quota/purse.go
@@ -65,6 +65,7 @@
 	mutex   sync.Mutex
 	heard   time.Time
 	members int
+	levels  map[string]float64 // Of the bank's vaults, as it told last.
 }
 
 type purseShard struct {
@@ -233,7 +234,7 @@
 func (p *Purse) Receive(reply *kumquathitch.ExchangeReply, now time.Time) {
 	p.bank.mutex.Lock()
 	if reply.Leader {
-		p.bank.heard = now
+		p.bank.heard, p.bank.levels = now, reply.Levels
 	}
 	if reply.Members > 0 {
 		p.bank.members = reply.Members
@@ -253,6 +254,13 @@
 	}
 }
 
+// Levels returns the levels that the bank told last, for the next one.
+func (p *Purse) Levels() map[string]float64 {
+	p.bank.mutex.Lock()
+	defer p.bank.mutex.Unlock()
+	return p.bank.levels
+}
+
 // SetMembers states over how many VMs the rates are divided.
 func (p *Purse) SetMembers(members int) {
 	p.bank.mutex.Lock()
--- a/relay/job.go
+++ b/relay/job.go
@@ -115,7 +115,8 @@
 	}
 	j.want = kumquathitch.InstanceWant{
 		Service: j.service(), Model: j.call.Model, Adapter: j.call.Adapter,
-		Prompt: j.call.Prompt, Tokens: j.call.PromptTokens, Objective: objective,
+		Prompt: j.call.Prompt, Tokens: j.call.PromptTokens, Objective: objective, GapLimit: j.route.GapLimit,
+		HoldTo: j.received.Add(time.Duration(holdPart * float64(objective))),
 	}
 	if service := services.Find(j.want.Service); service != nil && service.Engine != nil {
 		j.listed = service.Engine.Models.Find(j.call.Model) != nil
@@ -204,6 +205,10 @@
 			return choice, err
 		}
 		switch {
+		case none.Crowded:
+			if !j.awaitRoom(ctx) {
+				return choice, err
+			}
 		case none.NoAdapter:
 			wanted := kumquathitch.AdapterWant{Service: j.want.Service, Model: j.want.Model, Adapter: j.want.Adapter}
 			if !j.Adapters.FindAdapter(ctx, wanted) && !j.pause(ctx, until) {
@@ -219,6 +224,22 @@
 	}
 }
 
+// awaitRoom waits until an instance may have become less crowded. It reports
+// false when the caller left or the deadline was reached.
+func (j *job) awaitRoom(ctx context.Context) bool {
+	freed := j.Chooser.Freed()
+	timer := time.NewTimer(roomPoll)
+	defer timer.Stop()
+	select {
+	case <-freed:
+		return true
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // modelWait returns the time until which the call waits for its model.
 func (j *job) modelWait() time.Time {
 	now := j.Clock.Now()
@@ -292,6 +313,11 @@
 	// modelWaitPart is how many times its objective a call waits for its model.
 	// Callers leave streams without an event after four times the objective.
 	modelWaitPart = 2
+	// holdPart is the part of the objective for which a call waits until it does
+	// not delay streams; the rest is for reading its prompt.
+	holdPart = 0.5
+	// roomPoll bounds one wait for room, since the news of it can come just before.
+	roomPoll = 40 * time.Millisecond
 	// modelPoll is the pause between two looks for the model.
 	modelPoll = 60 * time.Millisecond
 	// modelPause is when a caller is asked to come back for a model that is
--- a/relay/send.go
+++ b/relay/send.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -104,6 +103,7 @@
 	response   *http.Response
 	first      time.Time
 	reusable   bool
+	watch      watchdog
 }
 
 // carry writes the call, reads the answer and passes it on.
@@ -119,6 +119,7 @@
 		return x.headFailed(err)
 	}
 	x.first = x.Clock.Now()
+	x.Chooser.Began(x.choice)
 	defer func() { _ = x.response.Body.Close() }()
 	x.Metrics.FirstByte.Update(x.first.Sub(x.received).Seconds())
 	if x.reply.NotRun {
@@ -176,9 +177,11 @@
 // readHead reads the head of the answer to this call. Answers to other calls
 // on the same connection are dropped.
 func (x *exchange) readHead() error {
-	if err := x.connection.SetReadDeadline(x.patience()); err != nil {
+	if err := x.connection.SetReadDeadline(x.deadline); err != nil {
 		return err
 	}
+	x.watch.start(x, x.patience())
+	defer x.watch.stop()
 	for range foreignAnswers {
 		response, err := http.ReadResponse(x.connection.reader, x.request)
 		if err != nil {
@@ -202,25 +205,26 @@
 	return errForeignAnswer
 }
 
-// patience returns the time until which the answer must begin.
-func (x *exchange) patience() time.Time {
-	if x.route.Kind == kumquathitch.RunOnce || x.runs+1 >= x.route.MaxRuns {
-		return x.deadline
-	}
-	objective := x.want.Objective
-	wait := max(time.Duration(patiencePart*float64(objective)), patienceFactor*x.choice.Expected)
-	if until := x.choice.Sent.Add(wait); until.Before(x.deadline) {
-		return until
+// patience returns how long the answer may take to begin before the call goes
+// elsewhere, or 0 when it may not.
+func (x *exchange) patience() time.Duration {
+	if !x.mayMove() {
+		return 0
 	}
-	return x.deadline
+	return max(time.Duration(patiencePart*float64(x.want.Objective)), patienceFactor*x.choice.Expected)
+}
+
+// mayMove reports whether the route lets the call go on at another instance.
+func (x *exchange) mayMove() bool {
+	return x.route.Kind != kumquathitch.RunOnce && x.runs+1 < x.route.MaxRuns
 }
 
 // headFailed tells what an answer that did not begin means.
 func (x *exchange) headFailed(err error) (kumquathitch.SendResult, sendEnd) {
 	end := sendEnd{reached: true, ran: true, cause: err}
-	var timeout net.Error
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+	case x.watch.moved():
+		end.paid = true
 		return x.broken(kumquathitch.SendSilent, end)
 	case x.expired(): // The deadline, or the caller's leaving, closed the connection.
 		return x.broken(kumquathitch.SendCancelled, end)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,9 +5,7 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -71,12 +69,10 @@
 		x.Metrics.Whole.Update(x.Clock.Now().Sub(x.received).Seconds())
 		return x.result(kumquathitch.SendAnswered), sendEnd{reached: true, ran: true, done: true}
 	}
-	outcome := kumquathitch.SendBroken
-	var timeout net.Error
-	if errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &timeout) && timeout.Timeout()) {
-		outcome = kumquathitch.SendSilent
+	if x.watch.moved() {
+		return x.broken(kumquathitch.SendSilent, sendEnd{reached: true, ran: true, paid: true, cause: err})
 	}
-	return x.broken(x.callerOr(ctx, outcome), sendEnd{reached: true, ran: true, cause: err})
+	return x.broken(x.callerOr(ctx, kumquathitch.SendBroken), sendEnd{reached: true, ran: true, cause: err})
 }
 
 // noteSlow logs a stream that missed its objective or its longest pause.
@@ -95,14 +91,14 @@
 func (x *exchange) copyEvents() ([]byte, error) {
 	control := http.NewResponseController(x.writer)
 	pending := make([]byte, 0, streamBuffer)
+	x.watch.start(x, x.gap())
+	defer x.watch.stop()
 	for {
-		if err := x.connection.SetReadDeadline(x.gapEnd()); err != nil {
-			return pending, err
-		}
 		if len(pending) == cap(pending) {
 			pending = append(pending, make([]byte, len(pending))...)[:len(pending)]
 		}
 		n, err := x.response.Body.Read(pending[len(pending):cap(pending)])
+		x.watch.touch()
 		pending = pending[:len(pending)+n]
 		if whole := bytes.LastIndex(pending, eventEnd); whole >= 0 {
 			whole += len(eventEnd)
@@ -149,14 +145,11 @@
 	return nil
 }
 
-// gapEnd returns the time until which the next event must arrive.
-func (x *exchange) gapEnd() time.Time {
-	if x.route.Kind != kumquathitch.RunResume || x.runs+1 >= x.route.MaxRuns {
-		return x.deadline
-	}
-	gap := max(gapFloor, gapFactor*x.route.GapLimit)
-	if until := x.Clock.Now().Add(gap); until.Before(x.deadline) {
-		return until
+// gap returns how long the stream may be silent before it goes on elsewhere,
+// or 0 when it may not.
+func (x *exchange) gap() time.Duration {
+	if x.route.Kind != kumquathitch.RunResume || !x.mayMove() {
+		return 0
 	}
-	return x.deadline
+	return max(gapFloor, gapFactor*x.route.GapLimit)
 }
--- a/term/term.go
+++ b/term/term.go
@@ -45,9 +45,11 @@
 	// heldMargin is taken off the lease before each action: an order is on its
 	// way for some milliseconds after the check.
 	heldMargin = 250 * time.Millisecond
-	// electionSpread is the time over which candidates try, so that the first
-	// one wins without the calls of the others.
-	electionSpread = 250 * time.Millisecond
+	// electionStep is the time between the tries of two candidates, so that the
+	// first one wins without the calls of the others, and electionSpread the
+	// longest wait.
+	electionStep   = 60 * time.Millisecond
+	electionSpread = 300 * time.Millisecond
 	// retryPause is the wait after a failed call to the store.
 	retryPause = 300 * time.Millisecond
 )
@@ -76,10 +78,11 @@
 	log    *zap.Logger
 	vacant chan struct{}
 
-	mutex  sync.Mutex
-	leader kumquathitch.KeyItem // Revision 0 for none.
-	known  bool                 // The store was read.
-	term   *Term
+	mutex   sync.Mutex
+	leader  kumquathitch.KeyItem // Revision 0 for none.
+	known   bool                 // The store was read.
+	younger int                  // Members that started later.
+	term    *Term
 }
 
 // NewCandidate returns a candidate that does nothing until Run.
@@ -195,12 +198,33 @@
 				c.campaign(ctx, lease, record)
 			}
 		case <-c.vacant:
-			wait(ctx, time.Duration(rand.Int64N(int64(electionSpread)))) //nolint:gosec // Spreads tries; nothing depends on secrecy.
+			wait(ctx, c.turn())
 			c.campaign(ctx, lease, record)
 		}
 	}
 }
 
+// ObserveMembers takes in the members that the store lists.
+func (c *Candidate) ObserveMembers(members []kumquathitch.Member) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.younger = 0
+	for _, m := range members {
+		if m.Started.After(c.member.Started) {
+			c.younger++
+		}
+	}
+}
+
+// turn returns how long this candidate waits before it tries. The youngest VM
+// comes first: when VMs are restarted in turn, it is the last to be stopped.
+func (c *Candidate) turn() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return min(electionSpread, time.Duration(c.younger)*electionStep) +
+		time.Duration(rand.Int64N(int64(electionStep))) //nolint:gosec // Spreads tries; nothing depends on secrecy.
+}
+
 // release ends the lease at a shutdown, so that another VM leads at once.
 func (c *Candidate) release(lease kumquathitch.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -163,7 +163,7 @@
 		return nil
 	}
 	if v.office.bank == nil || v.office.fence != t.Fence {
-		v.office.bank, v.office.fence = quota.NewBank(t.IsFirst && v.site.Bootstrap, now), t.Fence
+		v.office.bank, v.office.fence = quota.NewBank(t.IsFirst && v.site.Bootstrap, v.purse.Levels(), now), t.Fence
 		var names []string
 		for _, m := range v.follower.memberList() {
 			names = append(names, m.Name)
@@ -230,7 +230,10 @@
 	}
 }
 
-func (v *VM) setMembers(count int) {
-	v.purse.SetMembers(count)
-	v.budget.SetMembers(count)
+// setMembers takes in the members that the store lists.
+func (v *VM) setMembers(members []kumquathitch.Member) {
+	v.purse.SetMembers(len(members))
+	v.budget.SetMembers(len(members))
+	v.fleet.SetMembers(len(members))
+	v.candidate.ObserveMembers(members)
 }
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -181,9 +181,8 @@
 	}
 	f.mutex.Lock()
 	f.members[m.Name] = m
-	count := len(f.members)
 	f.mutex.Unlock()
-	f.vm.setMembers(count)
+	f.vm.setMembers(f.memberList())
 }
 
 // remove drops one entry. An instance whose entry lapsed around an outage of
@@ -205,9 +204,8 @@
 	case strings.HasPrefix(key, term.MemberPrefix):
 		f.mutex.Lock()
 		delete(f.members, strings.TrimPrefix(key, term.MemberPrefix))
-		count := len(f.members)
 		f.mutex.Unlock()
-		f.vm.setMembers(count)
+		f.vm.setMembers(f.memberList())
 	}
 }
 
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -98,14 +98,14 @@
 	v := &VM{
 		site: site, clock: system, log: log, set: metrics.NewSet(), tracing: tracing,
 		current: deployment.NewCurrent(),
-		fleet:   fleet.NewFleet(site.DataCentre),
+		fleet:   fleet.NewFleet(site.Name, site.DataCentre),
 		purse:   quota.NewPurse(clock.Monotonic{}, site.Bootstrap),
 		budget:  retry.NewBudget(retry.Limits{Ratio: site.RetryRatio, Slack: site.RetrySlack, Window: site.RetryWindow}),
 		guard:   retry.NewGuard(),
 		demand:  model.NewDemandOver(demandMemory),
 		peers:   peer.NewClient(tracing),
 	}
-	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre}
+	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre, Started: time.Now().Round(0)}
 	rules := term.Rules{TTL: leaseTTL, TurnTime: site.TurnTime}
 	if site.ChecksFences {
 		rules.TurnTime = fencedTurnTime
