Ask the platform to send callers elsewhere from a cut-off data centre

Cause: VMs of a data centre that is cut off went on taking callers, although two thirds of the upstreams were out of reach. Change: each VM pings one VM of each other data centre; without an answer for two rounds it is not ready.

--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -28,6 +28,7 @@
 const (
 	methodExchange = "vm.exchange"
 	methodAdapter  = "placement.adapter"
+	methodPing     = "vm.ping"
 )
 
 // office is the bank of the term that this VM leads.
@@ -213,6 +214,7 @@
 	server := peer.NewServer(v.tracing)
 	peer.Handle(server, methodExchange, v.receive)
 	peer.Handle(server, methodAdapter, v.placeAdapter)
+	peer.Handle(server, methodPing, v.answerPing)
 	return server
 }
 
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -92,7 +92,7 @@
 func (v *VM) readiness() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/*", func(w http.ResponseWriter, _ *http.Request) {
-		if v.closing.Load() || v.current.View() == nil || !v.follower.ready() {
+		if v.closing.Load() || v.current.View() == nil || !v.follower.ready() || v.reach.isolated() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -84,6 +84,7 @@
 	peers     *peer.Client
 	follower  *follower
 	office    office
+	reach     reach
 	handler   *relay.Handler
 	closing   atomic.Bool
 }
@@ -147,6 +148,7 @@
 		v.follower.run(working),
 		v.every(onDuty, planInterval, v.plan),
 		v.every(working, housekeepingInterval, func(context.Context) { v.handler.Pool.Expire(time.Now()) }),
+		v.every(working, pingInterval, v.checkReach),
 		v.exchangeLoop(working),
 	}
 	select {
