Keep what an engine holds until its reports say otherwise, and refuse calls once a VM ends

Change: descriptions only add to the belief, and a difference is asked about; calls that arrive or still wait after the time for rotation get 503.

--- a/placement/holding.go
+++ b/placement/holding.go
@@ -82,7 +82,25 @@
 		}
 	}
 	if h.pending == nil && h.doubt == nil && now.Sub(h.ordered) > quietTime && instance.Revision > h.revision {
-		h.models = cloneResidents(instance.Models)
+		h.merge(instance.Models)
+		h.revision = instance.Revision
+	}
+}
+
+// merge adds what a description lists. What it does not list stays until the
+// instance's own reports say so: a description can be older than an order.
+func (h *holding) merge(described kumquathitch.Residents) {
+	for _, r := range h.models {
+		listed := described.Find(r.Name)
+		if listed == nil || slices.ContainsFunc(r.Adapters, func(name string) bool { return !slices.Contains(listed.Adapters, name) }) {
+			h.unsure = true
+		}
+	}
+	for _, r := range described {
+		h.set(r.Name, "", true)
+		for _, adapter := range r.Adapters {
+			h.set(r.Name, adapter, true)
+		}
 	}
 }
 
@@ -242,7 +260,7 @@
 	first, asked := h.report, h.asked
 	if p := h.pending; p != nil {
 		if !state.Busy && state.Models.Holds(p.action.Model, "") != p.action.Unload {
-			h.pending = nil
+			h.pending, h.ordered, h.revision = nil, now, h.instance.Revision
 			h.set(p.action.Model, "", !p.action.Unload)
 		} else {
 			h.pausedTo = now.Add(conflictPause)
--- a/relay/job.go
+++ b/relay/job.go
@@ -46,6 +46,9 @@
 // admit decides whether the call may be sent to an instance.
 func (j *job) admit() *kumquathitch.RefusalError {
 	j.Metrics.Calls.Inc()
+	if j.Ending() {
+		return endingRefusal()
+	}
 	view := j.Current.View()
 	if view == nil {
 		return kumquathitch.NotRun(http.StatusServiceUnavailable, "no-deployment", "this VM knows no configuration yet")
@@ -74,6 +77,10 @@
 	return j.spend()
 }
 
+func endingRefusal() *kumquathitch.RefusalError {
+	return kumquathitch.NotRun(http.StatusServiceUnavailable, "shutting-down", "this VM shuts down")
+}
+
 func asRefusal(err error) *kumquathitch.RefusalError {
 	var refusal *kumquathitch.RefusalError
 	if errors.As(err, &refusal) {
@@ -204,6 +211,9 @@
 		if !errors.As(err, &none) {
 			return choice, err
 		}
+		if j.Ending() {
+			return choice, endingRefusal()
+		}
 		switch {
 		case none.Crowded:
 			if !j.awaitRoom(ctx) {
@@ -293,6 +303,10 @@
 	if j.runs > 0 {
 		return kumquathitch.Unknown(http.StatusBadGateway, "upstream-failed", "the call failed, and no other instance can take it")
 	}
+	var refused *kumquathitch.RefusalError
+	if errors.As(err, &refused) {
+		return refused
+	}
 	var none *kumquathitch.NoInstanceError
 	code := "no-instance"
 	if errors.As(err, &none) && (none.NoModel || none.NoAdapter) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,10 @@
 	// Closing reports that the VM shuts down: answers then ask callers to
 	// open their next connection elsewhere.
 	Closing func() bool
+
+	// Ending reports that the VM will end soon: calls that have not been sent
+	// are refused.
+	Ending func() bool
 }
 
 // ServeHTTP serves one call.
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -114,6 +114,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-graceMargin))
 	defer cancel()
 	sleep(ctx, min(rotationTime, grace/2))
+	s.vm.ending.Store(true)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.vm.log.Warn("answers cut at the end of the grace", zap.Error(err))
 		if err := s.callers.Close(); err != nil {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -86,7 +86,8 @@
 	office    office
 	reach     reach
 	handler   *relay.Handler
-	closing   atomic.Bool
+	closing   atomic.Bool // Callers are asked to go elsewhere.
+	ending    atomic.Bool // New calls are refused.
 }
 
 // New builds an entry VM.
@@ -118,7 +119,7 @@
 	v.handler = &relay.Handler{
 		Dialect: site.Dialect, Current: v.current, Chooser: v.fleet, Purse: v.purse, Retries: v.budget,
 		Crashes: v.guard, Adapters: v, Demand: v.demand, Clock: clock.Monotonic{}, Log: log,
-		Tracer: tracing.Tracer, Metrics: counts, Pool: relay.NewPool(counts), Closing: v.closing.Load,
+		Tracer: tracing.Tracer, Metrics: counts, Pool: relay.NewPool(counts), Closing: v.closing.Load, Ending: v.ending.Load,
 	}
 	return v
 }
