Test the aggregates of the platform's path, with stand-ins of its store and servers

Cause: the aggregates had no tests of their own. Change: stand-ins keep a keyspace with revisions, leases and history, and a server with orders, streams and faults; tests in virtual time. A call beyond the VM's own part goes when that part is full.

--- a/quota/purse.go
+++ b/quota/purse.go
@@ -145,7 +145,8 @@
 	if arrived {
 		held.demand += tokens / demandMemory.Seconds()
 	}
-	if held.level >= tokens || (own > 0 && held.level > 0) {
+	// A call that is larger than the VM's own part of the burst goes when that is full.
+	if held.level >= tokens || (own > 0 && held.level >= own*tenant.Burst) {
 		held.level -= tokens
 		return nil, true, now
 	}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,95 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"kumquathitch.example/kumquathitch/retry"
+)
+
+var start = time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
+
+// TestBudgetHoldsInEveryWindow guards against VMs that together send more
+// repeats than the deployment allows, in any window.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := retry.Limits{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+		members := rapid.IntRange(1, 5).Draw(t, "members")
+		budgets := make([]*retry.Budget, members)
+		for i := range budgets {
+			budgets[i] = retry.NewBudget(limits)
+			budgets[i].SetMembers(members)
+		}
+		var arrivals, repeats []time.Time
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, members-1).Draw(t, "vm")]
+			if rapid.Bool().Draw(t, "arrival") {
+				b.Arrived("dispatch", now)
+				arrivals = append(arrivals, now)
+			} else if b.Allow("dispatch", now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			sent, calls := within(repeats, end, limits.Window), within(arrivals, end, 2*limits.Window)
+			if float64(sent) > limits.Ratio*float64(calls)+limits.Slack {
+				t.Fatalf("%d repeats for %d calls before %s", sent, calls, end)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, end time.Time, window time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if !at.After(end) && end.Sub(at) < window {
+			count++
+		}
+	}
+	return count
+}
+
+// TestCrashingCallIsCondemnedByAllVMs guards against a call that crashes one
+// instance after the other because each VM sees one crash only.
+func TestCrashingCallIsCondemnedByAllVMs(t *testing.T) {
+	leader, one, two := retry.NewGuard(), retry.NewGuard(), retry.NewGuard()
+	const call, innocent = 77, 78
+	one.Crashed(call, start)
+	one.Crashed(innocent, start)
+	two.Crashed(call, start)
+	leader.Crashed(call, start)
+	leader.Hear("one", one.News(), start)
+	leader.Hear("two", two.News(), start)
+	one.Hear("", leader.All("one", start), start)
+	must.True(t, leader.Condemned(call, start))
+	must.True(t, one.Condemned(call, start))
+	must.False(t, two.Condemned(call, start))
+	must.False(t, leader.Condemned(innocent, start))
+	must.False(t, leader.Condemned(call, start.Add(2*time.Minute)))
+}
+
+// TestNewsAreToldAgainAfterAFailure guards against a count that is lost with the
+// message that carried it.
+func TestNewsAreToldAgainAfterAFailure(t *testing.T) {
+	guard := retry.NewGuard()
+	guard.Crashed(5, start)
+	news := guard.News()
+	must.Len(t, 1, news)
+	must.Len(t, 0, guard.News())
+	guard.Untell(news)
+	must.Len(t, 1, guard.News())
+}
+
+// TestSuspectsAreBounded guards against callers that fill the memory of a VM.
+func TestSuspectsAreBounded(t *testing.T) {
+	guard := retry.NewGuard()
+	for i := range uint64(20_000) {
+		guard.Crashed(i, start.Add(time.Duration(i)*time.Millisecond)) //nolint:gosec // Small.
+	}
+	must.LessEq(t, 8*512, len(guard.News()))
+}
--- /dev/null
+++ b/standin/keyspace_http.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// storeItem is an item in the protocol of the users' platform.
+type storeItem struct {
+	Key      string `json:"key,omitempty"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	Lease    uint64 `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type storeAnswer struct {
+	storeItem
+	Items   []storeItem `json:"items,omitempty"`
+	Events  []storeItem `json:"events,omitempty"`
+	Current uint64      `json:"store_revision,omitempty"`
+	TTL     int64       `json:"ttl_ms,omitempty"`
+}
+
+// NewKeyspaceHandler serves a keyspace in the protocol of the users' platform.
+func NewKeyspaceHandler(k *Keyspace) http.Handler {
+	router := chi.NewRouter()
+	router.Get("/v1/kv-key", func(w http.ResponseWriter, r *http.Request) {
+		item, err := k.Read(r.Context(), r.URL.Query().Get("key"))
+		if err == nil && item.Revision == 0 {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		answerStore(w, storeAnswer{storeItem: itemOf(item)}, err)
+	})
+	router.Get("/v1/kv-range", func(w http.ResponseWriter, r *http.Request) {
+		found, err := k.Scan(r.Context(), r.URL.Query().Get("path_prefix"), false)
+		answer := storeAnswer{Current: found.Revision}
+		for _, item := range found.Items {
+			if item.Key > r.URL.Query().Get("after") {
+				answer.Items = append(answer.Items, itemOf(item))
+			}
+		}
+		answerStore(w, answer, err)
+	})
+	router.Get("/v1/kv-watch", serveFollow(k))
+	router.Post("/v1/kv-txn", serveWrite(k))
+	router.Post("/v1/kv-lease", func(w http.ResponseWriter, r *http.Request) {
+		var body storeAnswer
+		if readJSON(w, r, &body) {
+			lease, err := k.Grant(r.Context(), time.Duration(body.TTL)*time.Millisecond)
+			answerStore(w, storeAnswer{storeItem: storeItem{Lease: lease.ID}, TTL: lease.TTL.Milliseconds()}, err)
+		}
+	})
+	router.Post("/v1/kv-keep/{id}", func(w http.ResponseWriter, r *http.Request) {
+		lease, err := k.Renew(r.Context(), leaseOf(r))
+		answerStore(w, storeAnswer{TTL: lease.TTL.Milliseconds()}, err)
+	})
+	router.Delete("/v1/kv-lease-end/{id}", func(w http.ResponseWriter, r *http.Request) {
+		answerStore(w, storeAnswer{}, k.Release(r.Context(), leaseOf(r)))
+	})
+	return router
+}
+
+func serveFollow(k *Keyspace) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(query.Get("wait_ms"))
+		changes, err := k.Follow(r.Context(), query.Get("path_prefix"), after, time.Duration(wait)*time.Millisecond)
+		answer := storeAnswer{Current: changes.Revision}
+		for _, change := range changes.Changes {
+			event := itemOf(change.KeyItem)
+			event.Deleted = change.Removed
+			answer.Events = append(answer.Events, event)
+		}
+		answerStore(w, answer, err)
+	}
+}
+
+func serveWrite(k *Keyspace) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Expected []storeItem `json:"expected"`
+			Set      []storeItem `json:"set_keys"`
+			Remove   []string    `json:"remove"`
+		}
+		if !readJSON(w, r, &body) {
+			return
+		}
+		write := kumquathitch.KeyWrite{Remove: body.Remove}
+		for _, item := range body.Expected {
+			write.Expect = append(write.Expect, kumquathitch.KeyItem{Key: item.Key, Revision: item.Revision})
+		}
+		for _, item := range body.Set {
+			write.Set = append(write.Set, kumquathitch.KeyItem{Key: item.Key, Value: item.Value, Lease: item.Lease})
+		}
+		revision, err := k.Write(r.Context(), write)
+		answerStore(w, storeAnswer{storeItem: storeItem{Revision: revision}}, err)
+	}
+}
+
+func leaseOf(r *http.Request) kumquathitch.Lease {
+	id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	return kumquathitch.Lease{ID: id}
+}
+
+func itemOf(item kumquathitch.KeyItem) storeItem {
+	return storeItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Lease: item.Lease}
+}
+
+func answerStore(w http.ResponseWriter, answer storeAnswer, err error) {
+	var conflict *kumquathitch.ConflictError
+	var ended *kumquathitch.LeaseEndedError
+	var lost *kumquathitch.HistoryLostError
+	var failed *kumquathitch.StoreError
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, answer)
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusPreconditionFailed, storeAnswer{Items: []storeItem{{
+			Key: conflict.Current.Key, Value: conflict.Current.Value, Revision: conflict.Current.Version,
+		}}})
+	case errors.As(err, &ended):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.As(err, &lost):
+		w.WriteHeader(http.StatusGone)
+	case errors.As(err, &failed) && failed.Unknown, errors.Is(err, context.Canceled):
+		panic(http.ErrAbortHandler) // The answer is lost.
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
