--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,100 @@
+package placement_test
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/placement"
+)
+
+func class(models int) *kumquathitch.EngineClass {
+	c := &kumquathitch.EngineClass{Slots: 8, MemoryMB: 200, AdapterSlots: 2, LoadsPerSecond: 2, CopiesMB: 400}
+	for i := range models {
+		c.Models = append(c.Models, kumquathitch.ModelClass{Name: "m" + strconv.Itoa(i), MemoryMB: 90, Adapters: 3, AdapterMB: 1})
+	}
+	return c
+}
+
+func engine(id string, models ...string) placement.Engine {
+	e := placement.Engine{Instance: kumquathitch.Instance{ID: id, Service: "llm"}}
+	for _, name := range models {
+		e.Models = append(e.Models, kumquathitch.Resident{Name: name})
+		e.UsedMB += 90
+	}
+	return e
+}
+
+func demand(models map[string]float64) placement.Demand {
+	return placement.Demand{Models: models, Adapters: map[string]float64{}}
+}
+
+// TestModelThatIsNowhereComesFirst guards against a model that callers ask for
+// and no engine holds, while others get replicas.
+func TestModelThatIsNowhereComesFirst(t *testing.T) {
+	engines := placement.Engines{engine("one", "m0"), engine("two", "m0")}
+	moves := placement.Plan(class(3), engines, demand(map[string]float64{"m0": 900, "m2": 50}), 1)
+	must.Len(t, 1, moves)
+	must.Eq(t, "m2", moves[0].Load.Model)
+	must.Len(t, 0, moves[0].Unloads)
+}
+
+// TestBusyModelGetsReplicas guards against demand that meets one engine while
+// others hold models that nobody asks for.
+func TestBusyModelGetsReplicas(t *testing.T) {
+	engines := placement.Engines{engine("one", "m0", "m1"), engine("two", "m1", "m2"), engine("three", "m1", "m2")}
+	moves := placement.Plan(class(3), engines, demand(map[string]float64{"m0": 5000}), 3)
+	must.SliceNotEmpty(t, moves)
+	must.Eq(t, "m0", moves[0].Load.Model)
+	must.Len(t, 1, moves[0].Unloads)
+}
+
+// TestLastReplicaInDemandStays guards against a move that takes the only replica
+// of a model that callers ask for.
+func TestLastReplicaInDemandStays(t *testing.T) {
+	engines := placement.Engines{engine("one", "m0", "m1"), engine("two", "m0", "m2")}
+	moves := placement.Plan(class(3), engines, demand(map[string]float64{"m0": 9000, "m1": 30, "m2": 30}), 3)
+	for _, move := range moves {
+		for _, unload := range move.Unloads {
+			must.Eq(t, "m0", unload.Model)
+		}
+	}
+}
+
+// TestBalancedPlacementStays guards against models that are moved back and forth.
+func TestBalancedPlacementStays(t *testing.T) {
+	engines := placement.Engines{engine("one", "m0", "m1"), engine("two", "m0", "m1"), engine("three", "m0", "m1")}
+	moves := placement.Plan(class(2), engines, demand(map[string]float64{"m0": 500, "m1": 450}), 3)
+	must.Len(t, 0, moves)
+}
+
+// TestNoLoadsWithoutTheWeightStore guards against loads beyond the weight
+// store's rate, and allows those from an engine's own copy.
+func TestNoLoadsWithoutTheWeightStore(t *testing.T) {
+	engines := placement.Engines{engine("one", "m0"), engine("two", "m0")}
+	asked := demand(map[string]float64{"m1": 500})
+	must.Len(t, 0, placement.Plan(class(2), engines, asked, 0))
+	engines[1].Instance.Cached = []string{"m1"}
+	moves := placement.Plan(class(2), engines, asked, 0)
+	must.Len(t, 1, moves)
+	must.Eq(t, "two", moves[0].Load.Instance.ID)
+	must.False(t, moves[0].Load.Counted)
+}
+
+// TestAdaptersKeepTheirPlaces guards against adapter orders beyond the places of
+// an engine, and against an adapter that is asked for and nowhere.
+func TestAdaptersKeepTheirPlaces(t *testing.T) {
+	full := engine("one", "m0")
+	full.Models[0].Adapters, full.Adapters = []string{"a1", "a2"}, 2
+	asked := map[string]float64{"m0/a3": 50, "m0/a1": 60}
+	actions := placement.PlanAdapters(class(1), placement.Engines{full}, asked)
+	must.Len(t, 1, actions)
+	must.True(t, actions[0].Unload)
+	must.Eq(t, "a2", actions[0].Adapter)
+	free := engine("two", "m0")
+	actions = placement.PlanAdapters(class(1), placement.Engines{full, free}, asked)
+	must.Eq(t, "two", actions[0].Instance.ID)
+	must.False(t, actions[0].Unload)
+}
