--- a/dispatch.go
+++ b/dispatch.go
@@ -114,6 +114,8 @@
 	Condemned(fingerprint uint64, now time.Time) bool
 	// Crashed counts an instance that broke off while it ran the call.
 	Crashed(fingerprint uint64, now time.Time)
+	// Succeeded notes that an instance answered the call.
+	Succeeded(fingerprint uint64)
 }
 
 // AdapterFinder gets adapters placed. Implementations are safe for concurrent use.
--- a/relay/send.go
+++ b/relay/send.go
@@ -77,8 +77,11 @@
 	if end.ran && !end.done {
 		j.runs++
 	}
-	if result.Outcome == kumquathitch.SendBroken && end.ran {
+	switch {
+	case result.Outcome == kumquathitch.SendBroken && end.ran:
 		j.Crashes.Crashed(j.fingerprint, j.Clock.Now())
+	case result.Outcome == kumquathitch.SendAnswered:
+		j.Crashes.Succeeded(j.fingerprint)
 	}
 	return result, end
 }
--- a/retry/guard.go
+++ b/retry/guard.go
@@ -33,6 +33,7 @@
 type suspicion struct {
 	own    int // Crashes that this VM saw.
 	others map[string]int
+	passed int // Crashes before the call last succeeded.
 	seen   time.Time
 	told   bool // The own count is on its way to the other VMs.
 }
@@ -52,7 +53,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	held := s.suspects[fingerprint]
-	return held != nil && now.Sub(held.seen) < suspectMemory && held.crashes() >= crashLimit
+	return held != nil && now.Sub(held.seen) < suspectMemory && held.crashes()-held.passed >= crashLimit
 }
 
 // Crashed counts an instance that broke off while it ran the call.
@@ -65,6 +66,17 @@
 	held.seen, held.told = now, false
 }
 
+// Succeeded notes that an instance answered the call: the crashes so far were
+// not its fault. Callers send calls with the same content all the time.
+func (g *Guard) Succeeded(fingerprint uint64) {
+	s := g.shard(fingerprint)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if held := s.suspects[fingerprint]; held != nil {
+		held.passed = held.crashes()
+	}
+}
+
 // News returns the counts of this VM that have not been told yet.
 func (g *Guard) News() kumquathitch.Suspects {
 	var news kumquathitch.Suspects
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -73,6 +73,21 @@
 	must.False(t, leader.Condemned(call, start.Add(2*time.Minute)))
 }
 
+// TestSuccessClearsACall guards against a common call that is refused everywhere
+// because several of its answers were lost.
+func TestSuccessClearsACall(t *testing.T) {
+	guard := retry.NewGuard()
+	for range 5 {
+		guard.Crashed(5, start)
+		guard.Succeeded(5)
+		must.False(t, guard.Condemned(5, start))
+	}
+	for range 3 {
+		guard.Crashed(5, start)
+	}
+	must.True(t, guard.Condemned(5, start))
+}
+
 // TestNewsAreToldAgainAfterAFailure guards against a count that is lost with the
 // message that carried it.
 func TestNewsAreToldAgainAfterAFailure(t *testing.T) {
--- a/standin/instance.go
+++ b/standin/instance.go
@@ -253,4 +253,3 @@
 	}
 	i.crashed = i.crashed || used > i.Memory || places > i.Places
 }
-
