--- a/cmd/kumquathitch-entry/main.go
+++ b/cmd/kumquathitch-entry/main.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
 
@@ -76,8 +77,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
-	log := telemetry.NewLogger(os.Stdout, own.LogLevel)
-	if err := vm.New(site, log, tracing).Run(ctx); err != nil {
+	set := metrics.NewSet()
+	log, flush := telemetry.NewBoundedLogger(os.Stdout, own.LogLevel, set)
+	defer flush()
+	if err := vm.New(site, log, set, tracing).Run(ctx); err != nil {
 		log.Error("ended", zap.Error(err))
 		return exitFailure
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -125,7 +125,7 @@
 func TestOneFailingCallerCondemnsNobody(t *testing.T) {
 	f := fleet.NewFleet("entry-1", "a")
 	for i := range 3 {
-		plain := engine("s"+strconv.Itoa(i), uint64(i+1)) //nolint:gosec // Small.
+		plain := engine("s"+strconv.Itoa(i), uint64(i+1))
 		plain.Service = "dispatch"
 		f.Put(plain, start)
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -51,7 +51,7 @@
 func limitSilence(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds())) //nolint:gosec // A descriptor fits an int.
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/relay/job.go
+++ b/relay/job.go
@@ -41,8 +41,6 @@
 	stream streamState
 }
 
-var errCallerLeft = errors.New("the caller left")
-
 // admit decides whether the call may be sent to an instance.
 func (j *job) admit() *kumquathitch.RefusalError {
 	j.Metrics.Calls.Inc()
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -163,8 +163,8 @@
 	quiet := false
 	var one [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // A descriptor fits an int.
-		quiet = failed == syscall.EAGAIN                                                         //nolint:errorlint // A system call returns a plain errno.
+		_, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = failed == syscall.EAGAIN
 		return true
 	})
 	return err == nil && quiet
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -79,9 +79,9 @@
 }
 
 func routes() *kumquathitch.Deployment {
-	route := func(path string, kind kumquathitch.RunKind, runs int) kumquathitch.DeploymentRoute {
+	route := func(path string, kind kumquathitch.RunKind) kumquathitch.DeploymentRoute {
 		return kumquathitch.DeploymentRoute{
-			Name: path, Host: "a.example", PathPrefix: path, Kind: kind, Stream: strings.HasPrefix(path, "/stream/"), MaxRuns: runs,
+			Name: path, Host: "a.example", PathPrefix: path, Kind: kind, Stream: strings.HasPrefix(path, "/stream/"), MaxRuns: 2,
 			Shares:  kumquathitch.ServiceShares{{Service: "llm", Weight: 1}},
 			Timeout: 4 * time.Second, Objective: 200 * time.Millisecond, GapLimit: 20 * time.Millisecond,
 		}
@@ -89,8 +89,8 @@
 	return &kumquathitch.Deployment{
 		Version: 1, Services: kumquathitch.Services{{Name: "llm"}},
 		Routes: kumquathitch.DeploymentRoutes{
-			route("/book/", kumquathitch.RunOnce, 2), route("/read/", kumquathitch.RunRepeat, 2),
-			route("/stream/plan/", kumquathitch.RunResume, 2), route("/stream/draft/", kumquathitch.RunOnce, 2),
+			route("/book/", kumquathitch.RunOnce), route("/read/", kumquathitch.RunRepeat),
+			route("/stream/plan/", kumquathitch.RunResume), route("/stream/draft/", kumquathitch.RunOnce),
 		},
 		Tenants: kumquathitch.Tenants{{Name: "crew", Keys: []string{key}, Priority: 1}},
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -104,7 +104,7 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	guard := retry.NewGuard()
 	for i := range uint64(20_000) {
-		guard.Crashed(i, start.Add(time.Duration(i)*time.Millisecond)) //nolint:gosec // Small.
+		guard.Crashed(i, start.Add(time.Duration(i)*time.Millisecond))
 	}
 	must.LessEq(t, 8*512, len(guard.News()))
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
@@ -24,3 +26,35 @@
 	must.StrContains(t, out.String(), `list="[{1 2}]"`)
 	must.StrContains(t, out.String(), "with=1")
 }
+
+// stuckWriter is a reader of the log that takes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuckWriter) Write(line []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(line)
+}
+
+// TestBoundedLoggerNeverBlocks guards against requests that wait for whoever
+// reads the log, and against a volume that grows with the load.
+func TestBoundedLoggerNeverBlocks(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	set := metrics.NewSet()
+	logger, flush := telemetry.NewBoundedLogger(out, "info", set)
+	for i := range 20_000 {
+		logger.Info("event", zap.Int("number", i))
+		logger.Info("event " + strconv.Itoa(i%100)) // Other events have limits of their own.
+	}
+	close(out.release)
+	flush()
+	lines := strings.Count(out.String(), "\n")
+	must.Between(t, 100, lines, 12_000)
+	must.StrContains(t, out.String(), "number=0")
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	must.StrContains(t, text.String(), "kumquathitch_log_lines_thinned_total")
+	must.StrNotContains(t, text.String(), "kumquathitch_log_lines_thinned_total 0")
+}
--- a/term/term_test.go
+++ b/term/term_test.go
@@ -73,7 +73,7 @@
 		for _, v := range []*vm{one, two, three} {
 			if _, ok := v.Leading(); ok {
 				v.stop()
-				<-v.end
+				must.NoError(t, <-v.end)
 			}
 		}
 		for range 100 {
@@ -128,7 +128,7 @@
 		two := launch(t, store, "two")
 		pass(time.Second)
 		one.stop()
-		<-one.end
+		must.NoError(t, <-one.end)
 		pass(time.Second)
 		_, leading := two.Leading()
 		_, held := two.Held()
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -127,7 +127,9 @@
 		}
 	}
 	s.stop()
-	<-s.peers
+	if err := <-s.peers; err != nil {
+		s.vm.log.Warn("listener of peers failed", zap.Error(err))
+	}
 	for _, end := range s.ends {
 		<-end
 	}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -8,10 +8,7 @@
 //	if err != nil {
 //		return err
 //	}
-//	v, err := vm.New(site, logger, tracing)
-//	if err != nil {
-//		return err
-//	}
+//	v := vm.New(site, logger, set, tracing)
 //	return v.Run(ctx) // Until ctx ends; then callers are served to their end.
 //
 // # Parts
@@ -90,15 +87,15 @@
 	ending    atomic.Bool // New calls are refused.
 }
 
-// New builds an entry VM.
-func New(site kumquathitch.Site, log *zap.Logger, tracing *telemetry.Tracing) *VM {
+// New builds an entry VM. Its metrics are registered in the set.
+func New(site kumquathitch.Site, log *zap.Logger, set *metrics.Set, tracing *telemetry.Tracing) *VM {
 	if site.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(site.MemoryBytes)))
 	}
 	debug.SetGCPercent(collectorPercent)
 	system := clock.NewSystem()
 	v := &VM{
-		site: site, clock: system, log: log, set: metrics.NewSet(), tracing: tracing,
+		site: site, clock: system, log: log, set: set, tracing: tracing,
 		current: deployment.NewCurrent(),
 		fleet:   fleet.NewFleet(site.Name, site.DataCentre),
 		purse:   quota.NewPurse(clock.Monotonic{}, site.Bootstrap),
