Feed changes of the store and the calls of all VMs through the leader

Change: exchanges carry the changes since the VM's revision and the calls by engine; a VM watches the store itself as soon as an exchange fails or the news are older than 1.3 s.

--- a/exchange.go
+++ b/exchange.go
@@ -5,15 +5,15 @@
 // Exchange is what an entry VM tells the leader, or another VM when the leader
 // cannot be reached, a few times a second.
 type Exchange struct {
-	From       string             `json:"from"`
-	Version    uint64             `json:"version"`              // Of the deployment in force.
-	Demand     map[string]float64 `json:"demand,omitempty"`     // Tokens per second by service, a slash, and model or adapter.
-	Draw       map[string]float64 `json:"draw,omitempty"`       // Tokens wanted by account.
-	Return     map[string]float64 `json:"return,omitempty"`     // Tokens given back by account.
-	Suspects   Suspects           `json:"suspects,omitempty"`   // News of this VM.
-	Revision   uint64             `json:"revision"`             // Of the store, as last heard.
-	WithoutKV  bool               `json:"without-kv,omitempty"` // The store does not answer this VM.
-	NeedDeploy bool               `json:"need-deploy,omitempty"`
+	From      string             `json:"from"`
+	Version   uint64             `json:"version"`              // Of the deployment in force.
+	Demand    map[string]float64 `json:"demand,omitempty"`     // Tokens per second by service, a slash, and model or adapter.
+	Draw      map[string]float64 `json:"draw,omitempty"`       // Tokens wanted by account.
+	Return    map[string]float64 `json:"return,omitempty"`     // Tokens given back by account.
+	Suspects  Suspects           `json:"suspects,omitempty"`   // News of this VM.
+	Loads     map[string]int     `json:"loads,omitempty"`      // Own calls under way, by instance.
+	Revision  uint64             `json:"revision"`             // Of the store, as last heard.
+	WithoutKV bool               `json:"without-kv,omitempty"` // The store does not answer this VM.
 }
 
 // ExchangeReply answers an exchange.
@@ -24,10 +24,13 @@
 	Levels     map[string]float64 `json:"levels,omitempty"`  // Tokens that the bank still holds, by account.
 	Dry        map[string]float64 `json:"dry,omitempty"`     // Accounts without tokens: seconds until some come.
 	Suspects   Suspects           `json:"suspects,omitempty"`
+	Loads      map[string]int     `json:"loads,omitempty"` // Calls of the other VMs under way, by instance.
+	Fed        bool               `json:"fed,omitempty"`   // Changes holds all after the asking VM's revision.
+	Changes    []KeyChange        `json:"changes,omitempty"`
 	Version    uint64             `json:"version"`
 	Deployment []byte             `json:"deployment,omitempty"` // Encoded as in the store.
 	Instances  []KeyItem          `json:"instances,omitempty"`  // Descriptions as in the store, for a VM without it.
-	Revision   uint64             `json:"revision"`             // That Instances were read at.
+	Revision   uint64             `json:"revision"`             // Of the store, as the answering VM knows it.
 }
 
 // Suspect is a request after whose start upstreams broke off.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -147,6 +147,34 @@
 	}
 }
 
+// Loads returns the calls of this VM under way, by instance.
+func (f *Fleet) Loads() map[string]int {
+	loads := map[string]int{}
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mutex.RLock()
+		for id, m := range s.members {
+			if sent := m.own(); sent > 0 {
+				loads[id] = sent
+			}
+		}
+		s.mutex.RUnlock()
+	}
+	return loads
+}
+
+// SetLoads takes in the calls of the other VMs under way, by instance.
+func (f *Fleet) SetLoads(loads map[string]int, now time.Time) {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mutex.RLock()
+		for id, m := range s.members {
+			m.setOthers(loads[id], now)
+		}
+		s.mutex.RUnlock()
+	}
+}
+
 // Instances returns the descriptions of all instances, in order of ids.
 func (f *Fleet) Instances() kumquathitch.Instances {
 	var all kumquathitch.Instances
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -136,6 +136,19 @@
 	return m.instance
 }
 
+func (m *member) own() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.sent
+}
+
+// setOthers takes in the calls of the other VMs, as they told the leader.
+func (m *member) setOthers(count int, now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.reported, m.counted = count, now
+}
+
 // load estimates the calls on the instance. The caller holds the lock.
 func (m *member) load(now time.Time) float64 {
 	others := 0.0
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -63,7 +63,7 @@
 	now := time.Now()
 	message := kumquathitch.Exchange{
 		From: v.site.Name, Version: v.current.Version(), Demand: v.demand.Local(now),
-		Revision: v.follower.at(), WithoutKV: v.follower.away(now), Suspects: v.guard.News(),
+		Loads: v.fleet.Loads(), Revision: v.follower.at(), WithoutKV: v.follower.away(now), Suspects: v.guard.News(),
 	}
 	address, self := v.partner(message.WithoutKV)
 	if address == "" && !self {
@@ -81,6 +81,7 @@
 		cancel()
 		if err != nil {
 			v.guard.Untell(message.Suspects)
+			v.follower.unfed()
 			v.log.Info("exchange failed", zap.String("peer", address), zap.Error(err))
 			return
 		}
@@ -118,6 +119,12 @@
 	now := time.Now()
 	v.purse.Receive(reply, now)
 	v.guard.Hear("", reply.Suspects, now)
+	if reply.Leader {
+		v.fleet.SetLoads(reply.Loads, now)
+	}
+	if reply.Fed {
+		v.follower.feed(reply.Changes, reply.Revision)
+	}
 	if reply.Members > 0 {
 		v.budget.SetMembers(reply.Members)
 	}
@@ -138,8 +145,13 @@
 		if view := v.current.View(); view != nil {
 			reply = bank.Exchange(&message, view.Deployment.Tenants, now)
 		}
+		reply.Leader = true
+		reply.Loads = v.news.tell(message.From, message.Loads, now)
 		if message.From != v.site.Name {
 			v.demand.Report(message.From, message.Demand, now)
+			// The revision is read first: changes that come meanwhile are sent once more.
+			reply.Revision = v.follower.at()
+			reply.Changes, reply.Fed = v.changesFor(message.Revision, now)
 		}
 	}
 	reply.Suspects = v.guard.All(message.From, now)
@@ -154,6 +166,15 @@
 	return reply, nil
 }
 
+// changesFor returns the changes of the store that a VM has not heard of. A
+// leader that the store does not answer feeds nobody.
+func (v *VM) changesFor(revision uint64, now time.Time) ([]kumquathitch.KeyChange, bool) {
+	if v.follower.away(now) {
+		return nil, false
+	}
+	return v.news.after(revision)
+}
+
 // bank returns the bank of the present term, or nil when this VM does not lead.
 func (v *VM) bank(now time.Time) *quota.Bank {
 	t, leading := v.candidate.Leading()
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -24,6 +24,13 @@
 	// after changes, so that several come in one answer: each answer is a call
 	// that is paid for, and descriptions of engines change often.
 	followParts = 3
+	// leaderPause is the same for the leader, which feeds the others.
+	leaderPause = 150 * time.Millisecond
+	// fedTime is how long a VM relies on the leader's last news before it
+	// watches the store itself: two exchanges may be late.
+	fedTime = 1300 * time.Millisecond
+	// fedPoll is the pause between two looks whether the leader still feeds.
+	fedPoll = 100 * time.Millisecond
 	// followRetry is the pause after a failed call.
 	followRetry = 250 * time.Millisecond
 	// outageAfter is how long the store may be silent before it counts as away:
@@ -38,6 +45,7 @@
 type follower struct {
 	vm *VM
 
+	applying  sync.Mutex // Keeps changes from the store and from the leader apart.
 	mutex     sync.Mutex
 	instances map[string]kumquathitch.KeyItem // As written, by key, for VMs without the store.
 	members   map[string]kumquathitch.Member
@@ -46,6 +54,7 @@
 	answered  time.Time // Of the last call.
 	returned  time.Time // End of the last outage.
 	scanned   bool
+	fedTo     time.Time // Until then the leader's news stand in for a watch.
 }
 
 func newFollower(v *VM) *follower {
@@ -77,6 +86,10 @@
 	if after == 0 {
 		return f.scan(ctx)
 	}
+	if f.isFed(time.Now()) {
+		sleep(ctx, fedPoll)
+		return nil
+	}
 	changes, err := f.vm.site.Store.Follow(ctx, "", after, followWait)
 	var lost *kumquathitch.HistoryLostError
 	if errors.As(err, &lost) {
@@ -87,18 +100,63 @@
 		return err
 	}
 	f.hear(time.Now())
-	for _, change := range changes.Changes {
+	f.apply(changes.Changes, changes.Revision)
+	if len(changes.Changes) > 0 {
+		pause := f.vm.site.DrainLag / followParts
+		if _, leading := f.vm.candidate.Leading(); leading {
+			pause = min(pause, leaderPause)
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// apply takes in changes in their order. Those that are known already, from the
+// store or from the leader, change nothing.
+func (f *follower) apply(changes []kumquathitch.KeyChange, revision uint64) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	known := f.at()
+	var fresh []kumquathitch.KeyChange
+	for _, change := range changes {
+		if change.Revision <= known {
+			continue
+		}
+		fresh = append(fresh, change)
 		if change.Removed {
 			f.remove(change.Key)
 		} else {
 			f.put(change.KeyItem)
 		}
 	}
-	f.setRevision(changes.Revision)
-	if len(changes.Changes) > 0 {
-		sleep(ctx, f.vm.site.DrainLag/followParts)
+	f.vm.news.add(fresh)
+	f.setRevision(revision)
+}
+
+// feed takes in the leader's news.
+func (f *follower) feed(changes []kumquathitch.KeyChange, revision uint64) {
+	if f.at() == 0 {
+		return // The VM reads everything first.
 	}
-	return nil
+	f.apply(changes, revision)
+	now := time.Now()
+	f.hear(now)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.fedTo = now.Add(fedTime)
+}
+
+// unfed makes the VM watch the store itself at once.
+func (f *follower) unfed() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.fedTo = time.Time{}
+}
+
+func (f *follower) isFed(now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Before(f.fedTo)
 }
 
 // scan reads everything and drops what is not there any more.
@@ -108,6 +166,9 @@
 		return err
 	}
 	f.hear(time.Now())
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.vm.news.restart(all.Revision)
 	listed := make(map[string]bool, len(all.Items))
 	for _, item := range all.Items {
 		listed[item.Key] = true
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -82,6 +82,7 @@
 	follower  *follower
 	office    office
 	reach     reach
+	news      news
 	handler   *relay.Handler
 	closing   atomic.Bool // Callers are asked to go elsewhere.
 	ending    atomic.Bool // New calls are refused.
