Leave the instances of a cut-off data centre alone, and try failed ones with idempotent calls

Cause: each VM found out by itself, instance by instance and 400 ms at a time, that a data centre was cut off; a booking could be the trial of an instance that had failed. Change: pings tell which data centres cannot be reached; calls that may run once are no trials.

--- a/dispatch.go
+++ b/dispatch.go
@@ -16,6 +16,7 @@
 	Objective time.Duration
 	GapLimit  time.Duration // Longest pause between events of a stream; 0 when there is none.
 	HoldTo    time.Time     // Until then the call may wait for an instance that is not crowded.
+	Once      bool          // The call may run only once, and is no trial of an instance that has failed.
 	Exclude   []string      // Instances that were tried.
 }
 
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -52,6 +52,7 @@
 		if !usable {
 			continue
 		}
+		found.paused = found.paused || f.isCut(found.dataCentre)
 		if m != preferred {
 			found.cost += otherCost
 		}
@@ -91,7 +92,7 @@
 		if m.id == made.Instance.ID {
 			continue
 		}
-		if found, usable := m.cost(want, c, f.dataCentre, math.Inf(1), now); usable && !found.paused {
+		if found, usable := m.cost(want, c, f.dataCentre, math.Inf(1), now); usable && !found.paused && !f.isCut(found.dataCentre) {
 			return true
 		}
 	}
@@ -150,13 +151,14 @@
 
 // choice is a candidate with its cost in milliseconds.
 type choice struct {
-	member  *member
-	cost    float64
-	wait    float64
-	missing int64
-	paused  bool
-	crowded bool
-	trial   bool
+	member     *member
+	dataCentre string
+	cost       float64
+	wait       float64
+	missing    int64
+	paused     bool
+	crowded    bool
+	trial      bool
 }
 
 // cost estimates the time to the answer. It reports false for a member that
@@ -164,7 +166,7 @@
 func (m *member) cost(want kumquathitch.InstanceWant, c chain, dataCentre string, pace float64, now time.Time) (choice, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	found := choice{member: m}
+	found := choice{member: m, dataCentre: m.instance.DataCentre}
 	for _, tried := range want.Exclude {
 		if tried == m.id {
 			return found, false
@@ -192,7 +194,7 @@
 		found.cost += milliseconds(want.Objective)
 	}
 	found.trial = m.pauses > 0
-	found.paused = m.pauses > 0 && (m.trial || now.Before(m.pausedTo))
+	found.paused = m.pauses > 0 && (m.trial || want.Once || now.Before(m.pausedTo))
 	return found, true
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,7 @@
 	vm         string
 	dataCentre string
 	sharers    atomic.Int64 // VMs that send calls to the same instances.
+	cut        cutNotice
 	freed      freedNotice
 	shards     [shardCount]shard // Members by id.
 	groups     [shardCount]groupShard
@@ -64,6 +65,26 @@
 	changed chan struct{}
 }
 
+// cutNotice holds the data centres that this VM cannot reach.
+type cutNotice struct {
+	mutex       sync.RWMutex
+	dataCentres map[string]bool
+}
+
+// SetCut states which data centres this VM cannot reach. Their instances are
+// used only when no other is left.
+func (f *Fleet) SetCut(dataCentres map[string]bool) {
+	f.cut.mutex.Lock()
+	defer f.cut.mutex.Unlock()
+	f.cut.dataCentres = dataCentres
+}
+
+func (f *Fleet) isCut(dataCentre string) bool {
+	f.cut.mutex.RLock()
+	defer f.cut.mutex.RUnlock()
+	return f.cut.dataCentres[dataCentre]
+}
+
 // NewFleet returns a fleet without instances, seen from a VM in a data centre.
 func NewFleet(vm, dataCentre string) *Fleet {
 	f := &Fleet{vm: vm, dataCentre: dataCentre}
--- a/relay/job.go
+++ b/relay/job.go
@@ -121,6 +121,7 @@
 	j.want = kumquathitch.InstanceWant{
 		Service: j.service(), Model: j.call.Model, Adapter: j.call.Adapter,
 		Prompt: j.call.Prompt, Tokens: j.call.PromptTokens, Objective: objective, GapLimit: j.route.GapLimit,
+		Once:   j.route.Kind == kumquathitch.RunOnce,
 		HoldTo: j.received.Add(time.Duration(holdPart * float64(objective))),
 	}
 	if service := services.Find(j.want.Service); service != nil && service.Engine != nil {
--- a/vm/reach.go
+++ b/vm/reach.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,7 +18,7 @@
 	pingInterval = 700 * time.Millisecond
 	// pingTimeout bounds one ping, which is answered in milliseconds.
 	pingTimeout = 500 * time.Millisecond
-	// isolatedAfter is how many rounds in a row nobody elsewhere may answer: one
+	// isolatedAfter is how many rounds in a row a data centre may give no answer: one
 	// round can meet VMs that have just died.
 	isolatedAfter = 2
 )
@@ -29,7 +31,8 @@
 // reach is what this VM knows of its ways to the other data centres.
 type reach struct {
 	mutex  sync.Mutex
-	missed int // Rounds in a row without an answer.
+	missed map[string]int // Rounds in a row without an answer, by data centre.
+	turn   int
 }
 
 // isolated reports whether no other data centre can be reached. Such a VM asks
@@ -37,20 +40,43 @@
 func (r *reach) isolated() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.missed >= isolatedAfter
+	for _, missed := range r.missed {
+		if missed < isolatedAfter {
+			return false
+		}
+	}
+	return len(r.missed) > 0
 }
 
-// note counts a round and reports whether the VM became isolated or is back.
-func (r *reach) note(answered bool) (changed, isolated bool) {
+// note counts a round. It returns the data centres that are cut off, and
+// whether these have changed.
+func (r *reach) note(answered map[string]bool) (cut map[string]bool, changed bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	before := r.missed >= isolatedAfter
-	if answered {
-		r.missed = 0
-	} else {
-		r.missed++
+	before := r.missed
+	r.missed = make(map[string]int, len(answered))
+	cut = map[string]bool{}
+	for dataCentre, ok := range answered {
+		if !ok {
+			r.missed[dataCentre] = before[dataCentre] + 1
+		} else {
+			r.missed[dataCentre] = 0
+		}
+		if r.missed[dataCentre] >= isolatedAfter {
+			cut[dataCentre] = true
+		}
+		changed = changed || cut[dataCentre] != (before[dataCentre] >= isolatedAfter)
 	}
-	return before != (r.missed >= isolatedAfter), r.missed >= isolatedAfter
+	return cut, changed
+}
+
+// next returns a number that rises with each round, so that each round asks
+// another VM.
+func (r *reach) next() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.turn++
+	return r.turn
 }
 
 // checkReach pings one VM of each other data centre.
@@ -61,25 +87,33 @@
 			byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
 		}
 	}
-	if len(byDataCentre) == 0 {
-		return
+	type answer struct {
+		dataCentre string
+		ok         bool
 	}
-	answers := make(chan bool, len(byDataCentre))
-	for _, members := range byDataCentre {
-		chosen := members[rand.IntN(len(members))] //nolint:gosec // Nothing depends on secrecy.
+	answers := make(chan answer, len(byDataCentre))
+	turn := v.reach.next()
+	for dataCentre, members := range byDataCentre {
+		slices.SortFunc(members, func(a, b kumquathitch.Member) int { return strings.Compare(a.Name, b.Name) })
+		chosen := members[turn%len(members)]
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 			defer cancel()
-			answers <- v.peers.Call(ctx, chosen.Address, methodPing, ping{From: v.site.Name}, &ping{}) == nil
+			err := v.peers.Call(ctx, chosen.Address, methodPing, ping{From: v.site.Name}, &ping{})
+			answers <- answer{dataCentre: dataCentre, ok: err == nil}
 		}()
 	}
-	answered := false
+	answered := map[string]bool{}
 	for range byDataCentre {
-		answered = <-answers || answered
+		a := <-answers
+		answered[a.dataCentre] = a.ok
 	}
-	if changed, isolated := v.reach.note(answered); changed {
-		v.log.Warn("reach of other data centres", zap.Bool("isolated", isolated))
+	cut, changed := v.reach.note(answered)
+	if !changed {
+		return
 	}
+	v.fleet.SetCut(cut)
+	v.log.Warn("reach of other data centres", zap.Any("cut", slices.Sorted(maps.Keys(cut))), zap.Bool("isolated", v.reach.isolated()))
 }
 
 func (v *VM) answerPing(context.Context, ping) (ping, error) {
