--- a/exchange.go
+++ b/exchange.go
@@ -61,4 +61,5 @@
 	Address    string    `json:"address"` // For calls between entry VMs.
 	DataCentre string    `json:"data-centre"`
 	Started    time.Time `json:"started"`
+	Strength   float64   `json:"strength"` // Processor and link, to choose a leader by.
 }
--- a/term/term.go
+++ b/term/term.go
@@ -78,11 +78,11 @@
 	log    *zap.Logger
 	vacant chan struct{}
 
-	mutex   sync.Mutex
-	leader  kumquathitch.KeyItem // Revision 0 for none.
-	known   bool                 // The store was read.
-	younger int                  // Members that started later.
-	term    *Term
+	mutex  sync.Mutex
+	leader kumquathitch.KeyItem // Revision 0 for none.
+	known  bool                 // The store was read.
+	ahead  int                  // Members that are stronger, or as strong and younger.
+	term   *Term
 }
 
 // NewCandidate returns a candidate that does nothing until Run.
@@ -208,20 +208,21 @@
 func (c *Candidate) ObserveMembers(members []kumquathitch.Member) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.younger = 0
+	c.ahead = 0
 	for _, m := range members {
-		if m.Started.After(c.member.Started) {
-			c.younger++
+		if m.Strength > c.member.Strength || (m.Strength == c.member.Strength && m.Started.After(c.member.Started)) {
+			c.ahead++
 		}
 	}
 }
 
-// turn returns how long this candidate waits before it tries. The youngest VM
-// comes first: when VMs are restarted in turn, it is the last to be stopped.
+// turn returns how long this candidate waits before it tries. The strongest VM
+// comes first, since the leader answers all others; among equals the youngest,
+// which is the last to be stopped when VMs are restarted in turn.
 func (c *Candidate) turn() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return min(electionSpread, time.Duration(c.younger)*electionStep) +
+	return min(electionSpread, time.Duration(c.ahead)*electionStep) +
 		time.Duration(rand.Int64N(int64(electionStep))) //nolint:gosec // Spreads tries; nothing depends on secrecy.
 }
 
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -56,6 +56,9 @@
 	planInterval = 250 * time.Millisecond
 	// housekeepingInterval is the pause between closings of idle connections.
 	housekeepingInterval = 2 * time.Second
+	// enoughLink is the link that a leader can use, in Mbit/s: on the grown sites
+	// it passes on about 10 Mbit/s of changes to 63 VMs.
+	enoughLink = 100.0
 	// memoryPart is the part of the VM's memory at which the collector works harder.
 	memoryPart = 0.7
 	// collectorPercent lets the small heap of a VM double twice between collections.
@@ -105,7 +108,7 @@
 		demand:  model.NewDemandOver(demandMemory),
 		peers:   peer.NewClient(tracing),
 	}
-	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre, Started: time.Now().Round(0)}
+	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre, Started: time.Now().Round(0), Strength: strength(site)}
 	rules := term.Rules{TTL: leaseTTL, TurnTime: site.TurnTime}
 	if site.ChecksFences {
 		rules.TurnTime = fencedTurnTime
@@ -122,6 +125,11 @@
 	return v
 }
 
+// strength ranks VMs as leaders: by processor, less where the link is small.
+func strength(site kumquathitch.Site) float64 {
+	return site.Cores * min(1, site.LinkMbps/enoughLink)
+}
+
 // mayOrder tells whether this VM may give orders to engines now.
 func (v *VM) mayOrder() (uint64, bool) {
 	t, ok := v.candidate.Held()
