Rank models by what another replica gains

Cause: on the grown sites more than eight listed models are nowhere at any time, and these filled the list of models that the plan looks at; the busiest model kept its replicas while engines refused 1,129 of its calls at one data centre.

--- a/placement/owner.go
+++ b/placement/owner.go
@@ -18,8 +18,11 @@
 
 const (
 	shardCount = 16
-	// loadBurst is how many loads from the weight store may begin at once.
-	loadBurst = 2.5
+	// loadBurst is how many loads from the weight store may begin at once, and
+	// loadBurstTime adds those of that time at the store's rate. The platform
+	// allows three, and a tenth of the rate over five seconds.
+	loadBurst     = 2.5
+	loadBurstTime = 400 * time.Millisecond
 	// adapterSettle is how long a call waits for an adapter that was just
 	// ordered. An adapter is fetched in some milliseconds.
 	adapterSettle = 30 * time.Millisecond
@@ -437,7 +440,7 @@
 		l = &loadLevel{counted: now}
 		w.levels[s.Name] = l
 	}
-	l.level = min(loadBurst, l.level+s.Engine.LoadsPerSecond*max(0, now.Sub(l.counted).Seconds()))
+	l.level = min(loadBurst+s.Engine.LoadsPerSecond*loadBurstTime.Seconds(), l.level+s.Engine.LoadsPerSecond*max(0, now.Sub(l.counted).Seconds()))
 	l.counted = now
 	return l
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -41,8 +41,10 @@
 	// takes seconds, and an engine that unloads drops what it kept of prompts.
 	fetchCost = 0.06
 	moveCost  = 0.03
-	// movesAtOnce bounds the moves of one plan.
-	movesAtOnce = 3
+	// movesAtOnce bounds the moves of one plan, and enginesPerMove raises that on
+	// large services.
+	movesAtOnce    = 3
+	enginesPerMove = 12
 	// stagedAtOnce is the part of the engines that may load a model only to keep
 	// a copy of its weights, and stageLoss what the placement may lose by that.
 	stagedAtOnce = 0.25
@@ -100,7 +102,7 @@
 func Plan(class *kumquathitch.EngineClass, engines Engines, demand Demand, loads int) []Move {
 	p := newPlanner(class, engines, demand)
 	var moves []Move
-	for range movesAtOnce {
+	for range max(movesAtOnce, len(engines)/enginesPerMove) {
 		best, ok := p.best(loads > 0)
 		if !ok {
 			break
@@ -274,19 +276,20 @@
 	return best, best.model != nil
 }
 
-// neediest returns the models with the most demand on each replica, those that
-// are nowhere first.
+// neediest returns the models that would gain most by another replica, if it
+// took nothing from others.
 func (p *planner) neediest() []*kumquathitch.ModelClass {
 	models := make([]*kumquathitch.ModelClass, 0, len(p.class.Models))
 	for i := range p.class.Models {
 		models = append(models, &p.class.Models[i])
 	}
 	weight := func(m *kumquathitch.ModelClass) float64 {
-		held := len(p.holders[m.Name])
-		if held == 0 {
-			return nowhereCost * (unheldCost + p.parts[m.Name])
+		held, part := len(p.holders[m.Name]), p.parts[m.Name]
+		gain := p.standing(m.Name, held) - p.standing(m.Name, held+1)
+		if held > 0 {
+			gain += float64(len(p.engines)) * part * part / float64(held*(held+1))
 		}
-		return p.parts[m.Name] / float64(held)
+		return gain
 	}
 	slices.SortStableFunc(models, func(a, b *kumquathitch.ModelClass) int { return cmp.Compare(weight(b), weight(a)) })
 	return models[:min(modelsTried, len(models))]
