--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -17,6 +17,9 @@
 	// otherCost is added where this VM prefers another instance for the model:
 	// each instance then gets most calls from few VMs, which can pace them.
 	otherCost = 5.0
+	// otherPlainCost is the same for a plain service, where the preferred instance
+	// is the one that this VM has a fresh connection to.
+	otherPlainCost = 2.0
 	// pacePart is the part of the longest pause of a stream that prompts read
 	// beside it may take: an event holds several tokens, and a part of a prompt
 	// is read before each.
@@ -54,7 +57,7 @@
 		}
 		found.paused = found.paused || f.isCut(found.dataCentre)
 		if m != preferred {
-			found.cost += otherCost
+			found.cost += otherCostOf(want)
 		}
 		switch {
 		case found.paused:
@@ -99,6 +102,15 @@
 	return false
 }
 
+// otherCostOf returns what another instance than the preferred one costs, in
+// milliseconds.
+func otherCostOf(want kumquathitch.InstanceWant) float64 {
+	if want.Model == "" {
+		return otherPlainCost
+	}
+	return otherCost
+}
+
 // pace returns for how long an instance may read prompts of this VM at once,
 // in milliseconds: its part of the pause that streams may have.
 func (f *Fleet) pace(want kumquathitch.InstanceWant, replicas int) float64 {
@@ -133,11 +145,9 @@
 	}
 }
 
-// preferred returns the member that this VM sends calls for a model to first.
+// preferred returns the member that this VM sends calls for a model, or for a
+// plain service, to first.
 func (f *Fleet) preferred(candidates []*member, model string) *member {
-	if model == "" {
-		return nil
-	}
 	key := f.vm + "/" + model
 	var best *member
 	var highest uint64
