--- a/quota/purse.go
+++ b/quota/purse.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net/http"
 	"sync"
@@ -112,8 +113,7 @@
 		}
 		arrived = false
 		if change == nil {
-			refusal := kumquathitch.NotRun(http.StatusTooManyRequests, "rate-exceeded",
-				"the account "+tenant.Name+" is over its rate")
+			refusal := kumquathitch.NotRun(http.StatusTooManyRequests, "rate-exceeded", p.explain(tenant, tokens))
 			refusal.RetryAfter = retry
 			return refusal
 		}
@@ -132,6 +132,25 @@
 	}
 }
 
+// explain tells what a refusal went by.
+func (p *Purse) explain(tenant *kumquathitch.Tenant, tokens float64) string {
+	now := p.clock.Now()
+	p.bank.mutex.Lock()
+	silent, members := now.Sub(p.bank.heard), p.bank.members
+	never := p.bank.heard.IsZero()
+	p.bank.mutex.Unlock()
+	bank := "no bank was heard"
+	if !never {
+		bank = fmt.Sprintf("the bank answered %d ms ago", silent.Milliseconds())
+	}
+	s := p.shard(tenant.Name)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := p.stock(s, tenant, now)
+	return fmt.Sprintf("the account %s has %.0f of %.0f tokens here and asks for %.0f a second of its %.0f over %d VMs; %s",
+		tenant.Name, held.level, tokens, held.demand, tenant.Rate, members, bank)
+}
+
 // take spends the tokens when they are there. Otherwise it returns a channel
 // to wait on, or nil when waiting is of no use, with the time to come back.
 func (p *Purse) take(tenant *kumquathitch.Tenant, tokens float64, until time.Time, arrived bool) (chan struct{}, bool, time.Time) {
