--- a/site.go
+++ b/site.go
@@ -15,8 +15,8 @@
 	Seeds          []string // Addresses for calls between entry VMs; some may be stale.
 
 	MemoryBytes int64
-	Cores       float64 // Part of the processor that the VM may use.
-	LinkMbps    float64 // Of the VM's network link.
+	Cores       float64       // Part of the processor that the VM may use.
+	LinkMbps    float64       // Of the VM's network link.
 	Grace       time.Duration // From the signal to shut down to the end of the process by force.
 	DrainLag    time.Duration // Within which an instance that leaves gets no more calls.
 
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -131,7 +131,9 @@
 		s.vm.log.Warn("listener of peers failed", zap.Error(err))
 	}
 	for _, end := range s.ends {
-		<-end
+		if err := <-end; !errors.Is(err, http.ErrServerClosed) {
+			s.vm.log.Warn("listener failed", zap.Error(err))
+		}
 	}
 	s.vm.log.Info("drained", zap.Duration("took", time.Since(begun)))
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -169,7 +169,9 @@
 	servers.drain(v.site.Grace)
 	stop()
 	for _, end := range ends {
-		<-end
+		if failed := <-end; failed != nil {
+			v.log.Warn("part of the VM failed", zap.Error(failed))
+		}
 	}
 	v.peers.Close()
 	v.log.Info("stopped")
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -100,14 +100,14 @@
 	return v
 }
 
-func (w *world) server(id string, models ...string) *standin.Instance {
+func (w *world) server(models ...string) *standin.Instance {
 	w.t.Helper()
-	instance := standin.NewInstance(id, "llm", models...)
+	instance := standin.NewInstance("i-1", "llm", models...)
 	instance.Sizes = map[string]float64{"m": 90, "n": 90}
 	listener := httptest.NewServer(instance)
 	w.t.Cleanup(listener.Close)
 	w.t.Cleanup(instance.Close)
-	w.store.Put("servers/"+id, instance.Entry(listener.Listener.Addr().String()))
+	w.store.Put("servers/i-1", instance.Entry(listener.Listener.Addr().String()))
 	return instance
 }
 
@@ -128,7 +128,7 @@
 }
 
 func (v *entryVM) isReady() bool {
-	response, err := http.Get("http://" + v.ready + "/v1/readiness") //nolint:noctx // A test's own server.
+	response, err := http.Get("http://" + v.ready + "/v1/readiness")
 	if err != nil {
 		return false
 	}
@@ -166,7 +166,7 @@
 	w.until("a VM without configuration refuses", func() bool { status, _ := v.call(t, "k1", "m"); return status == 503 })
 	must.False(t, v.isReady())
 	w.store.Put("op/config", deploymentText(1, "k1"))
-	one := w.server("i-1", "m")
+	one := w.server("m")
 	w.until("the VM is ready", v.isReady)
 	w.until("a call is answered", func() bool { status, _ := v.call(t, "k1", "m"); return status == 200 })
 	status, _ := v.call(t, "k2", "m")
@@ -186,7 +186,7 @@
 func TestModelIsLoadedOnDemand(t *testing.T) {
 	w := newWorld(t)
 	w.store.Put("op/config", deploymentText(1, "k1"))
-	one := w.server("i-1", "m")
+	one := w.server("m")
 	first, second := w.launch("entry-1"), w.launch("entry-2")
 	w.until("both VMs are ready", func() bool { return first.isReady() && second.isReady() })
 	w.until("a call for an adapter is answered", func() bool { status, _ := second.call(t, "k1", "m/a1"); return status == 200 })
@@ -199,7 +199,7 @@
 func TestStoreOutageStopsNobody(t *testing.T) {
 	w := newWorld(t)
 	w.store.Put("op/config", deploymentText(1, "k1"))
-	w.server("i-1", "m")
+	w.server("m")
 	v := w.launch("entry-1")
 	w.until("a call is answered", func() bool { status, _ := v.call(t, "k1", "m"); return status == 200 })
 	w.store.SetFaults(standin.KeyspaceFaults{Down: true})
@@ -219,7 +219,7 @@
 func TestGracefulShutdown(t *testing.T) {
 	w := newWorld(t)
 	w.store.Put("op/config", deploymentText(1, "k1"))
-	w.server("i-1", "m")
+	w.server("m")
 	v := w.launch("entry-1")
 	w.until("the VM is ready", v.isReady)
 	v.stop()
@@ -270,7 +270,7 @@
 func TestLeaderWithoutTheStoreFeedsNobody(t *testing.T) {
 	w := newWorld(t)
 	w.store.Put("op/config", deploymentText(1, "k1"))
-	w.server("i-1", "m")
+	w.server("m")
 	leader := w.launch("entry-1")
 	w.until("the first VM is ready", leader.isReady)
 	store := w.stores["entry-1"]
