Remove fields and functions without a reader, and pause in one place

Seven packages had the same function that waits for a time or the end of a context; it stands in clock now.

--- a/call.go
+++ b/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 )
 
@@ -103,8 +102,3 @@
 	// EventID returns the id of one event of a stream, with ok unset when it has none.
 	EventID(event []byte) (id string, ok bool)
 }
-
-// Has reports whether the parts contain an id.
-func (p PromptParts) Has(id string) bool {
-	return slices.ContainsFunc(p, func(part PromptPart) bool { return part.ID == id })
-}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -9,6 +9,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -71,3 +72,15 @@
 func (Monotonic) Now() time.Time {
 	return time.Now()
 }
+
+// Pause waits for a time, or until ctx ends. It reports whether the time passed.
+func Pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/configuration/repository.go
+++ b/configuration/repository.go
@@ -28,6 +28,7 @@
 	"github.com/rotisserie/eris"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/model"
 )
 
@@ -253,7 +254,7 @@
 			return r.conflict(ctx, record, base)
 		}
 		// The old root is still there, but the write may still be on its way.
-		if !wait(ctx, settlePause) {
+		if !clock.Pause(ctx, settlePause) {
 			return unknown
 		}
 	}
@@ -288,15 +289,3 @@
 	all := append(slices.Clone(ids), id)
 	return all[max(0, len(all)-keptWriteIDs):]
 }
-
-// wait returns false when ctx ended first.
-func wait(ctx context.Context, period time.Duration) bool {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/configuration"
 	"kumquathitch.example/kumquathitch/entry"
 	"kumquathitch.example/kumquathitch/peer"
@@ -151,7 +152,7 @@
 		if d.onDuty() {
 			d.watchUntilRelieved(ctx)
 		}
-		pause(ctx, d.Heartbeat)
+		clock.Pause(ctx, d.Heartbeat)
 	}
 }
 
@@ -168,7 +169,7 @@
 		d.watch(watching)
 	}()
 	for ctx.Err() == nil && d.onDuty() {
-		pause(ctx, d.Heartbeat)
+		clock.Pause(ctx, d.Heartbeat)
 	}
 	stop()
 	<-stopped
@@ -187,7 +188,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			d.Logger.Warn("configuration-watch-failed", zap.Error(err))
-			pause(ctx, storeRetry)
+			clock.Pause(ctx, storeRetry)
 		}
 	}
 }
@@ -332,13 +333,3 @@
 	err := d.Peers.Call(ctx, address, methodPull, pull, &delta)
 	return delta, err
 }
-
-// pause waits for a period or the end of ctx.
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/entry"
 	"kumquathitch.example/kumquathitch/peer"
 )
@@ -245,7 +246,7 @@
 			m.Logger.Debug("registration-failed", zap.Error(err))
 			period = registrationRetry
 		}
-		pause(ctx, period)
+		clock.Pause(ctx, period)
 	}
 }
 
--- a/deployment.go
+++ b/deployment.go
@@ -18,19 +18,18 @@
 
 // DeploymentRoute sends the calls of a host below a path to services.
 type DeploymentRoute struct {
-	Name        string
-	Host        string
-	PathPrefix  string // Begins and ends with a slash.
-	Kind        RunKind
-	Stream      bool // The answer is a stream of events.
-	Open        bool // Callers need no key.
-	Shares      ServiceShares
-	MaxRuns     int           // Upstreams that one call may run on.
-	Timeout     time.Duration // Longest time for the whole answer; 0 when the operator sets none.
-	Objective   time.Duration // Time to the answer, or to the first event of a stream, for full credit.
-	GapLimit    time.Duration // Longest pause between events for full credit; 0 when not stated.
-	Priority    int           // 0 is the highest.
-	SharedParts bool          // Calls share parts of prompts.
+	Name       string
+	Host       string
+	PathPrefix string // Begins and ends with a slash.
+	Kind       RunKind
+	Stream     bool // The answer is a stream of events.
+	Open       bool // Callers need no key.
+	Shares     ServiceShares
+	MaxRuns    int           // Upstreams that one call may run on.
+	Timeout    time.Duration // Longest time for the whole answer; 0 when the operator sets none.
+	Objective  time.Duration // Time to the answer, or to the first event of a stream, for full credit.
+	GapLimit   time.Duration // Longest pause between events for full credit; 0 when not stated.
+	Priority   int           // 0 is the highest.
 }
 
 // DeploymentRoutes is a list of routes.
@@ -94,10 +93,7 @@
 
 // CallerLimits bound what callers may send.
 type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Validate returns a *ValidationError with every problem of the deployment, or nil.
--- a/exchange.go
+++ b/exchange.go
@@ -5,15 +5,15 @@
 // Exchange is what an entry VM tells the leader, or another VM when the leader
 // cannot be reached, a few times a second.
 type Exchange struct {
-	From      string             `json:"from"`
-	Version   uint64             `json:"version"`              // Of the deployment in force.
-	Demand    map[string]float64 `json:"demand,omitempty"`     // Tokens per second by service, a slash, and model or adapter.
-	Draw      map[string]float64 `json:"draw,omitempty"`       // Tokens wanted by account.
-	Return    map[string]float64 `json:"return,omitempty"`     // Tokens given back by account.
-	Suspects  Suspects           `json:"suspects,omitempty"`   // News of this VM.
-	Loads     map[string]int     `json:"loads,omitempty"`      // Own calls under way, by instance.
-	Revision  uint64             `json:"revision"`             // Of the store, as last heard.
-	WithoutKV bool               `json:"without-kv,omitempty"` // The store does not answer this VM.
+	From         string             `json:"from"`
+	Version      uint64             `json:"version"`                 // Of the deployment in force.
+	Demand       map[string]float64 `json:"demand,omitempty"`        // Tokens per second by service, a slash, and model or adapter.
+	Draw         map[string]float64 `json:"draw,omitempty"`          // Tokens wanted by account.
+	Return       map[string]float64 `json:"return,omitempty"`        // Tokens given back by account.
+	Suspects     Suspects           `json:"suspects,omitempty"`      // News of this VM.
+	Loads        map[string]int     `json:"loads,omitempty"`         // Own calls under way, by instance.
+	Revision     uint64             `json:"revision"`                // Of the store, as last heard.
+	WithoutStore bool               `json:"without-store,omitempty"` // The store does not answer this VM.
 }
 
 // ExchangeReply answers an exchange.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -124,7 +124,7 @@
 	s.mutex.Lock()
 	held := s.members[instance.ID]
 	if held == nil {
-		held = newMember(instance, now)
+		held = newMember(instance)
 		s.members[instance.ID] = held
 	}
 	s.mutex.Unlock()
@@ -146,21 +146,6 @@
 	}
 }
 
-// Replace makes a list of instances the whole fleet. Instances that are missing
-// from it are removed.
-func (f *Fleet) Replace(instances kumquathitch.Instances, now time.Time) {
-	listed := make(map[string]bool, len(instances))
-	for _, instance := range instances {
-		listed[instance.ID] = true
-		f.Put(instance, now)
-	}
-	for _, instance := range f.Instances() {
-		if !listed[instance.ID] {
-			f.Remove(instance.ID)
-		}
-	}
-}
-
 // Hold notes that an instance holds an adapter, before its description says so.
 func (f *Fleet) Hold(id, model, adapter string, now time.Time) {
 	if m := f.member(id); m != nil {
@@ -220,15 +205,6 @@
 	return m.description(), true
 }
 
-// Revision returns the highest revision of the descriptions held.
-func (f *Fleet) Revision() uint64 {
-	var highest uint64
-	for _, instance := range f.Instances() {
-		highest = max(highest, instance.Revision)
-	}
-	return highest
-}
-
 // regroup moves a member from its former groups to its present ones.
 func (f *Fleet) regroup(m *member, before, after []group) {
 	for _, g := range before {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -46,7 +46,6 @@
 	id       string // Never changes.
 	mutex    sync.Mutex
 	instance kumquathitch.Instance
-	seen     time.Time // When the description was taken in.
 
 	sent     int   // Own calls without an end.
 	reading  int64 // Prompt tokens of own calls without a first event.
@@ -68,16 +67,15 @@
 	prompts promptCache
 }
 
-func newMember(instance kumquathitch.Instance, now time.Time) *member {
+func newMember(instance kumquathitch.Instance) *member {
 	m := &member{id: instance.ID}
-	m.reset(instance, now)
+	m.reset(instance)
 	return m
 }
 
 // reset forgets what was seen of an earlier start.
-func (m *member) reset(instance kumquathitch.Instance, now time.Time) {
+func (m *member) reset(instance kumquathitch.Instance) {
 	m.instance = kumquathitch.Instance{ID: instance.ID}
-	m.seen = now
 	m.reported, m.rate, m.latency = 0, startRate, startLatency
 	m.failures, m.broken, m.pauses = 0, 0, 0
 	m.pausedTo, m.busyTo = time.Time{}, time.Time{}
@@ -98,7 +96,7 @@
 		before = groupsOf(&m.instance)
 	}
 	if m.instance.Service != "" && !m.instance.SameStart(&instance) {
-		m.reset(instance, now)
+		m.reset(instance)
 	}
 	for _, r := range m.instance.Models {
 		if !instance.Models.Holds(r.Name, "") {
@@ -106,7 +104,7 @@
 		}
 	}
 	maps.DeleteFunc(m.placed, func(_ string, until time.Time) bool { return !now.Before(until) })
-	m.instance, m.seen = instance, now
+	m.instance = instance
 	return before, true
 }
 
--- a/model/owner.go
+++ b/model/owner.go
@@ -11,6 +11,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/accelerator"
+	"kumquathitch.example/kumquathitch/clock"
 )
 
 // plan computes the moves of this VM's data centre and posts them. The board
@@ -88,7 +89,7 @@
 	for ctx.Err() == nil {
 		if !c.owns(c.Clock.Now()) {
 			c.follow(func(f *followed) { f.synced, f.since, f.plans = false, 0, nil })
-			wait(ctx, followPause)
+			clock.Pause(ctx, followPause)
 			continue
 		}
 		var since uint64
@@ -96,7 +97,7 @@
 		records, err := c.Store.Watch(ctx, accelerator.RecordPrefix(own), since)
 		if err != nil {
 			c.follow(func(f *followed) { f.synced = false })
-			wait(ctx, followPause)
+			clock.Pause(ctx, followPause)
 			continue
 		}
 		c.follow(func(f *followed) { f.learn(records, accelerator.RecordPrefix(own)) })
@@ -123,15 +124,6 @@
 	}
 }
 
-func wait(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // owns reports whether this VM is the placement owner of its data centre.
 func (c *Controller) owns(now time.Time) bool {
 	self := c.Members.Self()
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 )
 
 const (
@@ -390,11 +391,11 @@
 		}
 		outcome := o.order(ctx, s, action)
 		if outcome == kumquathitch.OrderUnsent {
-			pause(ctx, adapterRetry)
+			clock.Pause(ctx, adapterRetry)
 		}
 		placed := outcome == kumquathitch.OrderAccepted || outcome == kumquathitch.OrderHolds
 		if placed && !action.Unload {
-			pause(ctx, adapterSettle)
+			clock.Pause(ctx, adapterSettle)
 			return []string{action.Instance.ID}
 		}
 	}
@@ -444,12 +445,3 @@
 	l.counted = now
 	return l
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/relay/job.go
+++ b/relay/job.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 )
 
 // job is one call on its way.
@@ -263,14 +264,7 @@
 	if !j.Clock.Now().Add(modelPoll).Before(until) {
 		return false
 	}
-	timer := time.NewTimer(modelPoll)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Pause(ctx, modelPoll)
 }
 
 // again decides whether the call is sent once more after a send that failed.
--- a/term/term.go
+++ b/term/term.go
@@ -28,6 +28,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 )
 
 // Keys in the store.
@@ -143,7 +144,7 @@
 		for ctx.Err() == nil {
 			if err := c.hold(ctx); err != nil && ctx.Err() == nil {
 				c.log.Warn("member lease lost", zap.Error(err))
-				wait(ctx, retryPause)
+				clock.Pause(ctx, retryPause)
 			}
 		}
 		end <- nil
@@ -198,7 +199,7 @@
 				c.campaign(ctx, lease, record)
 			}
 		case <-c.vacant:
-			wait(ctx, c.turn())
+			clock.Pause(ctx, c.turn())
 			c.campaign(ctx, lease, record)
 		}
 	}
@@ -322,12 +323,3 @@
 	}
 	c.term = nil
 }
-
-func wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/quota"
 )
@@ -58,7 +59,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			v.exchange(ctx)
-			sleep(ctx, urgentInterval)
+			clock.Pause(ctx, urgentInterval)
 			timer := time.NewTimer(exchangeInterval - urgentInterval)
 			select {
 			case <-ctx.Done():
@@ -77,9 +78,9 @@
 	now := time.Now()
 	message := kumquathitch.Exchange{
 		From: v.site.Name, Version: v.current.Version(), Demand: v.demand.Local(now),
-		Loads: v.fleet.Loads(), Revision: v.follower.at(), WithoutKV: v.follower.lost(now), Suspects: v.guard.News(),
+		Loads: v.fleet.Loads(), Revision: v.follower.at(), WithoutStore: v.follower.lost(now), Suspects: v.guard.News(),
 	}
-	address, self := v.partner(message.WithoutKV)
+	address, self := v.partner(message.WithoutStore)
 	if address == "" && !self {
 		return
 	}
@@ -183,7 +184,7 @@
 	if version > message.Version {
 		reply.Deployment = document
 	}
-	if message.WithoutKV && !v.follower.away(now) {
+	if message.WithoutStore && !v.follower.away(now) {
 		reply.Instances, reply.Revision = v.follower.entries(), v.follower.at()
 	}
 	return reply, nil
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/term"
 )
 
@@ -82,7 +83,7 @@
 			if err != nil && ctx.Err() == nil {
 				f.setFailing()
 				f.vm.log.Info("store call failed", zap.Error(err), zap.Uint64("revision", f.at()))
-				sleep(ctx, followRetry)
+				clock.Pause(ctx, followRetry)
 			}
 		}
 		end <- nil
@@ -100,7 +101,7 @@
 	if leading {
 		wait = leaderWait
 	} else if f.isFed(time.Now()) {
-		sleep(ctx, fedPoll)
+		clock.Pause(ctx, fedPoll)
 		return nil
 	}
 	changes, err := f.vm.site.Store.Follow(ctx, "", after, wait)
@@ -119,7 +120,7 @@
 		if leading {
 			pause = min(pause, leaderPause)
 		}
-		sleep(ctx, pause)
+		clock.Pause(ctx, pause)
 	}
 	return nil
 }
@@ -395,12 +396,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/link"
 )
 
@@ -113,7 +114,7 @@
 	begun := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-graceMargin))
 	defer cancel()
-	sleep(ctx, min(rotationTime, grace/2))
+	clock.Pause(ctx, min(rotationTime, grace/2))
 	s.vm.ending.Store(true)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.vm.log.Warn("answers cut at the end of the grace", zap.Error(err))
