Wait for a server where a stream that has begun finds none

Servers that are full for a moment are no reason to end an answer. A call that waits at a server at the end of the grace would be cut too; that was found by reading.

Change: a stream that may be resumed rests 100 ms and is tried at all servers again until its deadline. Shortly before a VM closes its connections, calls without an answer get 502.

Before: TestBrokenStreamWaitsForServer and TestEndOfVMAnswersCalls fail (the second does not compile without the handler's life). After: they pass.

--- a/relay/job.go
+++ b/relay/job.go
@@ -176,6 +176,7 @@
 	defer span.End()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	defer context.AfterFunc(j.Life, cancel)()
 	j.Retries.Arrived(j.want.Service, j.received)
 	if j.listed {
 		j.Demand.Add(j.want.Service+"/"+j.call.Target(), j.call.PromptTokens+j.call.OutputTokens, j.received)
@@ -183,6 +184,9 @@
 	for {
 		choice, err := j.choose(ctx)
 		if err != nil {
+			if j.rest(ctx) {
+				continue
+			}
 			j.fail(j.withoutInstance(err))
 			return
 		}
@@ -193,7 +197,7 @@
 		if sent.done {
 			return
 		}
-		if !j.again(choice, result, sent) {
+		if !j.again(ctx, choice, result, sent) {
 			j.fail(j.afterSend(ctx, result, sent))
 			return
 		}
@@ -212,7 +216,7 @@
 		if !errors.As(err, &none) {
 			return choice, err
 		}
-		if j.Ending() {
+		if j.Ending() && !j.begun {
 			return choice, endingRefusal()
 		}
 		switch {
@@ -267,31 +271,48 @@
 	return clock.Pause(ctx, modelPoll)
 }
 
-// again decides whether the call is sent once more after a send that failed.
-func (j *job) again(choice kumquathitch.InstanceChoice, result kumquathitch.SendResult, sent sendEnd) bool {
-	if sent.left || !j.Clock.Now().Before(j.deadline) {
+// again decides whether the call is sent once more after a send that failed,
+// and waits for that where the call is a stream that has begun.
+func (j *job) again(ctx context.Context, choice kumquathitch.InstanceChoice, result kumquathitch.SendResult, sent sendEnd) bool {
+	if ctx.Err() != nil || !j.Clock.Now().Before(j.deadline) || (sent.ran && !j.mayRunAgain()) {
 		return false
 	}
-	j.want.Exclude = append(j.want.Exclude, choice.Instance.ID)
-	switch {
-	case sent.ran && (j.route.Kind == kumquathitch.RunOnce || j.runs >= j.route.MaxRuns):
-		return false
-	case sent.ran && j.begun && j.route.Kind != kumquathitch.RunResume:
+	if result.Outcome != kumquathitch.SendStale { // Otherwise only the connection was old.
+		j.want.Exclude = append(j.want.Exclude, choice.Instance.ID)
+	}
+	if j.sends >= j.route.MaxRuns+extraSends && !j.rest(ctx) {
 		return false
-	case j.sends >= j.route.MaxRuns+extraSends:
+	}
+	for sent.reached && !sent.paid && !j.Retries.Allow(j.want.Service, j.Clock.Now()) {
+		if !j.rest(ctx) {
+			j.Log.Info("resend refused", zap.String("call", j.call.ID), zap.String("reason", "retry budget spent"))
+			return false
+		}
+	}
+	j.Metrics.Resends.Inc()
+	return true
+}
+
+// mayRunAgain reports whether a call that may have run may run once more.
+func (j *job) mayRunAgain() bool {
+	switch {
+	case j.route.Kind == kumquathitch.RunOnce, j.runs >= j.route.MaxRuns:
 		return false
-	case sent.ran && j.Crashes.Condemned(j.fingerprint, j.Clock.Now()):
+	case j.begun && j.route.Kind != kumquathitch.RunResume:
 		return false
 	}
-	if sent.reached && !sent.paid && !j.Retries.Allow(j.want.Service, j.Clock.Now()) {
-		j.Log.Info("resend refused", zap.String("call", j.call.ID), zap.String("reason", "retry budget spent"))
+	return !j.Crashes.Condemned(j.fingerprint, j.Clock.Now())
+}
+
+// rest waits a moment before a stream that has begun is tried at all instances
+// again. It reports false for other calls, which are refused instead, and at
+// the deadline.
+func (j *job) rest(ctx context.Context) bool {
+	if !j.begun || !j.mayRunAgain() {
 		return false
 	}
-	j.Metrics.Resends.Inc()
-	if result.Outcome == kumquathitch.SendStale {
-		j.want.Exclude = j.want.Exclude[:len(j.want.Exclude)-1] // Only the connection was old.
-	}
-	return true
+	j.want.Exclude = nil
+	return clock.Pause(ctx, resumePause)
 }
 
 // withoutInstance returns the refusal of a call that no instance can take.
@@ -320,6 +341,9 @@
 	// retryPause is when a refused caller is asked to come back: instances that
 	// are full or restart take calls again within it.
 	retryPause = 700 * time.Millisecond
+	// resumePause is the pause before a stream that was broken off is tried at
+	// all instances again. Callers wait for an event for two seconds or more.
+	resumePause = 100 * time.Millisecond
 	// modelWaitPart is how many times its objective a call waits for its model.
 	// Callers leave streams without an event after four times the objective.
 	modelWaitPart = 2
@@ -345,6 +369,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !j.Clock.Now().Before(j.deadline) {
 		return kumquathitch.Unknown(http.StatusGatewayTimeout, "deadline", "the call did not end in time")
 	}
+	if ctx.Err() != nil {
+		return kumquathitch.Unknown(http.StatusBadGateway, "shutting-down", "this VM shuts down, and the call may have run")
+	}
 	return kumquathitch.Unknown(http.StatusBadGateway, "upstream-failed", "the call may have run: "+sent.reason())
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -77,6 +78,10 @@
 	// Ending reports that the VM will end soon: calls that have not been sent
 	// are refused.
 	Ending func() bool
+
+	// Life ends shortly before the VM closes its connections: calls without an
+	// answer are then answered with 502.
+	Life context.Context
 }
 
 // ServeHTTP serves one call.
--- a/relay/send.go
+++ b/relay/send.go
@@ -35,7 +35,6 @@
 	reached bool  // The instance got the call.
 	paid    bool  // The retry budget has allowed the next send.
 	ran     bool  // The instance may have run it.
-	left    bool  // The caller left.
 	cause   error // Why there is no answer.
 }
 
@@ -60,7 +59,7 @@
 	once := j.route.Kind == kumquathitch.RunOnce
 	c, err := j.Pool.get(ctx, &choice.Instance, once, j.Clock.Now())
 	if err != nil {
-		return kumquathitch.SendResult{Outcome: j.callerOr(ctx, kumquathitch.SendUnreachable)}, sendEnd{cause: err, left: j.left()}
+		return kumquathitch.SendResult{Outcome: j.callerOr(ctx, kumquathitch.SendUnreachable)}, sendEnd{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &exchange{job: j, connection: c, choice: choice}
@@ -72,7 +71,7 @@
 		_ = c.Close()
 	}
 	if end.cause != nil && (ctx.Err() != nil || j.left()) {
-		result.Outcome, end.left = kumquathitch.SendCancelled, j.left()
+		result.Outcome = kumquathitch.SendCancelled
 	}
 	if end.ran && !end.done {
 		j.runs++
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -27,6 +27,8 @@
 	rotationTime = 2600 * time.Millisecond
 	// graceMargin ends the last answers before the process is ended by force.
 	graceMargin = 500 * time.Millisecond
+	// answerMargin is the time for the answers to calls that no instance answered.
+	answerMargin = 150 * time.Millisecond
 )
 
 // servers are the listeners of a VM.
@@ -116,6 +118,8 @@
 	defer cancel()
 	clock.Pause(ctx, min(rotationTime, grace/2))
 	s.vm.ending.Store(true)
+	last := time.AfterFunc(time.Until(begun.Add(grace-graceMargin-answerMargin)), s.vm.endCalls)
+	defer last.Stop()
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.vm.log.Warn("answers cut at the end of the grace", zap.Error(err))
 		if err := s.callers.Close(); err != nil {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -87,6 +87,7 @@
 	reach     reach
 	news      news
 	handler   *relay.Handler
+	endCalls  context.CancelFunc
 	closing   atomic.Bool // Callers are asked to go elsewhere.
 	ending    atomic.Bool // New calls are refused.
 }
@@ -116,11 +117,13 @@
 	v.candidate = term.NewCandidate(site.Store, system, member, rules, log)
 	v.owner = placement.NewOwner(site.Control, site.Name, v.mayOrder, clock.Monotonic{}, log, v.set)
 	v.follower = newFollower(v)
+	var life context.Context
+	life, v.endCalls = context.WithCancel(context.Background())
 	counts := relay.NewMetrics(v.set)
 	v.handler = &relay.Handler{
 		Dialect: site.Dialect, Current: v.current, Chooser: v.fleet, Purse: v.purse, Retries: v.budget,
 		Crashes: v.guard, Adapters: v, Demand: v.demand, Clock: clock.Monotonic{}, Log: log,
-		Tracer: tracing.Tracer, Metrics: counts, Pool: relay.NewPool(counts), Closing: v.closing.Load, Ending: v.ending.Load,
+		Tracer: tracing.Tracer, Metrics: counts, Pool: relay.NewPool(counts), Closing: v.closing.Load, Ending: v.ending.Load, Life: life,
 	}
 	return v
 }
@@ -167,6 +170,7 @@
 	v.log.Info("stopping", zap.Duration("grace", v.site.Grace))
 	leave()
 	servers.drain(v.site.Grace)
+	v.endCalls()
 	stop()
 	for _, end := range ends {
 		if failed := <-end; failed != nil {
