Let the leader name the engine of each call

Change: the leader's desk counts the calls that all VMs tell with each question, and when each engine will have read the prompts sent to it. It names the engine that begins the answer first, and when to send. Calls that no engine would begin to answer within their objective are refused at once, with the time at which an engine has room.

--- a/call.go
+++ b/call.go
@@ -35,8 +35,8 @@
 
 // PromptPart is a part of a prompt that calls may share.
 type PromptPart struct {
-	ID     string
-	Tokens int64
+	ID     string `json:"id"`
+	Tokens int64  `json:"tokens"`
 }
 
 // PromptParts are the parts of a prompt in order. A part can be reused only
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -75,6 +75,9 @@
 
 // Pause waits for a time, or until ctx ends. It reports whether the time passed.
 func Pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/dispatch.go
+++ b/dispatch.go
@@ -16,6 +16,7 @@
 	Objective time.Duration
 	GapLimit  time.Duration // Longest pause between events of a stream; 0 when there is none.
 	HoldTo    time.Time     // Until then the call may wait for an instance that is not crowded.
+	AnswerBy  time.Time     // A call whose answer cannot begin by then is refused; zero for one that is taken anyhow.
 	Once      bool          // The call may run only once, and is no trial of an instance that has failed.
 	Exclude   []string      // Instances that were tried.
 }
@@ -59,6 +60,9 @@
 	// Choose returns the instance for a call. It returns a *NoInstanceError
 	// when none can take it. Every choice is ended by one call of Report.
 	Choose(want InstanceWant, now time.Time) (InstanceChoice, error)
+	// Take is Choose for an instance that the leader named. It reports false
+	// when this VM has seen the instance fail, or may not use it for the call.
+	Take(want InstanceWant, named NamedInstance, now time.Time) (InstanceChoice, bool)
 	// CanMove reports whether another instance than the chosen one could take
 	// the call now.
 	CanMove(want InstanceWant, choice InstanceChoice, now time.Time) bool
@@ -71,6 +75,34 @@
 	Freed() <-chan struct{}
 }
 
+// NamedInstance is the engine that the leader names for a call.
+type NamedInstance struct {
+	ID       string
+	Missing  int64         // Prompt tokens that the engine has to read.
+	Expected time.Duration // From SendAt to the first event.
+	SendAt   time.Time     // An earlier send would delay the streams of the engine.
+}
+
+// Scheduler spreads the calls of all VMs over engines. Implementations are
+// safe for concurrent use.
+type Scheduler interface {
+	// Schedule asks the leader for the engine of a call. It returns an
+	// *EnginesFullError when no engine would begin the answer in time. After any
+	// other error the VM chooses by what it knows itself.
+	Schedule(ctx context.Context, want InstanceWant) (NamedInstance, error)
+}
+
+// EnginesFullError reports that all engines that hold a model have long queues.
+type EnginesFullError struct {
+	Service string
+	Model   string
+	RoomAt  time.Time // When one of them will begin answers in time again.
+}
+
+func (e *EnginesFullError) Error() string {
+	return "the engines of service " + e.Service + " that hold model " + e.Model + " have queues longer than the call can wait"
+}
+
 // NoInstanceError reports that no instance can take a call now.
 type NoInstanceError struct {
 	Service string
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -88,6 +88,35 @@
 	}, nil
 }
 
+// Take is Choose for an instance that the leader named.
+func (f *Fleet) Take(want kumquathitch.InstanceWant, named kumquathitch.NamedInstance, now time.Time) (kumquathitch.InstanceChoice, bool) {
+	m := f.member(named.ID)
+	if m == nil {
+		return kumquathitch.InstanceChoice{}, false
+	}
+	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
+	found, usable := m.cost(want, c, f.dataCentre, math.Inf(1), now)
+	if !usable || found.paused || f.isCut(found.dataCentre) {
+		return kumquathitch.InstanceChoice{}, false
+	}
+	m.begin(c, named.Missing, found.trial)
+	return kumquathitch.InstanceChoice{
+		Instance: m.description(), Missing: named.Missing, Trial: found.trial, Sent: named.SendAt, Expected: named.Expected,
+	}, true
+}
+
+// Avoided returns the instances for a call that this VM would not take from the
+// leader: those that were tried, that it has seen fail, or that it cannot reach.
+func (f *Fleet) Avoided(want kumquathitch.InstanceWant, now time.Time) []string {
+	avoided := append([]string(nil), want.Exclude...)
+	for _, m := range f.members(group{service: want.Service, model: want.Model}) {
+		if m.avoided(want.Once, now) || f.isCut(m.description().DataCentre) {
+			avoided = append(avoided, m.id)
+		}
+	}
+	return avoided
+}
+
 // CanMove reports whether another instance than the chosen one could take the call now.
 func (f *Fleet) CanMove(want kumquathitch.InstanceWant, made kumquathitch.InstanceChoice, now time.Time) bool {
 	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
@@ -191,8 +220,8 @@
 		found.wait = milliseconds(m.latency) * (1 + 0.5*load/slots + over/slots)
 	} else {
 		found.missing = max(0, want.Tokens-m.prompts.kept(c))
-		found.crowded = m.reading > 0 && float64(m.reading+found.missing)/max(m.rate, 0.1) > pace
-		found.wait = float64(m.reading+found.missing)/max(m.rate, 0.1) + over*milliseconds(m.running)/slots
+		found.crowded = m.reading > 0 && float64(m.reading+found.missing)/max(m.rate, leastRate) > pace
+		found.wait = float64(m.reading+found.missing)/max(m.rate, leastRate) + over*milliseconds(m.running)/slots
 	}
 	found.cost = found.wait + occupancyCost*milliseconds(want.Objective)*load/slots
 	if m.instance.DataCentre != dataCentre {
@@ -204,7 +233,7 @@
 		found.cost += milliseconds(want.Objective)
 	}
 	found.trial = m.pauses > 0
-	found.paused = m.pauses > 0 && (m.trial || want.Once || now.Before(m.pausedTo))
+	found.paused = m.paused(want.Once, now)
 	return found, true
 }
 
--- /dev/null
+++ b/fleet/desk.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// deskPacePart is the part of the longest pause of a stream that the prompts
+	// which an engine reads at once may take; the rest is for its own tokens.
+	deskPacePart = 0.6
+	// toldTerm is how long the calls that a VM told count. VMs tell them twice a second or more.
+	toldTerm = 2 * time.Second
+)
+
+// Desk names engines for the calls of all VMs. Only the leader's desk is asked.
+// It counts the calls that the VMs tell and the prompts that it sent to each
+// engine, and judges no engine: a VM names those that it has seen fail. It is
+// safe for concurrent use.
+type Desk struct {
+	fleet   *Fleet
+	vms     [shardCount]deskShard
+	engines [shardCount]seatShard
+}
+
+// deskShard holds the calls that VMs told, by VM.
+type deskShard struct {
+	mutex sync.Mutex
+	told  map[string]*toldCalls
+}
+
+type toldCalls struct {
+	byInstance map[string]int
+	until      time.Time
+}
+
+// seatShard holds what the desk knows of engines, by id.
+type seatShard struct {
+	mutex sync.Mutex
+	seats map[string]*seat
+}
+
+// seat is an engine as the desk sees it.
+type seat struct {
+	calls   int       // Under way.
+	readTo  time.Time // When the prompts sent to it will be read.
+	started time.Time // Of the engine; a restart empties it.
+	prompts promptCache
+}
+
+// NewDesk returns a desk over the engines of a fleet.
+func NewDesk(f *Fleet) *Desk {
+	d := &Desk{fleet: f}
+	for i := range shardCount {
+		d.vms[i].told = map[string]*toldCalls{}
+		d.engines[i].seats = map[string]*seat{}
+	}
+	return d
+}
+
+// Tell takes in all calls that a VM has under way.
+func (d *Desk) Tell(vm string, loads map[string]int, now time.Time) {
+	s := &d.vms[kumquathitch.ShardOf(vm, shardCount)]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for name, told := range s.told {
+		if name != vm && now.After(told.until) {
+			d.replace(told.byInstance, nil)
+			delete(s.told, name)
+		}
+	}
+	told := s.told[vm]
+	if told == nil {
+		told = &toldCalls{}
+		s.told[vm] = told
+	}
+	d.replace(told.byInstance, loads)
+	told.byInstance, told.until = maps.Clone(loads), now.Add(toldTerm)
+}
+
+// replace counts the calls of one VM anew.
+func (d *Desk) replace(before, after map[string]int) {
+	for id, count := range before {
+		if after[id] != count {
+			d.add(id, after[id]-count)
+		}
+	}
+	for id, count := range after {
+		if _, ok := before[id]; !ok {
+			d.add(id, count)
+		}
+	}
+}
+
+func (d *Desk) add(id string, calls int) {
+	s := d.shard(id)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := s.seat(id)
+	if held.calls += calls; held.calls <= 0 && d.fleet.member(id) == nil {
+		delete(s.seats, id)
+	}
+}
+
+func (d *Desk) shard(id string) *seatShard {
+	return &d.engines[kumquathitch.ShardOf(id, shardCount)]
+}
+
+// seat returns the seat of an engine. The caller holds the lock.
+func (s *seatShard) seat(id string) *seat {
+	held := s.seats[id]
+	if held == nil {
+		held = &seat{prompts: newPromptCache()}
+		s.seats[id] = held
+	}
+	return held
+}
+
+// Schedule names the engine that is expected to begin the answer first, and
+// counts the call there. The grant names no instance when none can take the call.
+func (d *Desk) Schedule(want *kumquathitch.ScheduleWant, now time.Time) kumquathitch.ScheduleGrant {
+	d.Tell(want.From, want.Loads, now)
+	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
+	best := offer{cost: math.Inf(1)}
+	for _, m := range d.fleet.members(group{service: want.Service, model: want.Model}) {
+		if slices.Contains(want.Avoid, m.id) {
+			continue
+		}
+		if found, ok := d.offer(m, want, c, now); ok && found.cost < best.cost {
+			best = found
+		}
+	}
+	if best.member == nil {
+		return kumquathitch.ScheduleGrant{}
+	}
+	if late := best.wait + best.expected - want.Limit; want.Limit > 0 && late > 0 {
+		return kumquathitch.ScheduleGrant{Full: true, Wait: late}
+	}
+	d.take(want.From, &best, c, now)
+	return kumquathitch.ScheduleGrant{
+		Instance: best.member.id, Missing: best.missing, Wait: best.wait, Expected: best.expected,
+	}
+}
+
+// offer is an engine that could take a call. Times are in milliseconds.
+type offer struct {
+	member   *member
+	missing  int64
+	read     float64 // For the missing tokens.
+	wait     float64 // Until the call may be sent.
+	expected float64 // From then to the first event.
+	cost     float64
+}
+
+func (d *Desk) offer(m *member, want *kumquathitch.ScheduleWant, c chain, now time.Time) (offer, bool) {
+	engine, ok := m.engine(want.Model, want.Adapter, now)
+	if !ok {
+		return offer{}, false
+	}
+	s := d.shard(m.id)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := s.seat(m.id)
+	if !held.started.Equal(engine.started) {
+		held.started, held.readTo, held.prompts = engine.started, time.Time{}, newPromptCache()
+	}
+	o := offer{member: m, missing: max(0, want.Tokens-held.prompts.kept(c))}
+	o.read = float64(o.missing) / max(engine.rate, leastRate)
+	backlog := max(0, milliseconds(held.readTo.Sub(now)))
+	if want.GapLimit > 0 {
+		o.wait = min(max(0, backlog+o.read-deskPacePart*want.GapLimit), backlog, want.Hold)
+	}
+	over := max(0, float64(held.calls+1)-engine.slots)
+	o.expected = backlog - o.wait + o.read + over*engine.running/engine.slots
+	o.cost = o.wait + o.expected + occupancyCost*want.Objective*float64(held.calls)/engine.slots
+	if engine.dataCentre != want.DataCentre {
+		o.cost += remoteCost
+	}
+	return o, true
+}
+
+// take counts a call as told by its VM, and its prompt as read.
+func (d *Desk) take(vm string, o *offer, c chain, now time.Time) {
+	v := &d.vms[kumquathitch.ShardOf(vm, shardCount)]
+	v.mutex.Lock()
+	if told := v.told[vm]; told != nil {
+		if told.byInstance == nil {
+			told.byInstance = map[string]int{}
+		}
+		told.byInstance[o.member.id]++
+		d.add(o.member.id, 1)
+	}
+	v.mutex.Unlock()
+	s := d.shard(o.member.id)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := s.seat(o.member.id)
+	begin := now.Add(duration(o.wait))
+	if held.readTo.Before(begin) {
+		held.readTo = begin
+	}
+	held.readTo = held.readTo.Add(duration(o.read))
+	held.prompts.add(c)
+}
+
+func duration(milliseconds float64) time.Duration {
+	return time.Duration(milliseconds * float64(time.Millisecond))
+}
+
+// engineView is what the desk reads of a member.
+type engineView struct {
+	slots      float64
+	rate       float64 // Prompt tokens read in a millisecond.
+	running    float64 // Milliseconds from the first event to the last.
+	started    time.Time
+	dataCentre string
+}
+
+// engine returns the member as an engine that can take a call for a model.
+func (m *member) engine(model, adapter string, now time.Time) (engineView, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.instance.Leaving || (adapter != "" && !m.holds(model, adapter, now)) {
+		return engineView{}, false
+	}
+	return engineView{
+		slots: float64(max(1, m.instance.Slots)), rate: m.rate, running: milliseconds(m.running),
+		started: m.instance.Started, dataCentre: m.instance.DataCentre,
+	}, true
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -37,6 +37,11 @@
 	// startRate is the prompt tokens read in a millisecond that an engine is
 	// credited with before any answer.
 	startRate = 20.0
+	// leastRate bounds the learned rate from below, in the same unit.
+	leastRate = 0.1
+	// startRunning is the time from the first event to the last that an engine
+	// is credited with before any answer.
+	startRunning = time.Second
 	// startLatency is the time to an answer that a plain instance is credited with before any.
 	startLatency = 20 * time.Millisecond
 )
@@ -76,7 +81,7 @@
 // reset forgets what was seen of an earlier start.
 func (m *member) reset(instance kumquathitch.Instance) {
 	m.instance = kumquathitch.Instance{ID: instance.ID}
-	m.reported, m.rate, m.latency = 0, startRate, startLatency
+	m.reported, m.rate, m.latency, m.running = 0, startRate, startLatency, startRunning
 	m.failures, m.broken, m.pauses = 0, 0, 0
 	m.pausedTo, m.busyTo = time.Time{}, time.Time{}
 	m.placed = map[string]time.Time{}
@@ -234,6 +239,18 @@
 	}
 }
 
+// paused reports whether the instance is left alone. The caller holds the lock.
+func (m *member) paused(once bool, now time.Time) bool {
+	return m.pauses > 0 && (m.trial || once || now.Before(m.pausedTo))
+}
+
+// avoided reports whether calls go elsewhere while they can.
+func (m *member) avoided(once bool, now time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.paused(once, now) || now.Before(m.busyTo)
+}
+
 // pause leaves the instance alone, twice as long each time. The caller holds the lock.
 func (m *member) pause(now time.Time) {
 	wait := min(longestPause, firstPause<<min(m.pauses, 8))
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,9 @@
 	shardCount = 16
 	// dialTimeout is short, because a peer in the same region answers in milliseconds.
 	dialTimeout = time.Second
+	// silentTime is how long a connection must have given no answer before it is
+	// closed. Calls with a shorter limit say nothing of the connection.
+	silentTime = 45 * time.Millisecond
 	// callTimeout bounds calls whose context has no deadline.
 	callTimeout = 2 * time.Second
 )
@@ -79,7 +82,7 @@
 	switch {
 	case err == nil || errors.As(err, &refused):
 		c.answered.Store(time.Now().UnixNano())
-	case errors.Is(err, context.DeadlineExceeded) && c.answered.Load() < begun.UnixNano():
+	case errors.Is(err, context.DeadlineExceeded) && time.Since(begun) >= silentTime && c.answered.Load() < begun.UnixNano():
 		_ = c.Close()
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,27 +28,30 @@
 	// nowhereCost is what a model costs that is asked for and held nowhere, for
 	// its whole part of the demand. A balanced fleet costs 1.
 	nowhereCost = 100.0
-	// unheldCost is what any listed model costs that is held nowhere: a caller
-	// may ask for it at any time. With a copy on an engine's disk it is copiedCost,
-	// since it is back within a second or two.
-	unheldCost = 0.1
-	copiedCost = 0.02
+	// unheldCost is what any listed model costs that is held nowhere, in the
+	// cost of one engine with its even part of the demand: a caller may ask for it
+	// at any time. With a copy on an engine's disk it is copiedCost, since it is
+	// back within a second or two.
+	unheldCost = 1.2
+	copiedCost = 0.24
 	// singleCost is what a model on one engine costs for its part of the
 	// demand, because one loss takes it away.
 	singleCost = 0.4
 	// fetchCost is the least gain for which a model is loaded from the weight
-	// store, and moveCost that for a load from an engine's own copy. A load
-	// takes seconds, and an engine that unloads drops what it kept of prompts.
-	fetchCost = 0.06
-	moveCost  = 0.03
+	// store, and moveCost that for a load from an engine's own copy, both in the
+	// cost of one engine with its even part of the demand. A load takes seconds,
+	// and an engine that unloads drops what it kept of prompts.
+	fetchCost = 0.72
+	moveCost  = 0.36
 	// movesAtOnce bounds the moves of one plan, and enginesPerMove raises that on
 	// large services.
 	movesAtOnce    = 3
 	enginesPerMove = 12
 	// stagedAtOnce is the part of the engines that may load a model only to keep
-	// a copy of its weights, and stageLoss what the placement may lose by that.
+	// a copy of its weights, and stageLoss what the placement may lose by that, in
+	// the cost of one engine with its even part of the demand.
 	stagedAtOnce = 0.25
-	stageLoss    = 0.012
+	stageLoss    = 0.14
 	// stageLoads is how many loads must be free for that: demand comes first.
 	stageLoads = 2
 	// modelsTried bounds the models for which moves are worked out.
@@ -202,9 +205,9 @@
 			if e.Busy || e.Models.Holds(m.Name, "") || (counted && !fetch) {
 				continue
 			}
-			cost := moveCost
+			cost := p.even(moveCost)
 			if counted {
-				cost = fetchCost
+				cost = p.even(fetchCost)
 			}
 			for _, victims := range p.victims(m, e) {
 				gain := p.gain(m.Name, i, victims) - cost
@@ -268,7 +271,7 @@
 		}
 		for _, victims := range p.victims(m, e) {
 			gain := p.gain(m.Name, i, victims)
-			if gain > -stageLoss && (best.model == nil || gain > best.gain) {
+			if gain > -p.even(stageLoss) && (best.model == nil || gain > best.gain) {
 				best = candidate{model: m, engine: i, victims: victims, counted: true, gain: gain}
 			}
 		}
@@ -350,15 +353,21 @@
 	return gain
 }
 
+// even scales a number of engines with an even part of the demand to the cost
+// of the whole placement, which is 1 when all engines are such.
+func (p *planner) even(engines float64) float64 {
+	return engines / float64(max(1, len(p.engines)))
+}
+
 // standing is the cost of a model by its number of replicas alone.
 func (p *planner) standing(model string, replicas int) float64 {
 	part := p.parts[model]
 	cost := 0.0
 	switch {
 	case replicas <= 0 && p.copies[model] > 0:
-		cost = copiedCost + nowhereCost*part
+		cost = p.even(copiedCost) + nowhereCost*part
 	case replicas <= 0:
-		cost = unheldCost + nowhereCost*part
+		cost = p.even(unheldCost) + nowhereCost*part
 	case replicas == 1:
 		cost = singleCost * part
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -122,8 +122,9 @@
 	j.want = kumquathitch.InstanceWant{
 		Service: j.service(), Model: j.call.Model, Adapter: j.call.Adapter,
 		Prompt: j.call.Prompt, Tokens: j.call.PromptTokens, Objective: objective, GapLimit: j.route.GapLimit,
-		Once:   j.route.Kind == kumquathitch.RunOnce,
-		HoldTo: j.received.Add(time.Duration(holdPart * float64(objective))),
+		Once:     j.route.Kind == kumquathitch.RunOnce,
+		HoldTo:   j.received.Add(time.Duration(holdPart * float64(objective))),
+		AnswerBy: j.received.Add(objective),
 	}
 	if service := services.Find(j.want.Service); service != nil && service.Engine != nil {
 		j.listed = service.Engine.Models.Find(j.call.Model) != nil
@@ -208,6 +209,11 @@
 // nowhere waits until it is placed, which takes milliseconds; one for a listed
 // model that is nowhere waits while it may be loaded in time.
 func (j *job) choose(ctx context.Context) (kumquathitch.InstanceChoice, error) {
+	choice, err := j.scheduled(ctx)
+	var full *kumquathitch.EnginesFullError
+	if err == nil || errors.As(err, &full) {
+		return choice, err
+	}
 	until := j.modelWait()
 	placed := false
 	for {
@@ -241,6 +247,29 @@
 	}
 }
 
+// errUnscheduled tells that this VM chooses the instance itself.
+var errUnscheduled = errors.New("no engine named by the leader can be used")
+
+// scheduled asks the leader for an engine, and waits until the call may be sent there.
+func (j *job) scheduled(ctx context.Context) (kumquathitch.InstanceChoice, error) {
+	if j.want.Model == "" {
+		return kumquathitch.InstanceChoice{}, errUnscheduled
+	}
+	if j.runs > 0 {
+		j.want.AnswerBy = time.Time{}
+	}
+	named, err := j.Scheduler.Schedule(ctx, j.want)
+	if err != nil {
+		return kumquathitch.InstanceChoice{}, err
+	}
+	choice, ok := j.Chooser.Take(j.want, named, j.Clock.Now())
+	if !ok {
+		return kumquathitch.InstanceChoice{}, errUnscheduled
+	}
+	clock.Pause(ctx, named.SendAt.Sub(j.Clock.Now())) // A send after the end of ctx reports that it was cancelled.
+	return choice, nil
+}
+
 // awaitRoom waits until an instance may have become less crowded. It reports
 // false when the caller left or the deadline was reached.
 func (j *job) awaitRoom(ctx context.Context) bool {
@@ -324,6 +353,12 @@
 	if errors.As(err, &refused) {
 		return refused
 	}
+	var full *kumquathitch.EnginesFullError
+	if errors.As(err, &full) {
+		refusal := kumquathitch.NotRun(http.StatusServiceUnavailable, "engines-full", err.Error())
+		refusal.RetryAfter = full.RoomAt
+		return refusal
+	}
 	var none *kumquathitch.NoInstanceError
 	code := "no-instance"
 	if errors.As(err, &none) && (none.NoModel || none.NoAdapter) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,19 +57,20 @@
 
 // Handler serves callers. Its fields are set before use and not changed.
 type Handler struct {
-	Dialect  kumquathitch.Dialect
-	Current  *deployment.Current
-	Chooser  kumquathitch.Chooser
-	Purse    kumquathitch.Purse
-	Retries  kumquathitch.RetryBudget
-	Crashes  kumquathitch.CrashGuard
-	Adapters kumquathitch.AdapterFinder
-	Demand   kumquathitch.DemandSink
-	Clock    kumquathitch.Clock
-	Log      *zap.Logger
-	Tracer   trace.Tracer
-	Metrics  *Metrics
-	Pool     *Pool
+	Dialect   kumquathitch.Dialect
+	Current   *deployment.Current
+	Chooser   kumquathitch.Chooser
+	Scheduler kumquathitch.Scheduler
+	Purse     kumquathitch.Purse
+	Retries   kumquathitch.RetryBudget
+	Crashes   kumquathitch.CrashGuard
+	Adapters  kumquathitch.AdapterFinder
+	Demand    kumquathitch.DemandSink
+	Clock     kumquathitch.Clock
+	Log       *zap.Logger
+	Tracer    trace.Tracer
+	Metrics   *Metrics
+	Pool      *Pool
 
 	// Closing reports that the VM shuts down: answers then ask callers to
 	// open their next connection elsewhere.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -48,6 +49,11 @@
 	return true
 }
 
+// Schedule names no engine: the VM of these tests has no leader.
+func (s *site) Schedule(context.Context, kumquathitch.InstanceWant) (kumquathitch.NamedInstance, error) {
+	return kumquathitch.NamedInstance{}, errors.New("no leader")
+}
+
 func newSite(t *testing.T, servers ...*standin.Instance) *site {
 	t.Helper()
 	s := &site{t: t, fleet: fleet.NewFleet("entry-1", "zone-a"), servers: servers}
@@ -60,7 +66,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(t.Context()))
 	s.end = end
 	handler := &relay.Handler{
-		Dialect: platform.Dialect{}, Current: current, Chooser: s.fleet, Purse: quota.NewPurse(clock.Monotonic{}, true),
+		Dialect: platform.Dialect{}, Current: current, Chooser: s.fleet, Scheduler: s, Purse: quota.NewPurse(clock.Monotonic{}, true),
 		Retries: retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}), Crashes: retry.NewGuard(),
 		Adapters: s, Demand: model.NewDemand(), Clock: clock.Monotonic{}, Log: zap.NewNop(),
 		Tracer: noop.NewTracerProvider().Tracer("test"), Metrics: counts, Pool: relay.NewPool(counts),
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -167,6 +167,7 @@
 			reply = bank.Exchange(&message, view.Deployment.Tenants, now)
 		}
 		reply.Leader = true
+		v.desk.Tell(message.From, message.Loads, now)
 		reply.Loads = v.news.tell(message.From, message.Loads, now)
 		if message.From != v.site.Name {
 			v.demand.Report(message.From, message.Demand, now)
@@ -259,6 +260,7 @@
 	server := peer.NewServer(v.tracing)
 	peer.Handle(server, methodExchange, v.receive)
 	peer.Handle(server, methodAdapter, v.placeAdapter)
+	peer.Handle(server, methodSchedule, v.schedule)
 	peer.Handle(server, methodPing, v.answerPing)
 	return server
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -75,6 +75,7 @@
 
 	current   *deployment.Current
 	fleet     *fleet.Fleet
+	desk      *fleet.Desk
 	purse     *quota.Purse
 	budget    *retry.Budget
 	guard     *retry.Guard
@@ -109,6 +110,7 @@
 		demand:  model.NewDemandOver(demandMemory),
 		peers:   peer.NewClient(tracing),
 	}
+	v.desk = fleet.NewDesk(v.fleet)
 	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre, Started: time.Now().Round(0), Strength: strength(site)}
 	rules := term.Rules{TTL: leaseTTL, TurnTime: site.TurnTime}
 	if site.ChecksFences {
@@ -121,7 +123,7 @@
 	life, v.endCalls = context.WithCancel(context.Background())
 	counts := relay.NewMetrics(v.set)
 	v.handler = &relay.Handler{
-		Dialect: site.Dialect, Current: v.current, Chooser: v.fleet, Purse: v.purse, Retries: v.budget,
+		Dialect: site.Dialect, Current: v.current, Chooser: v.fleet, Scheduler: &scheduler{vm: v}, Purse: v.purse, Retries: v.budget,
 		Crashes: v.guard, Adapters: v, Demand: v.demand, Clock: clock.Monotonic{}, Log: log,
 		Tracer: tracing.Tracer, Metrics: counts, Pool: relay.NewPool(counts), Closing: v.closing.Load, Ending: v.ending.Load, Life: life,
 	}
