--- a/model/demand.go
+++ b/model/demand.go
@@ -14,6 +14,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -24,13 +25,18 @@
 	// demandMemory is the time constant of the decay. A tenfold step shows as a
 	// fivefold one within 20 s, and a lull of a minute halves nothing twice over.
 	demandMemory = 30 * time.Second
+	// leastReportTerm is how long the report of another VM counts at least: reports
+	// come twice a second, and some are lost.
+	leastReportTerm = 2 * time.Second
 	// demandFloor is the rate, tokens per second, below which an entry is dropped.
 	demandFloor = 1e-3
 )
 
 // Demand is the decayed demand for models and adapters. It is safe for concurrent use.
 type Demand struct {
-	memory time.Duration // Time constant of the decay, and how long the report of another VM counts.
+	memory time.Duration // Time constant of the decay.
+	calls  atomic.Int64  // Of this VM, since the start.
+	tokens atomic.Int64  // Of those calls.
 	shards [shardCount]demandShard
 	remote [shardCount]remoteShard
 }
@@ -73,6 +79,8 @@
 
 // Add records a request of this VM for a model or adapter. It implements kumquathitch.DemandSink.
 func (d *Demand) Add(model string, tokens int64, now time.Time) {
+	d.calls.Add(1)
+	d.tokens.Add(tokens)
 	s := &d.shards[kumquathitch.ShardOf(model, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -81,6 +89,11 @@
 	s.rates[model] = r
 }
 
+// CallTokens returns the mean tokens of this VM's requests, or 0 before the first.
+func (d *Demand) CallTokens() float64 {
+	return float64(d.tokens.Load()) / float64(max(1, d.calls.Load()))
+}
+
 // Local returns the demand at this VM, tokens per second by name.
 func (d *Demand) Local(now time.Time) map[string]float64 {
 	local := map[string]float64{}
@@ -105,7 +118,7 @@
 	s := &d.remote[kumquathitch.ShardOf(vm, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.reports[vm] = remoteReport{Rates: rates, Deadline: now.Add(d.memory)}
+	s.reports[vm] = remoteReport{Rates: rates, Deadline: now.Add(max(d.memory, leastReportTerm))}
 }
 
 // Total returns the demand at this VM and those that reported to it.
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -44,8 +44,6 @@
 )
 
 const (
-	// demandMemory is short, so that a load is ordered within seconds of a shift of demand.
-	demandMemory = 3 * time.Second
 	// leaseTTL is the time after which the duties of a lost VM pass on. Renewals
 	// come every half second, and a slow store takes a quarter of a second.
 	leaseTTL = 1500 * time.Millisecond
@@ -80,6 +78,7 @@
 	budget    *retry.Budget
 	guard     *retry.Guard
 	demand    *model.Demand
+	forecast  *placement.Forecast
 	candidate *term.Candidate
 	owner     *placement.Owner
 	peers     *peer.Client
@@ -102,13 +101,14 @@
 	system := clock.NewSystem()
 	v := &VM{
 		site: site, clock: system, log: log, set: set, tracing: tracing,
-		current: deployment.NewCurrent(),
-		fleet:   fleet.NewFleet(site.Name, site.DataCentre),
-		purse:   quota.NewPurse(clock.Monotonic{}, site.Bootstrap),
-		budget:  retry.NewBudget(retry.Limits{Ratio: site.RetryRatio, Slack: site.RetrySlack, Window: site.RetryWindow}),
-		guard:   retry.NewGuard(),
-		demand:  model.NewDemandOver(demandMemory),
-		peers:   peer.NewClient(tracing),
+		current:  deployment.NewCurrent(),
+		fleet:    fleet.NewFleet(site.Name, site.DataCentre),
+		purse:    quota.NewPurse(clock.Monotonic{}, site.Bootstrap),
+		budget:   retry.NewBudget(retry.Limits{Ratio: site.RetryRatio, Slack: site.RetrySlack, Window: site.RetryWindow}),
+		guard:    retry.NewGuard(),
+		demand:   model.NewDemandOver(placement.DemandMemory),
+		forecast: placement.NewForecast(),
+		peers:    peer.NewClient(tracing),
 	}
 	v.desk = fleet.NewDesk(v.fleet)
 	member := kumquathitch.Member{Name: site.Name, Address: site.PeerAddress, DataCentre: site.DataCentre, Started: time.Now().Round(0), Strength: strength(site)}
@@ -209,5 +209,7 @@
 	if _, ok := v.mayOrder(); !ok || view == nil {
 		return
 	}
-	v.owner.Tick(ctx, view.Deployment.Services, v.fleet.Instances(), v.demand.Total(time.Now()))
+	now := time.Now()
+	expected := v.forecast.Ahead(v.demand.Total(now), v.demand.CallTokens(), now)
+	v.owner.Tick(ctx, view.Deployment.Services, v.fleet.Instances(), expected)
 }
