Send no calls for a model that is being unloaded

Change: the leader states the open unloads, to its desk at once and to the other VMs with each exchange. The desk has tests.

--- a/exchange.go
+++ b/exchange.go
@@ -18,20 +18,21 @@
 
 // ExchangeReply answers an exchange.
 type ExchangeReply struct {
-	Leader     bool               `json:"leader"`              // The answering VM holds the lease of the leader.
-	LeaderAt   string             `json:"leader-at,omitempty"` // Address of the leader, as far as the answering VM knows.
-	Members    int                `json:"members,omitempty"`   // VMs that share the rates; 0 when not known.
-	Granted    map[string]float64 `json:"granted,omitempty"`   // Tokens by account.
-	Levels     map[string]float64 `json:"levels,omitempty"`    // Tokens that the bank still holds, by account.
-	Dry        map[string]float64 `json:"dry,omitempty"`       // Accounts without tokens: seconds until some come.
-	Suspects   Suspects           `json:"suspects,omitempty"`
-	Loads      map[string]int     `json:"loads,omitempty"` // Calls of the other VMs under way, by instance.
-	Fed        bool               `json:"fed,omitempty"`   // Changes holds all after the asking VM's revision.
-	Changes    []KeyChange        `json:"changes,omitempty"`
-	Version    uint64             `json:"version"`
-	Deployment []byte             `json:"deployment,omitempty"` // Encoded as in the store.
-	Instances  []KeyItem          `json:"instances,omitempty"`  // Descriptions as in the store, for a VM without it.
-	Revision   uint64             `json:"revision"`             // Of the store, as the answering VM knows it.
+	Leader     bool                `json:"leader"`              // The answering VM holds the lease of the leader.
+	LeaderAt   string              `json:"leader-at,omitempty"` // Address of the leader, as far as the answering VM knows.
+	Members    int                 `json:"members,omitempty"`   // VMs that share the rates; 0 when not known.
+	Granted    map[string]float64  `json:"granted,omitempty"`   // Tokens by account.
+	Levels     map[string]float64  `json:"levels,omitempty"`    // Tokens that the bank still holds, by account.
+	Dry        map[string]float64  `json:"dry,omitempty"`       // Accounts without tokens: seconds until some come.
+	Suspects   Suspects            `json:"suspects,omitempty"`
+	Loads      map[string]int      `json:"loads,omitempty"`     // Calls of the other VMs under way, by instance.
+	Unloading  map[string][]string `json:"unloading,omitempty"` // Models with an order to unload, by instance.
+	Fed        bool                `json:"fed,omitempty"`       // Changes holds all after the asking VM's revision.
+	Changes    []KeyChange         `json:"changes,omitempty"`
+	Version    uint64              `json:"version"`
+	Deployment []byte              `json:"deployment,omitempty"` // Encoded as in the store.
+	Instances  []KeyItem           `json:"instances,omitempty"`  // Descriptions as in the store, for a VM without it.
+	Revision   uint64              `json:"revision"`             // Of the store, as the answering VM knows it.
 }
 
 // Suspect is a request after whose start upstreams broke off.
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -211,7 +211,7 @@
 			return found, false
 		}
 	}
-	if m.instance.Leaving || (want.Adapter != "" && !m.holds(want.Model, want.Adapter, now)) {
+	if !m.serves(want.Model, want.Adapter, now) {
 		return found, false
 	}
 	load, slots := m.load(now), float64(max(1, m.instance.Slots))
--- a/fleet/desk.go
+++ b/fleet/desk.go
@@ -68,12 +68,6 @@
 	s := &d.vms[kumquathitch.ShardOf(vm, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for name, told := range s.told {
-		if name != vm && now.After(told.until) {
-			d.replace(told.byInstance, nil)
-			delete(s.told, name)
-		}
-	}
 	told := s.told[vm]
 	if told == nil {
 		told = &toldCalls{}
@@ -83,6 +77,21 @@
 	told.byInstance, told.until = maps.Clone(loads), now.Add(toldTerm)
 }
 
+// Expire forgets the calls of VMs that have told nothing for a while.
+func (d *Desk) Expire(now time.Time) {
+	for i := range d.vms {
+		s := &d.vms[i]
+		s.mutex.Lock()
+		for name, told := range s.told {
+			if now.After(told.until) {
+				d.replace(told.byInstance, nil)
+				delete(s.told, name)
+			}
+		}
+		s.mutex.Unlock()
+	}
+}
+
 // replace counts the calls of one VM anew.
 func (d *Desk) replace(before, after map[string]int) {
 	for id, count := range before {
@@ -225,7 +234,7 @@
 func (m *member) engine(model, adapter string, now time.Time) (engineView, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.instance.Leaving || (adapter != "" && !m.holds(model, adapter, now)) {
+	if !m.serves(model, adapter, now) {
 		return engineView{}, false
 	}
 	return engineView{
--- /dev/null
+++ b/fleet/desk_test.go
@@ -0,0 +1,95 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/fleet"
+)
+
+// newDesk returns a desk over engines of eight slots that hold a model.
+func newDesk(engines ...string) *fleet.Desk {
+	f := fleet.NewFleet("entry-1", "a")
+	for _, id := range engines {
+		f.Put(engine(id, 1, "m1"), start)
+	}
+	return fleet.NewDesk(f)
+}
+
+func asks(vm string, loads map[string]int) *kumquathitch.ScheduleWant {
+	return &kumquathitch.ScheduleWant{
+		From: vm, DataCentre: "a", Service: "llm", Model: "m1", Tokens: 1000, Objective: 800, GapLimit: 200, Hold: 400, Limit: 800, Loads: loads,
+	}
+}
+
+// TestDeskSpreadsCallsOfAllVMs guards against VMs that each see an engine as
+// idle and send their calls to it together.
+func TestDeskSpreadsCallsOfAllVMs(t *testing.T) {
+	desk := newDesk("one", "two", "three", "four")
+	named := map[string]int{}
+	for _, vm := range []string{"entry-1", "entry-2", "entry-3", "entry-4"} {
+		named[desk.Schedule(asks(vm, nil), start).Instance]++
+	}
+	must.Eq(t, map[string]int{"one": 1, "two": 1, "three": 1, "four": 1}, named)
+}
+
+// TestDeskCountsWhatVMsTell guards against calls that are counted twice, and
+// against those of a VM that is gone.
+func TestDeskCountsWhatVMsTell(t *testing.T) {
+	desk := newDesk("one", "two")
+	desk.Tell("entry-1", map[string]int{"one": 6}, start)
+	must.Eq(t, "two", desk.Schedule(asks("entry-2", nil), start).Instance)
+	next := start.Add(time.Second)
+	desk.Tell("entry-1", map[string]int{"one": 6}, next)
+	must.Eq(t, "two", desk.Schedule(asks("entry-3", map[string]int{"two": 4}), next).Instance)
+	later := next.Add(3 * time.Second)
+	desk.Expire(later)
+	must.Eq(t, "one", desk.Schedule(asks("entry-2", map[string]int{"two": 1}), later).Instance)
+}
+
+// TestDeskKeepsPromptsApart guards against prompts of several VMs that an
+// engine reads together, so that its streams pause for too long.
+func TestDeskKeepsPromptsApart(t *testing.T) {
+	desk := newDesk("one")
+	var waits []float64
+	for _, vm := range []string{"entry-1", "entry-2", "entry-3", "entry-4"} {
+		waits = append(waits, desk.Schedule(asks(vm, nil), start).Wait)
+	}
+	must.Eq(t, 0.0, waits[0]) // Each takes 50 ms to read, and 120 ms may be read at once.
+	must.Eq(t, 0.0, waits[1])
+	must.InDelta(t, 30, waits[2], 1)
+	must.InDelta(t, 80, waits[3], 1)
+	must.Eq(t, 0.0, desk.Schedule(asks("entry-1", nil), start.Add(time.Second)).Wait)
+}
+
+// TestDeskRefusesWhatComesTooLate guards against queues in which every call is
+// late, and against calls that must go on and are refused.
+func TestDeskRefusesWhatComesTooLate(t *testing.T) {
+	desk := newDesk("one")
+	desk.Tell("entry-1", map[string]int{"one": 30}, start)
+	full := desk.Schedule(asks("entry-2", nil), start)
+	must.True(t, full.Full)
+	must.Eq(t, "", full.Instance)
+	must.Greater(t, 0.0, full.Wait)
+	begun := asks("entry-2", nil)
+	begun.Limit = 0
+	must.Eq(t, "one", desk.Schedule(begun, start).Instance)
+}
+
+// TestDeskHeedsWhatVMsAvoid guards against an engine that is named again to the
+// VM that has seen it fail, and against one VM's view that counts for others.
+func TestDeskHeedsWhatVMsAvoid(t *testing.T) {
+	desk := newDesk("one", "two")
+	for range 3 {
+		avoids := asks("entry-1", nil)
+		avoids.Avoid = []string{"one"}
+		must.Eq(t, "two", desk.Schedule(avoids, start).Instance)
+	}
+	must.Eq(t, "one", desk.Schedule(asks("entry-2", nil), start).Instance)
+	avoids := asks("entry-1", nil)
+	avoids.Avoid = []string{"one", "two"}
+	must.Eq(t, kumquathitch.ScheduleGrant{}, desk.Schedule(avoids, start))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -153,6 +153,20 @@
 	}
 }
 
+// SetUnloading states which models instances have orders to unload, by instance.
+// They refuse calls for these. A statement counts for a short time, since it
+// does not come again from a leader that is lost.
+func (f *Fleet) SetUnloading(models map[string][]string, now time.Time) {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mutex.RLock()
+		for id, m := range s.members {
+			m.setUnloading(models[id], now.Add(unloadingTime))
+		}
+		s.mutex.RUnlock()
+	}
+}
+
 // Loads returns the calls of this VM under way, by instance.
 func (f *Fleet) Loads() map[string]int {
 	loads := map[string]int{}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -58,6 +58,22 @@
 	must.Eq(t, "one", choice.Instance.ID)
 }
 
+// TestUnloadingModelGetsNoCalls guards against calls to an engine that refuses
+// them until it has unloaded the model (seconds on laurentide-montage-grown),
+// and against a word of the leader that counts for ever.
+func TestUnloadingModelGetsNoCalls(t *testing.T) {
+	f := fleet.NewFleet("entry-1", "a")
+	f.Put(engine("one", 1, "m1", "m2"), start)
+	f.SetUnloading(map[string][]string{"one": {"m1"}}, start)
+	_, err := f.Choose(want("m1"), start)
+	must.Error(t, err)
+	must.Eq(t, "", fleet.NewDesk(f).Schedule(asks("entry-2", nil), start).Instance)
+	_, err = f.Choose(want("m2"), start)
+	must.NoError(t, err)
+	_, err = f.Choose(want("m1"), start.Add(5*time.Second))
+	must.NoError(t, err)
+}
+
 // TestLeavingInstanceGetsNoCalls guards against work for an upstream that leaves,
 // and against an older description that brings it back.
 func TestLeavingInstanceGetsNoCalls(t *testing.T) {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	// placedTime is how long an adapter counts as there that was ordered and is
 	// not in the description yet: descriptions come about once a second.
 	placedTime = 4 * time.Second
+	// unloadingTime is how long the leader's word counts that a model is being
+	// unloaded. It comes twice a second.
+	unloadingTime = 1500 * time.Millisecond
 	// learningWeight is the weight of one answer in the moving times.
 	learningWeight = 0.2
 	// startRate is the prompt tokens read in a millisecond that an engine is
@@ -68,8 +72,10 @@
 	trial    bool // A trial is under way.
 	busyTo   time.Time
 
-	placed  map[string]time.Time // Adapters not yet listed, and until when that counts.
-	prompts promptCache
+	placed    map[string]time.Time // Adapters not yet listed, and until when that counts.
+	unloading []string             // Models, and until when that counts.
+	unloadTo  time.Time
+	prompts   promptCache
 }
 
 func newMember(instance kumquathitch.Instance) *member {
@@ -121,8 +127,23 @@
 	m.placed[target] = until
 }
 
-// holds reports whether a model, and its adapter unless that is empty, are
-// there. The caller holds the lock.
+func (m *member) setUnloading(models []string, until time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.unloading, m.unloadTo = models, until
+}
+
+// serves reports whether calls for a model, and its adapter unless that is
+// empty, are taken. The caller holds the lock.
+func (m *member) serves(model, adapter string, now time.Time) bool {
+	switch {
+	case m.instance.Leaving, adapter != "" && !m.holds(model, adapter, now):
+		return false
+	}
+	return model == "" || !now.Before(m.unloadTo) || !slices.Contains(m.unloading, model)
+}
+
+// holds reports whether a model and its adapter are there. The caller holds the lock.
 func (m *member) holds(model, adapter string, now time.Time) bool {
 	return m.instance.Models.Holds(model, adapter) || now.Before(m.placed[model+"/"+adapter])
 }
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -117,6 +117,25 @@
 	}
 }
 
+// Unloading returns the models that instances have orders to unload, by
+// instance: they refuse calls for these that have not begun.
+func (o *Owner) Unloading() map[string][]string {
+	unloading := map[string][]string{}
+	for i := range o.shards {
+		s := &o.shards[i]
+		s.mutex.Lock()
+		for id, h := range s.holdings {
+			for _, open := range []*openOrder{h.pending, h.doubt} {
+				if open != nil && open.action.Unload && open.action.Adapter == "" {
+					unloading[id] = append(unloading[id], open.action.Model)
+				}
+			}
+		}
+		s.mutex.Unlock()
+	}
+	return unloading
+}
+
 // logPlacement writes, now and then, what the plan goes by.
 func (o *Owner) logPlacement(s *kumquathitch.Service, engines Engines, asked Demand, now time.Time) {
 	last := time.Unix(0, o.logged.Load())
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -139,6 +139,7 @@
 	v.guard.Hear("", reply.Suspects, now)
 	if reply.Leader {
 		v.fleet.SetLoads(reply.Loads, now)
+		v.fleet.SetUnloading(reply.Unloading, now)
 	}
 	if reply.Fed {
 		v.follower.feed(reply.Changes, reply.Revision)
@@ -167,6 +168,7 @@
 			reply = bank.Exchange(&message, view.Deployment.Tenants, now)
 		}
 		reply.Leader = true
+		reply.Unloading = v.owner.Unloading()
 		v.desk.Tell(message.From, message.Loads, now)
 		reply.Loads = v.news.tell(message.From, message.Loads, now)
 		if message.From != v.site.Name {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -210,6 +210,8 @@
 		return
 	}
 	now := time.Now()
+	v.desk.Expire(now)
 	expected := v.forecast.Ahead(v.demand.Total(now), v.demand.CallTokens(), now)
 	v.owner.Tick(ctx, view.Deployment.Services, v.fleet.Instances(), expected)
+	v.fleet.SetUnloading(v.owner.Unloading(), time.Now())
 }
