Give prompts half of an engine's time, and count waits by full engines

And calls whose answer was expected after 0.4 to 0.8 s began after 1.7 s: the wait for a slot was counted by the time that calls run on any engine.

Change: the desk lets prompts take half of an engine's time, and a third of the longest pause at once. A prompt that would still pause streams for too long costs something for each of them. VMs tell how long calls run on full engines. The rate of reading is learned from engines that wait for nothing.

--- a/exchange.go
+++ b/exchange.go
@@ -70,6 +70,7 @@
 	GapLimit   float64        `json:"gap-limit-ms"`    // Milliseconds; 0 when there is none.
 	Hold       float64        `json:"hold-ms"`         // Milliseconds that the call may wait before it is sent.
 	Limit      float64        `json:"limit-ms"`        // Milliseconds within which the answer must begin; 0 for a call that is taken anyhow.
+	FullRun    float64        `json:"full-run-ms"`     // Milliseconds that calls run on a full engine, as the VM has seen; 0 before any.
 	Avoid      []string       `json:"avoid,omitempty"` // Engines that were tried, or that the VM has seen fail.
 	Loads      map[string]int `json:"loads,omitempty"` // All calls of the VM under way, by instance.
 }
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -34,6 +34,7 @@
 // serviceStats is what was learned of a service as a whole.
 type serviceStats struct {
 	failures float64
+	fullRun  time.Duration // From the first event to the last on an engine with all slots taken; 0 before any.
 }
 
 // Choose returns the instance with the least expected time to the answer.
@@ -243,7 +244,7 @@
 
 // Report ends a choice.
 func (f *Fleet) Report(want kumquathitch.InstanceWant, made kumquathitch.InstanceChoice, result kumquathitch.SendResult) {
-	mean := f.note(want.Service, result.Outcome)
+	mean := f.note(want.Service, made, result)
 	defer f.free()
 	m := f.member(made.Instance.ID)
 	if m == nil {
@@ -252,8 +253,8 @@
 	m.end(made, result, want.Model != "", mean)
 }
 
-// note counts an outcome for the service and returns its share of failures.
-func (f *Fleet) note(service string, outcome kumquathitch.SendOutcome) float64 {
+// note counts a result for the service and returns its share of failures.
+func (f *Fleet) note(service string, made kumquathitch.InstanceChoice, result kumquathitch.SendResult) float64 {
 	s := &f.services[kumquathitch.ShardOf(service, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -263,9 +264,28 @@
 		s.services[service] = stats
 	}
 	failed := 0.0
-	if outcome != kumquathitch.SendAnswered && outcome != kumquathitch.SendCancelled {
+	if result.Outcome != kumquathitch.SendAnswered && result.Outcome != kumquathitch.SendCancelled {
 		failed = 1
 	}
 	stats.failures += meanWeight * (failed - stats.failures)
+	if result.Outcome == kumquathitch.SendAnswered && result.HasLoad && result.Load.Running >= made.Instance.Slots {
+		run := result.Ended.Sub(result.First)
+		if stats.fullRun == 0 {
+			stats.fullRun = run
+		}
+		stats.fullRun += time.Duration(learningWeight * float64(run-stats.fullRun))
+	}
 	return stats.failures
 }
+
+// FullRun returns how long calls run on an engine of a service with all slots
+// taken, by this VM's own calls, or 0 before any.
+func (f *Fleet) FullRun(service string) time.Duration {
+	s := &f.services[kumquathitch.ShardOf(service, shardCount)]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if stats := s.services[service]; stats != nil {
+		return stats.fullRun
+	}
+	return 0
+}
--- a/fleet/desk.go
+++ b/fleet/desk.go
@@ -11,9 +11,19 @@
 )
 
 const (
-	// deskPacePart is the part of the longest pause of a stream that the prompts
-	// which an engine reads at once may take; the rest is for its own tokens.
-	deskPacePart = 0.6
+	// readShare is the part of an engine's time that prompts may take in the long
+	// run. Engines read prompts between the tokens of their streams.
+	readShare = 0.5
+	// burstPart is the part of the longest pause of a stream that prompts may
+	// take beyond that. A pause is then at most (burst + own tokens) / (1 -
+	// readShare), which leaves a seventh of it for the tokens of one event.
+	burstPart = 0.35
+	// harmCost is what each stream that is paused for too long costs, in
+	// objectives: a late stream earns a tenth to a third of a timely one.
+	harmCost = 0.3
+	// runWeight is the weight of what one VM tells in the mean over all: each
+	// tells its own mean with every question.
+	runWeight = 0.02
 	// toldTerm is how long the calls that a VM told count. VMs tell them twice a second or more.
 	toldTerm = 2 * time.Second
 )
@@ -26,6 +36,13 @@
 	fleet   *Fleet
 	vms     [shardCount]deskShard
 	engines [shardCount]seatShard
+	runs    [shardCount]runShard
+}
+
+// runShard holds the milliseconds that calls run on full engines, by service.
+type runShard struct {
+	mutex sync.Mutex
+	full  map[string]float64
 }
 
 // deskShard holds the calls that VMs told, by VM.
@@ -48,7 +65,7 @@
 // seat is an engine as the desk sees it.
 type seat struct {
 	calls   int       // Under way.
-	readTo  time.Time // When the prompts sent to it will be read.
+	readTo  time.Time // When the prompts sent to it will be read, at readShare of its time.
 	started time.Time // Of the engine; a restart empties it.
 	prompts promptCache
 }
@@ -59,6 +76,7 @@
 	for i := range shardCount {
 		d.vms[i].told = map[string]*toldCalls{}
 		d.engines[i].seats = map[string]*seat{}
+		d.runs[i].full = map[string]float64{}
 	}
 	return d
 }
@@ -135,12 +153,13 @@
 func (d *Desk) Schedule(want *kumquathitch.ScheduleWant, now time.Time) kumquathitch.ScheduleGrant {
 	d.Tell(want.From, want.Loads, now)
 	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
+	run := d.fullRun(want.Service, want.FullRun)
 	best := offer{cost: math.Inf(1)}
 	for _, m := range d.fleet.members(group{service: want.Service, model: want.Model}) {
 		if slices.Contains(want.Avoid, m.id) {
 			continue
 		}
-		if found, ok := d.offer(m, want, c, now); ok && found.cost < best.cost {
+		if found, ok := d.offer(m, want, c, run, now); ok && found.cost < best.cost {
 			best = found
 		}
 	}
@@ -166,7 +185,7 @@
 	cost     float64
 }
 
-func (d *Desk) offer(m *member, want *kumquathitch.ScheduleWant, c chain, now time.Time) (offer, bool) {
+func (d *Desk) offer(m *member, want *kumquathitch.ScheduleWant, c chain, run float64, now time.Time) (offer, bool) {
 	engine, ok := m.engine(want.Model, want.Adapter, now)
 	if !ok {
 		return offer{}, false
@@ -180,19 +199,41 @@
 	}
 	o := offer{member: m, missing: max(0, want.Tokens-held.prompts.kept(c))}
 	o.read = float64(o.missing) / max(engine.rate, leastRate)
-	backlog := max(0, milliseconds(held.readTo.Sub(now)))
+	backlog := readShare * max(0, milliseconds(held.readTo.Sub(now))) // Of reading.
 	if want.GapLimit > 0 {
-		o.wait = min(max(0, backlog+o.read-deskPacePart*want.GapLimit), backlog, want.Hold)
+		o.wait = min(max(0, backlog+o.read-burstPart*want.GapLimit), backlog) / readShare
+		o.wait = min(o.wait, want.Hold)
 	}
+	left := max(0, backlog-readShare*o.wait)
 	over := max(0, float64(held.calls+1)-engine.slots)
-	o.expected = backlog - o.wait + o.read + over*engine.running/engine.slots
+	o.expected = left + o.read + over*run/engine.slots
 	o.cost = o.wait + o.expected + occupancyCost*want.Objective*float64(held.calls)/engine.slots
+	if want.GapLimit > 0 && left+o.read > (1-readShare)*want.GapLimit {
+		o.cost += harmCost * want.Objective * min(float64(held.calls), engine.slots)
+	}
 	if engine.dataCentre != want.DataCentre {
 		o.cost += remoteCost
 	}
 	return o, true
 }
 
+// fullRun takes in how long calls run on a full engine by one VM's calls, and
+// returns the mean of all.
+func (d *Desk) fullRun(service string, told float64) float64 {
+	s := &d.runs[kumquathitch.ShardOf(service, shardCount)]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	mean, known := s.full[service]
+	if !known {
+		mean = milliseconds(startRunning)
+	}
+	if told > 0 {
+		mean += runWeight * (told - mean)
+		s.full[service] = mean
+	}
+	return mean
+}
+
 // take counts a call as told by its VM, and its prompt as read.
 func (d *Desk) take(vm string, o *offer, c chain, now time.Time) {
 	v := &d.vms[kumquathitch.ShardOf(vm, shardCount)]
@@ -213,7 +254,7 @@
 	if held.readTo.Before(begin) {
 		held.readTo = begin
 	}
-	held.readTo = held.readTo.Add(duration(o.read))
+	held.readTo = held.readTo.Add(duration(o.read / readShare))
 	held.prompts.add(c)
 }
 
@@ -225,7 +266,6 @@
 type engineView struct {
 	slots      float64
 	rate       float64 // Prompt tokens read in a millisecond.
-	running    float64 // Milliseconds from the first event to the last.
 	started    time.Time
 	dataCentre string
 }
@@ -238,7 +278,7 @@
 		return engineView{}, false
 	}
 	return engineView{
-		slots: float64(max(1, m.instance.Slots)), rate: m.rate, running: milliseconds(m.running),
+		slots: float64(max(1, m.instance.Slots)), rate: m.readRate,
 		started: m.instance.Started, dataCentre: m.instance.DataCentre,
 	}, true
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -38,6 +38,9 @@
 	unloadingTime = 1500 * time.Millisecond
 	// learningWeight is the weight of one answer in the moving times.
 	learningWeight = 0.2
+	// fallWeight is the weight of an answer that came slower: most of these waited
+	// for a slot or for other prompts.
+	fallWeight = 0.02
 	// startRate is the prompt tokens read in a millisecond that an engine is
 	// credited with before any answer.
 	startRate = 20.0
@@ -61,9 +64,10 @@
 	reported int   // Calls of others by the instance's last count.
 	counted  time.Time
 
-	rate    float64       // Prompt tokens read in a millisecond.
-	latency time.Duration // To the answer of a plain call.
-	running time.Duration // From the first event to the last.
+	rate     float64       // Prompt tokens read in a millisecond, queues included.
+	readRate float64       // The same on an engine that waits for nothing.
+	latency  time.Duration // To the answer of a plain call.
+	running  time.Duration // From the first event to the last.
 
 	failures float64 // Moving share of failed sends.
 	broken   int     // Sends that broke in a row.
@@ -87,7 +91,7 @@
 // reset forgets what was seen of an earlier start.
 func (m *member) reset(instance kumquathitch.Instance) {
 	m.instance = kumquathitch.Instance{ID: instance.ID}
-	m.reported, m.rate, m.latency, m.running = 0, startRate, startLatency, startRunning
+	m.reported, m.rate, m.readRate, m.latency, m.running = 0, startRate, startRate, startLatency, startRunning
 	m.failures, m.broken, m.pauses = 0, 0, 0
 	m.pausedTo, m.busyTo = time.Time{}, time.Time{}
 	m.placed = map[string]time.Time{}
@@ -291,6 +295,11 @@
 	if spent := float64(first.Microseconds()) / 1000; spent > 0 && choice.Missing > 0 {
 		rate := float64(choice.Missing) / spent
 		m.rate += learningWeight * (rate - m.rate)
+		weight := fallWeight
+		if rate > m.readRate {
+			weight = learningWeight
+		}
+		m.readRate += weight * (rate - m.readRate)
 	}
 	m.running += time.Duration(learningWeight * float64(result.Ended.Sub(result.First)-m.running))
 }
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -41,7 +41,7 @@
 	message := kumquathitch.ScheduleWant{
 		From: v.site.Name, DataCentre: v.site.DataCentre, Service: want.Service, Model: want.Model, Adapter: want.Adapter,
 		Prompt: want.Prompt, Tokens: want.Tokens, Objective: milliseconds(want.Objective), GapLimit: milliseconds(want.GapLimit),
-		Hold: max(0, milliseconds(want.HoldTo.Sub(now))), Limit: limitOf(want, now), Avoid: v.fleet.Avoided(want, now), Loads: v.fleet.Loads(),
+		Hold: max(0, milliseconds(want.HoldTo.Sub(now))), Limit: limitOf(want, now), FullRun: milliseconds(v.fleet.FullRun(want.Service)), Avoid: v.fleet.Avoided(want, now), Loads: v.fleet.Loads(),
 	}
 	var grant kumquathitch.ScheduleGrant
 	if leading {
