Ask callers of full engines to come back after two seconds

A further replica takes seconds to load. Calls for a model whose only replica unloads were refused at once, with 0.7 s, instead of waiting for it.

Change: two seconds at least when no engine that holds the model takes calls; an engine that unloads the model does not count as holding it.

--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -80,7 +80,7 @@
 		best = last
 	}
 	if best.member == nil {
-		return kumquathitch.InstanceChoice{}, f.noInstance(want, len(candidates))
+		return kumquathitch.InstanceChoice{}, f.noInstance(want, candidates, now)
 	}
 	best.member.begin(c, best.missing, best.trial)
 	return kumquathitch.InstanceChoice{
@@ -167,7 +167,13 @@
 	return s.members[id]
 }
 
-func (f *Fleet) noInstance(want kumquathitch.InstanceWant, holders int) error {
+func (f *Fleet) noInstance(want kumquathitch.InstanceWant, candidates []*member, now time.Time) error {
+	holders := 0
+	for _, m := range candidates {
+		if _, ok := m.engine(want.Model, "", now); ok {
+			holders++
+		}
+	}
 	return &kumquathitch.NoInstanceError{
 		Service: want.Service, Model: want.Model, Adapter: want.Adapter,
 		NoAdapter: want.Adapter != "" && holders > 0 && len(want.Exclude) == 0,
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -66,7 +66,9 @@
 	f.Put(engine("one", 1, "m1", "m2"), start)
 	f.SetUnloading(map[string][]string{"one": {"m1"}}, start)
 	_, err := f.Choose(want("m1"), start)
-	must.Error(t, err)
+	var none *kumquathitch.NoInstanceError
+	must.True(t, errors.As(err, &none))
+	must.True(t, none.NoModel)
 	must.Eq(t, "", fleet.NewDesk(f).Schedule(asks("entry-2", nil), start).Instance)
 	_, err = f.Choose(want("m2"), start)
 	must.NoError(t, err)
--- a/relay/job.go
+++ b/relay/job.go
@@ -357,6 +357,9 @@
 	if errors.As(err, &full) {
 		refusal := kumquathitch.NotRun(http.StatusServiceUnavailable, "engines-full", err.Error())
 		refusal.RetryAfter = full.RoomAt
+		if least := j.Clock.Now().Add(enginePause); refusal.RetryAfter.Before(least) {
+			refusal.RetryAfter = least
+		}
 		return refusal
 	}
 	var none *kumquathitch.NoInstanceError
@@ -366,8 +369,11 @@
 	}
 	refusal := kumquathitch.NotRun(http.StatusServiceUnavailable, code, err.Error())
 	refusal.RetryAfter = j.Clock.Now().Add(retryPause)
-	if code == "model-not-resident" {
+	switch {
+	case code == "model-not-resident":
 		refusal.RetryAfter = j.Clock.Now().Add(modelPause)
+	case j.want.Model != "":
+		refusal.RetryAfter = j.Clock.Now().Add(enginePause)
 	}
 	return refusal
 }
@@ -379,6 +385,9 @@
 	// resumePause is the pause before a stream that was broken off is tried at
 	// all instances again. Callers wait for an event for two seconds or more.
 	resumePause = 100 * time.Millisecond
+	// enginePause is the least time after which a caller is asked to come back when
+	// no engine that holds the model takes calls: another replica loads in seconds.
+	enginePause = 2 * time.Second
 	// modelWaitPart is how many times its objective a call waits for its model.
 	// Callers leave streams without an event after four times the objective.
 	modelWaitPart = 2
