Tell from logs what happened to one call

kumquathitch explain ID reads the logs of several VMs, from files or standard input, and prints the call's sends and refusals in order, what the VMs that handled it believed, what happened to the instances it was sent to, and the cause in plain words. A usage error goes to standard error with exit code 2; it went to standard output with 255 before.

--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -48,6 +48,7 @@
 	Upstream      *upstreamCommand      `arg:"subcommand:upstream" help:"upstreams"`
 	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"make a configuration from answers"`
 	Status        *statusCommand        `arg:"subcommand:status" help:"ask a VM what is degraded and what to do"`
+	Explain       *explainCommand       `arg:"subcommand:explain" help:"tell from logs what happened to one call"`
 	Replay        *replayCommand        `arg:"subcommand:replay" help:"run a trace through the decisions and compare"`
 	VM            *vmCommand            `arg:"subcommand:vm" help:"tell the system about VMs"`
 }
@@ -55,16 +56,12 @@
 // Epilogue ends the help text.
 func (args) Epilogue() string {
 	return demoUsage + questionnaireUsage + configUsage + accountUsage + keyUsage + rateUsage + modelUsage + routeUsage +
-		upstreamUsage + vmUsage + statusUsage + replayUsage
+		upstreamUsage + vmUsage + statusUsage + explainUsage + replayUsage
 }
 
 func main() {
 	var a args
-	parser := arg.MustParse(&a)
-	chosen, ok := parser.Subcommand().(command)
-	if !ok {
-		parser.Fail("a subcommand is required; see --help")
-	}
+	chosen := parse(&a)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	err := chosen.run(ctx, os.Stdout)
 	stop()
@@ -74,6 +71,29 @@
 	}
 }
 
+// parse returns the chosen subcommand. Help goes to standard output, a usage
+// error to standard error.
+func parse(a *args) command {
+	parser, err := arg.NewParser(arg.Config{Program: "kumquathitch", Out: os.Stderr, Exit: func(int) { os.Exit(exitBadInput) }}, a)
+	if err != nil {
+		panic(err) // The tags of the arguments are wrong.
+	}
+	if err = parser.Parse(os.Args[1:]); errors.Is(err, arg.ErrHelp) {
+		if err = parser.WriteHelpForSubcommand(os.Stdout, parser.SubcommandNames()...); err != nil {
+			os.Exit(exitFailure)
+		}
+		os.Exit(0)
+	}
+	if err != nil {
+		_ = parser.FailSubcommand(err.Error(), parser.SubcommandNames()...)
+	}
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.Fail("a subcommand is required; see --help")
+	}
+	return chosen
+}
+
 func exitCode(err error) int {
 	var invalid *kumquathitch.ValidationError
 	var conflict *kumquathitch.ConfigurationConflictError
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
@@ -64,3 +65,26 @@
 	must.Eq(t, 2, code)
 	must.StrContains(t, out, "bytes above 0")
 }
+
+// TestUsageErrorGoesToStandardError guards against a usage error in the output
+// that a script reads, and against an exit code that says nothing.
+func TestUsageErrorGoesToStandardError(t *testing.T) {
+	command := exec.Command(filepath.Join(binaries, "kumquathitch"), "no-such-thing")
+	var out, problems bytes.Buffer
+	command.Stdout, command.Stderr = &out, &problems
+	err := command.Run()
+	var exit *exec.ExitError
+	must.True(t, errors.As(err, &exit))
+	must.Eq(t, 2, exit.ExitCode())
+	must.Eq(t, "", out.String())
+	must.StrContains(t, problems.String(), "no-such-thing")
+}
+
+// TestExplainReadsLogs guards against a trail that cannot be had from the command line.
+func TestExplainReadsLogs(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "entry-1.log")
+	must.NoError(t, os.WriteFile(log, []byte("time=2026-12-04T10:00:01Z level=info msg=\"call refused\" call=c1 status=404 code=no-route run=not-run\n"), 0o600))
+	out, err := exec.Command(filepath.Join(binaries, "kumquathitch"), "explain", "c1", log).Output()
+	must.NoError(t, err)
+	must.StrContains(t, string(out), "cause: no-route")
+}
