Compress many changes together, and ask an unreachable leader again sooner

Exchanges bring some thirty changed descriptions twice a second, about 30 KB by count of the orders, and a question waits behind them on the same connection over a link of 10 Mbit/s; after a miss the VM chose by itself for 300 ms.

Change: changes of 4 KB and more are compressed together; the limit is 40 ms, the pause after a miss 100 ms.

--- a/exchange.go
+++ b/exchange.go
@@ -29,6 +29,7 @@
 	Unloading  map[string][]string `json:"unloading,omitempty"` // Models with an order to unload, by instance.
 	Fed        bool                `json:"fed,omitempty"`       // Changes holds all after the asking VM's revision.
 	Changes    []KeyChange         `json:"changes,omitempty"`
+	Packed     []byte              `json:"packed,omitempty"` // More changes, encoded and compressed.
 	Version    uint64              `json:"version"`
 	Deployment []byte              `json:"deployment,omitempty"` // Encoded as in the store, and compressed.
 	Instances  []KeyItem           `json:"instances,omitempty"`  // Descriptions as in the store, for a VM without it.
--- a/keyspace.go
+++ b/keyspace.go
@@ -24,7 +24,6 @@
 type KeyChange struct {
 	KeyItem
 	Removed bool `json:"removed,omitempty"`
-	Packed  bool `json:"packed,omitempty"` // The value is compressed, between VMs only.
 }
 
 // KeyChanges are the changes after a revision.
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -141,6 +141,10 @@
 		v.fleet.SetLoads(reply.Loads, now)
 		v.fleet.SetUnloading(reply.Unloading, now)
 	}
+	if err := unpackChanges(reply); err != nil {
+		v.log.Warn("changes from the leader unreadable, reading the store", zap.Error(err))
+		reply.Fed = false
+	}
 	if reply.Fed {
 		v.follower.feed(reply.Changes, reply.Revision)
 	} else {
@@ -181,6 +185,7 @@
 			// The revision is read first: changes that come meanwhile are sent once more.
 			reply.Revision = v.follower.at()
 			reply.Changes, reply.Fed = v.changesFor(message.Revision, now)
+			v.packChanges(&reply)
 		}
 	}
 	if leader, known := v.candidate.Leader(); known {
--- a/vm/feed.go
+++ b/vm/feed.go
@@ -45,7 +45,7 @@
 	for _, change := range changes {
 		// An earlier change of the same key is of no use any more.
 		n.changes = slices.DeleteFunc(n.changes, func(earlier kumquathitch.KeyChange) bool { return earlier.Key == change.Key })
-		n.changes = append(n.changes, pack(change))
+		n.changes = append(n.changes, change)
 	}
 	if over := len(n.changes) - changesKept; over > 0 {
 		n.from = n.changes[over-1].Revision
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -152,15 +152,6 @@
 	if f.at() == 0 {
 		return // The VM reads everything first.
 	}
-	for i := range changes {
-		change, err := unpack(changes[i])
-		if err != nil {
-			f.vm.log.Warn("change from the leader unreadable, reading the store", zap.String("key", change.Key), zap.Error(err))
-			f.unfed()
-			return
-		}
-		changes[i] = change
-	}
 	f.apply(changes, revision)
 	now := time.Now()
 	f.hear(now)
--- a/vm/packing.go
+++ b/vm/packing.go
@@ -3,18 +3,20 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"encoding/json"
 	"io"
 	"sync"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
 )
 
 const (
-	// packedFrom is the size in bytes from which values are compressed on their
-	// way to other VMs. A configuration with 1,500 routes is a tenth then, and
-	// the leader sends it to every VM.
+	// packedFrom is the size in bytes from which changes are compressed on their
+	// way to other VMs: a configuration with 1,500 routes goes to every VM, and
+	// questions for engines wait behind it on the same link.
 	packedFrom = 4 << 10
 	// unpackedLimit bounds a value that another VM sent, in bytes.
 	unpackedLimit = 64 << 20
@@ -38,29 +40,40 @@
 	return p.document
 }
 
-// pack compresses the value of a change when it is large.
-func pack(change kumquathitch.KeyChange) kumquathitch.KeyChange {
-	if len(change.Value) < packedFrom || change.Packed {
-		return change
+// packChanges compresses the changes of a reply when they are many.
+func (v *VM) packChanges(reply *kumquathitch.ExchangeReply) {
+	size := 0
+	for _, change := range reply.Changes {
+		size += len(change.Value)
 	}
-	change.Value, change.Packed = compress(change.Value), true
-	return change
+	if size < packedFrom {
+		return
+	}
+	text, err := json.Marshal(reply.Changes)
+	if err != nil {
+		v.log.Error("changes not packed", zap.Error(err))
+		return
+	}
+	reply.Changes, reply.Packed = nil, compress(text)
 }
 
-// unpack is the inverse of pack.
-func unpack(change kumquathitch.KeyChange) (kumquathitch.KeyChange, error) {
-	if !change.Packed {
-		return change, nil
+// unpackChanges is the inverse of packChanges.
+func unpackChanges(reply *kumquathitch.ExchangeReply) error {
+	if len(reply.Packed) == 0 {
+		return nil
+	}
+	text, err := decompress(reply.Packed)
+	if err != nil {
+		return err
 	}
-	value, err := decompress(change.Value)
-	change.Value, change.Packed = value, false
-	return change, err
+	reply.Packed = nil
+	return eris.Wrap(json.Unmarshal(text, &reply.Changes), "packed changes")
 }
 
 func compress(value []byte) []byte {
 	var packed bytes.Buffer
-	writer := gzip.NewWriter(&packed)
-	_, _ = writer.Write(value) // Writes to a buffer do not fail.
+	writer, _ := gzip.NewWriterLevel(&packed, gzip.BestSpeed) // The level is valid.
+	_, _ = writer.Write(value)                                // Writes to a buffer do not fail.
 	_ = writer.Close()
 	return packed.Bytes()
 }
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -15,9 +15,10 @@
 	methodSchedule = "fleet.schedule"
 	// scheduleTimeout bounds the wait for the leader, which answers within
 	// milliseconds inside a region. A call that gets no answer goes by what its own VM knows.
-	scheduleTimeout = 30 * time.Millisecond
-	// scheduleRetry is the pause after a leader did not answer.
-	scheduleRetry = 300 * time.Millisecond
+	scheduleTimeout = 40 * time.Millisecond
+	// scheduleRetry is the pause after a leader did not answer, so that a lost one
+	// delays few calls.
+	scheduleRetry = 100 * time.Millisecond
 )
 
 // scheduler asks the leader's desk for engines. It implements kumquathitch.Scheduler.
