--- a/exchange.go
+++ b/exchange.go
@@ -59,7 +59,8 @@
 	Instances []string `json:"instances,omitempty"` // That hold it now.
 }
 
-// ScheduleWant asks the leader for the engine of a call.
+// ScheduleWant asks the leader for the engine of a call. Its times are relative,
+// in nanoseconds, since the clocks of VMs differ.
 type ScheduleWant struct {
 	From       string         `json:"from"`
 	DataCentre string         `json:"data-centre"`
@@ -67,23 +68,23 @@
 	Model      string         `json:"model"`
 	Adapter    string         `json:"adapter,omitempty"`
 	Prompt     PromptParts    `json:"prompt,omitempty"`
-	Tokens     int64          `json:"tokens"`          // Of the prompt.
-	Objective  float64        `json:"objective-ms"`    // Milliseconds.
-	GapLimit   float64        `json:"gap-limit-ms"`    // Milliseconds; 0 when there is none.
-	Hold       float64        `json:"hold-ms"`         // Milliseconds that the call may wait before it is sent.
-	Limit      float64        `json:"limit-ms"`        // Milliseconds within which the answer must begin; 0 for a call that is taken anyhow.
-	FullRun    float64        `json:"full-run-ms"`     // Milliseconds that calls run on a full engine, as the VM has seen; 0 before any.
-	Avoid      []string       `json:"avoid,omitempty"` // Engines that were tried, or that the VM has seen fail.
-	Loads      map[string]int `json:"loads,omitempty"` // All calls of the VM under way, by instance.
+	Tokens     int64          `json:"tokens"` // Of the prompt.
+	Objective  time.Duration  `json:"objective"`
+	GapLimit   time.Duration  `json:"gap-limit,omitempty"` // 0 when there is none.
+	Hold       time.Duration  `json:"hold,omitempty"`      // How long the call may wait before it is sent.
+	Limit      time.Duration  `json:"limit,omitempty"`     // Within which the answer must begin; 0 for a call that is taken anyhow.
+	FullRun    time.Duration  `json:"full-run,omitempty"`  // How long calls run on a full engine, as the VM has seen; 0 before any.
+	Avoid      []string       `json:"avoid,omitempty"`     // Engines that were tried, or that the VM has seen fail.
+	Loads      map[string]int `json:"loads,omitempty"`     // All calls of the VM under way, by instance.
 }
 
 // ScheduleGrant answers a ScheduleWant.
 type ScheduleGrant struct {
-	Instance string  `json:"instance,omitempty"` // Empty when the leader names none.
-	Missing  int64   `json:"missing"`            // Prompt tokens to read.
-	Full     bool    `json:"full,omitempty"`     // No engine would begin the answer in time.
-	Wait     float64 `json:"wait-ms"`            // Milliseconds until the call may be sent, or until an engine has room again.
-	Expected float64 `json:"expected-ms"`        // Milliseconds from then to the first event.
+	Instance string        `json:"instance,omitempty"` // Empty when the leader names none.
+	Missing  int64         `json:"missing"`            // Prompt tokens to read.
+	Full     bool          `json:"full,omitempty"`     // No engine would begin the answer in time.
+	Wait     time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has room again.
+	Expected time.Duration `json:"expected"`           // From then to the first event.
 }
 
 // Member is the record of an entry VM in the store, kept alive by a lease.
--- a/fleet/desk.go
+++ b/fleet/desk.go
@@ -153,7 +153,7 @@
 func (d *Desk) Schedule(want *kumquathitch.ScheduleWant, now time.Time) kumquathitch.ScheduleGrant {
 	d.Tell(want.From, want.Loads, now)
 	c := chainOf(want.Model+"/"+want.Adapter, want.Prompt)
-	run := d.fullRun(want.Service, want.FullRun)
+	run := d.fullRun(want.Service, milliseconds(want.FullRun))
 	best := offer{cost: math.Inf(1)}
 	for _, m := range d.fleet.members(group{service: want.Service, model: want.Model}) {
 		if slices.Contains(want.Avoid, m.id) {
@@ -166,12 +166,12 @@
 	if best.member == nil {
 		return kumquathitch.ScheduleGrant{}
 	}
-	if late := best.wait + best.expected - want.Limit; want.Limit > 0 && late > 0 {
+	if late := duration(best.wait+best.expected) - want.Limit; want.Limit > 0 && late > 0 {
 		return kumquathitch.ScheduleGrant{Full: true, Wait: late}
 	}
 	d.take(want.From, &best, c, now)
 	return kumquathitch.ScheduleGrant{
-		Instance: best.member.id, Missing: best.missing, Wait: best.wait, Expected: best.expected,
+		Instance: best.member.id, Missing: best.missing, Wait: duration(best.wait), Expected: duration(best.expected),
 	}
 }
 
@@ -200,16 +200,17 @@
 	o := offer{member: m, missing: max(0, want.Tokens-held.prompts.kept(c))}
 	o.read = float64(o.missing) / max(engine.rate, leastRate)
 	backlog := readShare * max(0, milliseconds(held.readTo.Sub(now))) // Of reading.
-	if want.GapLimit > 0 {
-		o.wait = min(max(0, backlog+o.read-burstPart*want.GapLimit), backlog) / readShare
-		o.wait = min(o.wait, want.Hold)
+	gap, objective := milliseconds(want.GapLimit), milliseconds(want.Objective)
+	if gap > 0 {
+		o.wait = min(max(0, backlog+o.read-burstPart*gap), backlog) / readShare
+		o.wait = min(o.wait, milliseconds(want.Hold))
 	}
 	left := max(0, backlog-readShare*o.wait)
 	over := max(0, float64(held.calls+1)-engine.slots)
 	o.expected = left + o.read + over*run/engine.slots
-	o.cost = o.wait + o.expected + occupancyCost*want.Objective*float64(held.calls)/engine.slots
-	if want.GapLimit > 0 && left+o.read > (1-readShare)*want.GapLimit {
-		o.cost += harmCost * want.Objective * min(float64(held.calls), engine.slots)
+	o.cost = o.wait + o.expected + occupancyCost*objective*float64(held.calls)/engine.slots
+	if gap > 0 && left+o.read > (1-readShare)*gap {
+		o.cost += harmCost * objective * min(float64(held.calls), engine.slots)
 	}
 	if engine.dataCentre != want.DataCentre {
 		o.cost += remoteCost
--- a/fleet/desk_test.go
+++ b/fleet/desk_test.go
@@ -21,7 +21,8 @@
 
 func asks(vm string, loads map[string]int) *kumquathitch.ScheduleWant {
 	return &kumquathitch.ScheduleWant{
-		From: vm, DataCentre: "a", Service: "llm", Model: "m1", Tokens: 1000, Objective: 800, GapLimit: 200, Hold: 400, Limit: 800, Loads: loads,
+		From: vm, DataCentre: "a", Service: "llm", Model: "m1", Tokens: 1000, Objective: 800 * time.Millisecond,
+		GapLimit: 200 * time.Millisecond, Hold: 400 * time.Millisecond, Limit: 800 * time.Millisecond, Loads: loads,
 	}
 }
 
@@ -54,15 +55,15 @@
 // engine reads together, so that its streams pause for too long.
 func TestDeskKeepsPromptsApart(t *testing.T) {
 	desk := newDesk("one")
-	var waits []float64
+	var waits []time.Duration
 	for _, vm := range []string{"entry-1", "entry-2", "entry-3", "entry-4"} {
 		waits = append(waits, desk.Schedule(asks(vm, nil), start).Wait)
 	}
-	must.Eq(t, 0.0, waits[0]) // Each takes 50 ms to read, 70 ms may be read at once, and half of the time after that.
-	must.InDelta(t, 60, waits[1], 1)
-	must.InDelta(t, 160, waits[2], 1)
-	must.InDelta(t, 260, waits[3], 1)
-	must.Eq(t, 0.0, desk.Schedule(asks("entry-1", nil), start.Add(time.Second)).Wait)
+	must.Eq(t, 0, waits[0]) // Each takes 50 ms to read, 70 ms may be read at once, and half of the time after that.
+	must.Eq(t, 60*time.Millisecond, waits[1])
+	must.Eq(t, 160*time.Millisecond, waits[2])
+	must.Eq(t, 260*time.Millisecond, waits[3])
+	must.Eq(t, 0, desk.Schedule(asks("entry-1", nil), start.Add(time.Second)).Wait)
 }
 
 // TestDeskKeepsLongPromptsFromStreams guards against a long prompt that an engine
@@ -84,7 +85,7 @@
 	full := desk.Schedule(asks("entry-2", nil), start)
 	must.True(t, full.Full)
 	must.Eq(t, "", full.Instance)
-	must.Greater(t, 0.0, full.Wait)
+	must.Greater(t, 0, full.Wait)
 	begun := asks("entry-2", nil)
 	begun.Limit = 0
 	must.Eq(t, "one", desk.Schedule(begun, start).Instance)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,9 +9,17 @@
 //	choice, err := f.Choose(want, now)
 //	f.Report(want, choice, result) // Exactly once for each choice.
 //
+//	desk := fleet.NewDesk(f)            // On the leader.
+//	grant := desk.Schedule(&want, now)  // For a call of any VM.
+//
 // An instance is judged by what this VM's own calls met: health answers can be
 // false either way. A failing instance is left alone for a time that doubles
 // with each failed trial, and comes back after one good trial.
+//
+// A VM sees little of the load of an engine that many VMs use. The leader's
+// [Desk] therefore names the engine of each call, by the calls that all VMs tell.
+// It judges no engine: a VM takes what the desk names unless it has seen the
+// engine fail, and chooses itself while the leader does not answer.
 package fleet
 
 import (
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -41,8 +41,8 @@
 	}
 	message := kumquathitch.ScheduleWant{
 		From: v.site.Name, DataCentre: v.site.DataCentre, Service: want.Service, Model: want.Model, Adapter: want.Adapter,
-		Prompt: want.Prompt, Tokens: want.Tokens, Objective: milliseconds(want.Objective), GapLimit: milliseconds(want.GapLimit),
-		Hold: max(0, milliseconds(want.HoldTo.Sub(now))), Limit: limitOf(want, now), FullRun: milliseconds(v.fleet.FullRun(want.Service)), Avoid: v.fleet.Avoided(want, now), Loads: v.fleet.Loads(),
+		Prompt: want.Prompt, Tokens: want.Tokens, Objective: want.Objective, GapLimit: want.GapLimit,
+		Hold: max(0, want.HoldTo.Sub(now)), Limit: limitOf(want, now), FullRun: v.fleet.FullRun(want.Service), Avoid: v.fleet.Avoided(want, now), Loads: v.fleet.Loads(),
 	}
 	var grant kumquathitch.ScheduleGrant
 	if leading {
@@ -56,23 +56,23 @@
 			return kumquathitch.NamedInstance{}, err
 		}
 	}
-	at := time.Now().Add(duration(grant.Wait))
+	at := time.Now().Add(grant.Wait)
 	switch {
 	case grant.Full:
 		return kumquathitch.NamedInstance{}, &kumquathitch.EnginesFullError{Service: want.Service, Model: want.Model, RoomAt: at}
 	case grant.Instance == "":
 		return kumquathitch.NamedInstance{}, errNoneNamed
 	}
-	return kumquathitch.NamedInstance{ID: grant.Instance, Missing: grant.Missing, Expected: duration(grant.Expected), SendAt: at}, nil
+	return kumquathitch.NamedInstance{ID: grant.Instance, Missing: grant.Missing, Expected: grant.Expected, SendAt: at}, nil
 }
 
-// limitOf returns in how many milliseconds the answer to a call must begin for
-// the call to be admitted, or 0 when it must be taken anyhow.
-func limitOf(want kumquathitch.InstanceWant, now time.Time) float64 {
+// limitOf returns within which time the answer to a call must begin for the call
+// to be admitted, or 0 when it must be taken anyhow.
+func limitOf(want kumquathitch.InstanceWant, now time.Time) time.Duration {
 	if want.AnswerBy.IsZero() {
 		return 0
 	}
-	return max(1, milliseconds(want.AnswerBy.Sub(now)))
+	return max(time.Millisecond, want.AnswerBy.Sub(now))
 }
 
 func (s *scheduler) away(now time.Time) bool {
@@ -94,11 +94,3 @@
 	}
 	return v.desk.Schedule(&want, time.Now()), nil
 }
-
-func milliseconds(d time.Duration) float64 {
-	return float64(d) / float64(time.Millisecond)
-}
-
-func duration(milliseconds float64) time.Duration {
-	return time.Duration(milliseconds * float64(time.Millisecond))
-}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -16,7 +16,8 @@
 // The follower takes the operator's configuration and the list of instances
 // from one watch of the store. The exchange tells the leader the demand and
 // draws tokens, and gets news of other VMs back; while the store does not
-// answer this VM, it brings configuration and instances as well. Each of these
+// answer this VM, it brings configuration and instances as well. The scheduler
+// asks the leader for the engine of each call. Each loop
 // is a goroutine that reports its end on a channel that Run reads.
 package vm
 
