--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -51,6 +51,24 @@
 	must.Len(t, 1, moves[0].Unloads)
 }
 
+// TestBusyModelGetsReplicasOnManyEngines guards against costs of a move that are a
+// part of the whole placement: on 90 engines no model got a second replica
+// (scale-1 of laurentide-montage-grown).
+func TestBusyModelGetsReplicasOnManyEngines(t *testing.T) {
+	var engines placement.Engines
+	asked := map[string]float64{"m0": 2400}
+	for i := range 90 {
+		engines = append(engines, engine("i-"+strconv.Itoa(i), "m"+strconv.Itoa(i)))
+		if i > 1 {
+			asked["m"+strconv.Itoa(i)] = 1000
+		}
+	}
+	moves := placement.Plan(class(90), engines, demand(asked), 1)
+	must.SliceNotEmpty(t, moves)
+	must.Eq(t, "m0", moves[0].Load.Model)
+	must.Eq(t, "i-1", moves[0].Load.Instance.ID) // The engine whose model nobody asks for.
+}
+
 // TestLastReplicaInDemandStays guards against a move that takes the only replica
 // of a model that callers ask for.
 func TestLastReplicaInDemandStays(t *testing.T) {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -17,8 +17,8 @@
 // from one watch of the store. The exchange tells the leader the demand and
 // draws tokens, and gets news of other VMs back; while the store does not
 // answer this VM, it brings configuration and instances as well. The scheduler
-// asks the leader for the engine of each call. Each loop
-// is a goroutine that reports its end on a channel that Run reads.
+// asks the leader for the engine of each call. Each loop is a goroutine that
+// reports its end on a channel that Run reads.
 package vm
 
 import (
