Never shed an account that offers little, and repeat the simulation of policies

Cause: the share of an account was compared with its tokens in flight only. The test had no seed for these choices. Change: the loads also keep the tokens that each account offered; one that offers less than three quarters of its part by weight is not shed. The test plays 40 seeds with the same checks and the same bounds as before. Two tests of ./vm waited for a port that another process took, or asked a VM before it led: VMs get loopback addresses of their own with ports below the ephemeral range, and the test waits for the leader.

--- a/route/fair_share.go
+++ b/route/fair_share.go
@@ -18,6 +18,7 @@
 	Requests int     // Requests in flight.
 	Admitted float64 // Requests that were assigned an upstream, as an exponentially decayed count.
 	Shed     float64 // Requests that were shed, as an exponentially decayed count.
+	Offered  float64 // Tokens of both, as an exponentially decayed sum.
 }
 
 // AccountLoads holds the loads of all accounts on one model.
@@ -73,6 +74,26 @@
 	return most.Account
 }
 
+// modestOfferFraction is the fraction of the mean offered load, relative to the
+// weights, below which an account is not shed. Accounts that offer about the same
+// differ by less, so that the one that offers slightly more is not always shed.
+const modestOfferFraction = 0.75
+
+// OffersLittle reports whether an account offers clearly less than its part of the
+// load of all accounts. Such an account is not the cause of an overload, although
+// its tokens in flight may exceed a share that was computed from outdated reports.
+func (l AccountLoads) OffersLittle(account string) bool {
+	offered, weight, own, ownWeight := 0.0, 0.0, 0.0, 0.0
+	for _, load := range l {
+		offered += load.Offered
+		weight += load.Weight
+		if load.Account == account {
+			own, ownWeight = load.Offered, load.Weight
+		}
+	}
+	return own*weight < modestOfferFraction*offered*ownWeight
+}
+
 // shedBefore decides a tie. With MeasureRefusals, load is shed from the account
 // with the larger requests, because fewer refusals then free as many tokens.
 // Otherwise it is shed from the account with the smaller fraction shed so far,
@@ -163,7 +184,7 @@
 // so. The overloadFactor is the ratio of the estimated time to the first token
 // to that at which shedding begins. It is also taken as the ratio of the tokens
 // in flight to those that the replicas can handle.
-func (l *loadTracker) shouldShed(model, account string, overloadFactor float64, measure string, now time.Time) bool {
+func (l *loadTracker) shouldShed(model, account string, tokens int64, overloadFactor float64, measure string, now time.Time) bool {
 	s := l.shard(model)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -176,10 +197,11 @@
 		a.decay(now)
 		loads = append(loads, a.AccountLoad)
 	}
-	if loads.MostOverShare(m.capacity(overloadFactor, now), measure) != account {
+	if loads.MostOverShare(m.capacity(overloadFactor, now), measure) != account || loads.OffersLittle(account) {
 		return false
 	}
 	m.accounts[account].Shed++
+	m.accounts[account].Offered += float64(tokens)
 	return true
 }
 
@@ -204,6 +226,7 @@
 	a.Tokens += float64(tokens)
 	a.Requests++
 	a.Admitted++
+	a.Offered += float64(tokens)
 	m.tokens += float64(tokens)
 	if uncrowded {
 		m.recordUncrowded(now)
@@ -232,5 +255,6 @@
 	factor := math.Exp(-max(0, now.Sub(a.updatedAt).Seconds()) / countTimeConstant.Seconds())
 	a.Admitted *= factor
 	a.Shed *= factor
+	a.Offered *= factor
 	a.updatedAt = now
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -83,6 +83,19 @@
 	})
 }
 
+// An account that offers clearly less than its part of the load must not be shed for
+// the burst of another one. Two accounts that offer about the same must both be
+// candidates, or the one that offers slightly more would be refused alone.
+func TestOffersLittle(t *testing.T) {
+	loads := route.AccountLoads{{Account: "modest", Weight: 2, Offered: 100}, {Account: "burst", Weight: 1, Offered: 500}}
+	must.True(t, loads.OffersLittle("modest"))
+	must.False(t, loads.OffersLittle("burst"))
+	even := route.AccountLoads{{Account: "a", Weight: 1, Offered: 100}, {Account: "b", Weight: 1, Offered: 110}}
+	must.False(t, even.OffersLittle("a"))
+	must.False(t, even.OffersLittle("b"))
+	must.False(t, even[:1].OffersLittle("a"))
+}
+
 // The measure of the configuration must decide which of two accounts that are
 // equally far over their shares is shed.
 func TestMeasureDecidesTies(t *testing.T) {
--- a/route/simulation_test.go
+++ b/route/simulation_test.go
@@ -197,38 +197,41 @@
 
 func (leastLoaded) done(kumquathitch.UpstreamChoice, kumquathitch.UpstreamResult) {}
 
-func simulate(burst float64, policy func(*fixture) simPicker) *simulation {
+// simulate runs a policy. The seed is that of its random choices, so that a run can be repeated.
+func simulate(burst float64, seed uint64, policy func(*fixture) simPicker) *simulation {
 	config := testConfiguration(simServers, 1)
 	f := newFixture(config)
+	f.table.IntN = rand.New(rand.NewPCG(seed, 5)).IntN
 	sim := &simulation{}
 	sim.run(f, policy(f), burst)
 	return sim
 }
 
+// simSeeds is the number of seeds of random choices that the comparison of policies
+// runs. With unseeded choices, about one run in twenty refused requests of crew-a.
+const simSeeds = 40
+
 // The worst-served account must fare better than with round robin and with least
-// loaded, and an account within its rate must not suffer from another's burst.
+// loaded, and an account within its rate must not suffer from another's burst,
+// whatever the random choices of replicas are.
 func TestPolicyOutperformsSimplerOnes(t *testing.T) {
-	policies := []struct {
-		name  string
-		build func(*fixture) simPicker
-	}{
-		{"this policy", func(f *fixture) simPicker { return tablePolicy{f} }},
-		{"round robin", func(*fixture) simPicker { return &roundRobin{} }},
-		{"least loaded", func(f *fixture) simPicker { return leastLoaded{f} }},
-	}
 	for _, burst := range []float64{1, 5} {
-		worstAttainment := make([]float64, len(policies))
-		for i, p := range policies {
-			result := simulate(burst, p.build)
+		simpler := max(
+			simulate(burst, 1, func(*fixture) simPicker { return &roundRobin{} }).worstAttainment(),
+			simulate(burst, 1, func(f *fixture) simPicker { return leastLoaded{f} }).worstAttainment(),
+		)
+		for seed := range uint64(simSeeds) {
+			result := simulate(burst, seed, func(f *fixture) simPicker { return tablePolicy{f} })
 			a, b := result.attainment("crew-a"), result.attainment("crew-b")
-			worstAttainment[i] = min(a, b)
-			t.Logf("burst %.0f, %s: attainment crew-a %.3f, crew-b %.3f, refused crew-a %d of %d, crew-b %d of %d", burst, p.name,
-				a, b, result.refused["crew-a"], result.offered["crew-a"], result.refused["crew-b"], result.offered["crew-b"])
-			if i == 0 {
-				must.Zero(t, result.refused["crew-a"], must.Sprint("crew-a stays within its rate"))
-				must.GreaterEq(t, 0.9, a)
-			}
+			t.Logf("burst %.0f, seed %d: attainment crew-a %.3f, crew-b %.3f, worst of the simpler policies %.3f, refused crew-a %d of %d, crew-b %d of %d", burst, seed,
+				a, b, simpler, result.refused["crew-a"], result.offered["crew-a"], result.refused["crew-b"], result.offered["crew-b"])
+			must.Zero(t, result.refused["crew-a"], must.Sprintf("burst %.0f, seed %d: crew-a stays within its rate", burst, seed))
+			must.GreaterEq(t, 0.9, a)
+			must.Greater(t, simpler, result.worstAttainment())
 		}
-		must.Greater(t, max(worstAttainment[1], worstAttainment[2]), worstAttainment[0])
 	}
 }
+
+func (s *simulation) worstAttainment() float64 {
+	return min(s.attainment("crew-a"), s.attainment("crew-b"))
+}
--- a/route/table.go
+++ b/route/table.go
@@ -148,7 +148,7 @@
 	}
 	estimate := s.best().Estimate()
 	overloadFactor := shedMargin * float64(estimate) / float64(s.allowedTTFB)
-	if !t.loads.shouldShed(s.baseModel, s.criteria.Account, overloadFactor, s.settings.measure, s.now) {
+	if !t.loads.shouldShed(s.baseModel, s.criteria.Account, s.criteria.Tokens, overloadFactor, s.settings.measure, s.now) {
 		return nil
 	}
 	return overloadRefusal(estimate-s.allowedTTFB, s.now)
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -63,19 +63,20 @@
 	return &testPlatform{t: t, store: store, address: server.Listener.Addr().String(), stores: map[string]*refusingStore{}}
 }
 
-// freeAddress returns a local address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	address := listener.Addr().String()
-	must.NoError(t, listener.Close())
-	return address
+// startedVMs counts the VMs of this process, each of which has a loopback address of its own.
+var startedVMs atomic.Int64
+
+// loopback returns an unused loopback address. It depends on the process ID, and the
+// ports of the VMs are below the range of ephemeral ports, so that neither another run
+// of these tests nor an outgoing connection can take an address before the VM listens.
+func loopback() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8%254, os.Getpid()%256, 10+startedVMs.Add(1)%240)
 }
 
 func (p *testPlatform) startVM(name string) *testVM {
 	p.t.Helper()
-	v := &testVM{name: name, callers: freeAddress(p.t), ready: freeAddress(p.t), peers: freeAddress(p.t), end: make(chan error, 1)}
+	ip := loopback()
+	v := &testVM{name: name, callers: ip + ":8080", ready: ip + ":8081", peers: ip + ":7380", end: make(chan error, 1)}
 	p.stores[name] = &refusingStore{Keyspace: platform.NewKeyspace(p.address, time.Second)}
 	environment := kumquathitch.Environment{
 		Name: name, DataCentre: "zone-a", Bootstrap: true, CallerAddress: v.callers, ReadyAddress: v.ready, PeerAddress: v.peers,
@@ -311,6 +312,12 @@
 	must.NoError(t, err)
 	client := peer.NewClient(tracing)
 	t.Cleanup(client.Close)
+	// An answered call does not show that the VM leads, and only the leader issues tokens.
+	p.waitFor("the VM leads", func() bool {
+		var response kumquathitch.ExchangeResponse
+		must.NoError(t, client.Call(t.Context(), v.peers, "vm.exchange", kumquathitch.ExchangeRequest{From: "entry-2", TokensOnly: true}, &response))
+		return response.Leader
+	})
 	draw := kumquathitch.ExchangeRequest{From: "entry-2", TokensOnly: true, TokensWanted: map[string]float64{"crew": 500}}
 	var response kumquathitch.ExchangeResponse
 	must.NoError(t, client.Call(t.Context(), v.peers, "vm.exchange", draw, &response))
