--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 
@@ -130,8 +131,14 @@
 	a := &attempt{choice: choice, id: newRequestID(), skipEvents: c.relay.sentEvents(), cancel: cancel}
 	c.running = append(c.running, a)
 	go func() {
+		defer func() {
+			// A panic must end this attempt only, not the process.
+			if cause := recover(); cause != nil {
+				a.err = &attemptError{Upstream: choice.Upstream.Name, Reason: reasonBroken, Cause: fmt.Errorf("panic: %v", cause)}
+			}
+			c.finished <- a
+		}()
 		a.err = c.server.send(attemptCtx, c, a)
-		c.finished <- a
 	}()
 	return nil
 }
--- a/link/link.go
+++ b/link/link.go
@@ -9,7 +9,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -45,9 +47,39 @@
 }
 
 // Listen listens on an address. Accepted connections detect unresponsive peers too.
+// When the listener is closed, it first accepts the connections that callers have
+// already opened: the kernel would reset them, with the requests that they carry.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return config.Listen(ctx, "tcp", address)
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &drainingListener{TCPListener: listener.(*net.TCPListener)}, nil //nolint:forcetypeassert // The network is "tcp".
+}
+
+// acceptDrainTime is how long a closed listener goes on accepting. Connections that
+// are already open are accepted within microseconds; a busy VM may need longer.
+const acceptDrainTime = 100 * time.Millisecond
+
+// drainingListener is a listener whose Accept returns the pending connections after Close.
+type drainingListener struct {
+	*net.TCPListener
+}
+
+// Accept returns net.ErrClosed after acceptDrainTime from the call to Close.
+func (l *drainingListener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) { // Only Close sets a deadline.
+		_ = l.TCPListener.Close()
+		return nil, net.ErrClosed
+	}
+	return conn, err
+}
+
+// Close ends Accept after acceptDrainTime.
+func (l *drainingListener) Close() error {
+	return l.SetDeadline(time.Now().Add(acceptDrainTime))
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket. Sockets accepted from a
--- a/peer/client.go
+++ b/peer/client.go
@@ -41,7 +41,8 @@
 // connection is an open connection to a peer.
 type connection struct {
 	*jsonrpc2.Conn
-	lastResponse atomic.Int64 // Unix time of the last response, in nanoseconds.
+	opened       time.Time
+	lastResponse atomic.Int64 // Time of the last response after opened, in nanoseconds by the monotonic clock; 0 before the first.
 }
 
 // NewClient returns a client without connections.
@@ -85,8 +86,8 @@
 	var remote *jsonrpc2.Error
 	switch {
 	case err == nil || errors.As(err, &remote):
-		c.lastResponse.Store(time.Now().UnixNano())
-	case errors.Is(err, context.DeadlineExceeded) && time.Since(start) >= minSilence && c.lastResponse.Load() < start.UnixNano():
+		c.lastResponse.Store(int64(time.Since(c.opened)))
+	case errors.Is(err, context.DeadlineExceeded) && time.Since(start) >= minSilence && c.lastResponse.Load() < int64(start.Sub(c.opened)):
 		_ = c.Close()
 	}
 }
@@ -104,7 +105,7 @@
 		return nil, err
 	}
 	// The connection outlives the call that opened it.
-	opened := &connection{Conn: jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(tcpConn), ignoreRequests{})}
+	opened := &connection{opened: time.Now(), Conn: jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(tcpConn), ignoreRequests{})}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if existing := s.conns[address]; existing != nil && !isClosed(existing) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -16,9 +16,14 @@
 package peer
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +43,7 @@
 
 // Server answers calls of peers. All handlers are registered before Serve.
 type Server struct {
+	Panics   *telemetry.PanicGuard // Reports handlers that panic. Nil lets a panic end the process.
 	tracing  *telemetry.Tracing
 	handlers map[string]handler
 }
@@ -107,7 +113,15 @@
 	return remaining
 }
 
-func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (result any, err error) {
+	if s.Panics != nil {
+		defer func() {
+			if cause := recover(); cause != nil {
+				s.Panics.Report("peer."+request.Method, cause)
+				err = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "an internal error ended the call"}
+			}
+		}()
+	}
 	handle, ok := s.handlers[request.Method]
 	if !ok {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + request.Method}
@@ -119,5 +133,41 @@
 }
 
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+}
+
+// maxMessageBytes bounds a message of another VM. The largest has the configuration
+// and the descriptions of all instances.
+const maxMessageBytes = 32 << 20
+
+// MessageTooLargeError reports a message whose stated length exceeds the limit.
+type MessageTooLargeError struct {
+	Bytes uint64
+}
+
+func (e *MessageTooLargeError) Error() string {
+	return fmt.Sprintf("peer: a message of %d bytes; at most %d are accepted", e.Bytes, maxMessageBytes)
+}
+
+// boundedCodec is jsonrpc2.VarintObjectCodec with a limit on the length of a message.
+// Bytes that are no message must not make a process hold what follows them.
+type boundedCodec struct {
+	jsonrpc2.VarintObjectCodec
+}
+
+// ReadObject reads one message. Its memory grows with the bytes that have arrived, not
+// with the stated length.
+func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if size > maxMessageBytes {
+		return &MessageTooLargeError{Bytes: size}
+	}
+	var message bytes.Buffer
+	if _, err := io.CopyN(&message, stream, int64(size)); err != nil {
+		return err
+	}
+	return json.Unmarshal(message.Bytes(), v)
 }
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -15,6 +15,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/telemetry"
 )
 
 const (
@@ -51,7 +52,9 @@
 	clock        kumquathitch.Clock
 	log          *zap.Logger
 	ordersSent   *metrics.Counter
-	lastLogged   atomic.Int64  // When the placement was last logged, nanoseconds since 1970.
+	panics       *telemetry.PanicGuard
+	lastLogged   atomic.Int64 // When the placement was last logged, nanoseconds since created.
+	created      time.Time
 	stateFence   atomic.Uint64 // Fencing token of the term in which the states were collected.
 	shards       [shardCount]stateShard
 	limiter      loadLimiter
@@ -64,9 +67,9 @@
 
 // NewController returns a controller that sends orders in the name of holder
 // while currentFence allows it.
-func NewController(control kumquathitch.EngineControl, holder string, currentFence FenceFunc, clock kumquathitch.Clock, log *zap.Logger, set *metrics.Set) *Controller {
+func NewController(control kumquathitch.EngineControl, holder string, currentFence FenceFunc, clock kumquathitch.Clock, log *zap.Logger, set *metrics.Set, panics *telemetry.PanicGuard) *Controller {
 	c := &Controller{
-		control: control, holder: holder, currentFence: currentFence, clock: clock, log: log,
+		control: control, holder: holder, currentFence: currentFence, clock: clock, log: log, panics: panics, created: clock.Now(),
 		ordersSent: set.NewCounter("kumquathitch_orders_total"),
 		limiter:    loadLimiter{buckets: map[string]*loadBucket{}},
 	}
@@ -129,8 +132,8 @@
 
 // logPlacement logs the inputs of the plan, at most once per logInterval.
 func (c *Controller) logPlacement(s *kumquathitch.Service, engines Engines, serviceDemand Demand, now time.Time) {
-	last := time.Unix(0, c.lastLogged.Load())
-	if now.Sub(last) < logInterval || !c.lastLogged.CompareAndSwap(last.UnixNano(), now.UnixNano()) {
+	last, since := c.lastLogged.Load(), int64(now.Sub(c.created))
+	if since-last < int64(logInterval) || !c.lastLogged.CompareAndSwap(last, since) {
 		return
 	}
 	p := newPlanner(s.Engine, engines, serviceDemand)
@@ -197,6 +200,7 @@
 		semaphore <- struct{}{}
 		go func() {
 			defer func() { <-semaphore; done <- struct{}{} }()
+			defer c.panics.Recover("placement.request")
 			call(i)
 		}()
 	}
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -15,6 +15,7 @@
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/placement"
+	"kumquathitch.example/kumquathitch/telemetry"
 )
 
 // fakeEngine simulates an engine. Orders take time, responses can be lost, and an
@@ -184,7 +185,7 @@
 			f.engines[id] = e
 		}
 		fence := uint64(1)
-		controller := placement.NewController(f, "vm", func() (uint64, bool) { return fence, true }, now, zap.NewNop(), metrics.NewSet())
+		controller := placement.NewController(f, "vm", func() (uint64, bool) { return fence, true }, now, zap.NewNop(), metrics.NewSet(), telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()))
 		services := kumquathitch.Services{{Name: "llm", Engine: f.spec}}
 		for step := range rapid.IntRange(20, 150).Draw(t, "steps") {
 			f.advance(250 * time.Millisecond)
@@ -218,7 +219,7 @@
 	now := clock.NewManual(time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC))
 	e := &fakeEngine{}
 	f := &fakeFleet{spec: testSpec(2), clock: now, engines: map[string]*fakeEngine{"s0": e}}
-	controller := placement.NewController(f, "vm", func() (uint64, bool) { return 0, false }, now, zap.NewNop(), metrics.NewSet())
+	controller := placement.NewController(f, "vm", func() (uint64, bool) { return 0, false }, now, zap.NewNop(), metrics.NewSet(), telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()))
 	listed := kumquathitch.Instances{{ID: "s0", Service: "llm", Address: "s0", Revision: 1}}
 	for range 20 {
 		f.advance(250 * time.Millisecond)
@@ -234,7 +235,7 @@
 	now := clock.NewManual(time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC))
 	e := &fakeEngine{models: kumquathitch.ResidentModels{{Name: "m0"}, {Name: "m1"}}}
 	f := &fakeFleet{spec: testSpec(3), clock: now, engines: map[string]*fakeEngine{"s0": e}}
-	controller := placement.NewController(f, "vm", func() (uint64, bool) { return 9, true }, now, zap.NewNop(), metrics.NewSet())
+	controller := placement.NewController(f, "vm", func() (uint64, bool) { return 9, true }, now, zap.NewNop(), metrics.NewSet(), telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()))
 	services := kumquathitch.Services{{Name: "llm", Engine: f.spec}}
 	listed := kumquathitch.Instance{ID: "s0", Service: "llm", Address: "s0", Revision: 1, Models: cloneResidents(e.models)}
 	for range 60 {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	controller := placement.NewController(control, holder, currentFence, clock, log, metrics)
+//	controller := placement.NewController(control, holder, currentFence, clock, log, metrics, panics)
 //	controller.Reconcile(ctx, services, instances, demand) // Several times a second.
 //	ids := controller.PlaceAdapter(ctx, service, request, instances) // For a call whose adapter no instance holds.
 //
--- a/relay/call.go
+++ b/relay/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -48,6 +47,7 @@
 	criteria          kumquathitch.InstanceCriteria
 	modelListed       bool // The service configures the model; demand for other names is not recorded.
 	body              []byte
+	held              heldBody // Holds body.
 	deadline          time.Time
 	chargedTokens     float64 // Tokens taken from the account's rate.
 	fingerprint       uint64
@@ -108,16 +108,23 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(rc.writer, rc.request.Body, limit))
-	var large *http.MaxBytesError
+	rc.held.buffers = rc.Buffers
+	err := rc.held.readAll(http.MaxBytesReader(rc.writer, rc.request.Body, limit), "body", rc.request.ContentLength, limit)
+	var tooLong *http.MaxBytesError
+	var large *TooLargeError
+	var full *BuffersFullError
 	switch {
-	case errors.As(err, &large):
+	case errors.As(err, &tooLong), errors.As(err, &large):
 		return kumquathitch.NewRefusal(http.StatusRequestEntityTooLarge, "body-too-large",
 			fmt.Sprintf("the body is larger than %d bytes", limit))
+	case errors.As(err, &full):
+		refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "buffers-full", err.Error())
+		refusal.RetryAfter = rc.Clock.Now().Add(busyRetryAfter)
+		return refusal
 	case err != nil:
 		return kumquathitch.NewRefusal(http.StatusBadRequest, "body-unreadable", "reading the body: "+err.Error())
 	}
-	rc.body = body
+	rc.body = rc.held.data
 	return nil
 }
 
@@ -208,9 +215,7 @@
 			rc.fail(rc.noInstanceRefusal(err))
 			return
 		}
-		result, status := rc.send(ctx, choice)
-		result.Ended = rc.Clock.Now()
-		rc.Chooser.Done(rc.criteria, choice, result)
+		result, status := rc.sendAndReport(ctx, choice)
 		rc.logSend(choice, status, result)
 		if status.answered {
 			return
@@ -222,6 +227,17 @@
 	}
 }
 
+// sendAndReport sends the call and reports the result to the chooser, also when the
+// send panics: otherwise the instance would count a call that never ends.
+func (rc *relayedCall) sendAndReport(ctx context.Context, choice kumquathitch.InstanceChoice) (result kumquathitch.SendResult, status sendStatus) {
+	result.Outcome = kumquathitch.SendCancelled // Unless the send returns.
+	defer func() {
+		result.Ended = rc.Clock.Now()
+		rc.Chooser.Done(rc.criteria, choice, result)
+	}()
+	return rc.send(ctx, choice)
+}
+
 // choose returns the instance for the next send. If no instance holds the
 // adapter, the call waits for its placement, which takes milliseconds. If no
 // instance holds a configured model, the call waits as long as the model may
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -34,6 +34,7 @@
 type Pool struct {
 	Metrics *Metrics
 	shards  [poolShards]poolShard
+	paces   paces
 }
 
 type poolShard struct {
@@ -44,6 +45,7 @@
 // connection is an open connection to an instance. It serves one call at a time.
 type connection struct {
 	net.Conn
+	limiter   *headLimiter // Reads from Conn for reader.
 	key       string
 	reader    *bufio.Reader
 	idleSince time.Time
@@ -79,7 +81,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, key: key, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	limiter := &headLimiter{Conn: conn}
+	return &connection{Conn: conn, limiter: limiter, key: key, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 func (p *Pool) takeIdle(key string) *connection {
@@ -116,8 +119,10 @@
 	s.idle[c.key] = append(s.idle[c.key], c)
 }
 
-// CloseExpired closes the connections whose idle time has run out.
+// CloseExpired closes the connections whose idle time has run out, and drops what is
+// known of instances that have sent no events for a while.
 func (p *Pool) CloseExpired(now time.Time) {
+	p.paces.expire(now)
 	for i := range p.shards {
 		s := &p.shards[i]
 		s.mutex.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,10 @@
 //     instance stated this. Otherwise the caller gets 502 or 504.
 //   - Streams are forwarded in whole events, so that another instance can
 //     resume them.
+//   - The memory for heads, bodies and incomplete events is bounded, for each
+//     message and for all of them together.
+//   - A call whose handling panics is answered as unknown if it was sent, and as not
+//     run otherwise. The other calls go on.
 package relay
 
 import (
@@ -28,6 +32,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/deployment"
+	"kumquathitch.example/kumquathitch/telemetry"
 )
 
 const (
@@ -71,6 +76,8 @@
 	Tracer        trace.Tracer
 	Metrics       *Metrics
 	Pool          *Pool
+	Buffers       *Buffers
+	Panics        *telemetry.PanicGuard
 
 	// Draining reports whether the VM is shutting down. Responses then carry
 	// "Connection: close", so that callers reconnect to another VM.
@@ -91,9 +98,28 @@
 		w.Header().Set("Connection", "close")
 	}
 	rc := &relayedCall{Handler: h, writer: w, request: r, received: h.Clock.Now()}
+	defer rc.answerPanic()
+	defer rc.held.release()
 	if refusal := rc.admit(); refusal != nil {
 		rc.refuse(refusal)
 		return
 	}
 	rc.sendUntilAnswered()
 }
+
+// answerPanic answers a call whose handling has panicked. It is deferred.
+func (rc *relayedCall) answerPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler { //nolint:errorlint // The value of a panic, which net/http compares in the same way.
+		panic(cause)
+	}
+	rc.Panics.Report("relay.call", cause)
+	refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "internal", "an internal error ended the call before it was sent")
+	if rc.sends > 0 {
+		refusal = kumquathitch.NewFailure(http.StatusBadGateway, "internal", "an internal error ended the call, which may have run")
+	}
+	rc.fail(refusal)
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -28,6 +28,7 @@
 	"kumquathitch.example/kumquathitch/relay"
 	"kumquathitch.example/kumquathitch/retry"
 	"kumquathitch.example/kumquathitch/standin"
+	"kumquathitch.example/kumquathitch/telemetry"
 )
 
 const apiKey = "key-of-the-crew"
@@ -35,6 +36,7 @@
 // testVM is one VM that forwards calls to stand-in instances.
 type testVM struct {
 	t             *testing.T
+	handler       *relay.Handler
 	fleet         *fleet.Fleet
 	address       string
 	stopping      atomic.Bool
@@ -67,11 +69,12 @@
 	vm.cancelBase = cancel
 	handler := &relay.Handler{
 		Dialect: platform.Dialect{}, Deployments: current, Chooser: vm.fleet, Scheduler: vm, TokenBuckets: quota.NewLocalBuckets(clock.Monotonic{}, true),
-		RetryBudget: retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}), CrashGuard: retry.NewCrashGuard(),
+		RetryBudget: retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now()), CrashGuard: retry.NewCrashGuard(),
 		AdapterPlacer: vm, Demand: model.NewDemand(), Clock: clock.Monotonic{}, Logger: zap.NewNop(),
 		Tracer: noop.NewTracerProvider().Tracer("test"), Metrics: relayMetrics, Pool: relay.NewPool(relayMetrics),
-		Draining: vm.stopping.Load, Stopping: vm.stopping.Load, BaseContext: base,
+		Buffers: relay.NewBuffers(0), Panics: telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()), Draining: vm.stopping.Load, Stopping: vm.stopping.Load, BaseContext: base,
 	}
+	vm.handler = handler
 	front := httptest.NewServer(handler)
 	t.Cleanup(front.Close)
 	vm.address = front.URL
--- a/relay/send.go
+++ b/relay/send.go
@@ -124,10 +124,9 @@
 	}
 	a.headAt = a.Clock.Now()
 	a.Chooser.ResponseStarted(a.choice)
-	defer func() { _ = a.response.Body.Close() }()
 	a.Metrics.FirstByteTime.Update(a.headAt.Sub(a.received).Seconds())
 	if a.head.NotExecuted {
-		a.reusable = a.discardBody()
+		a.reusable = drop(a.response.Body) && !a.response.Close
 		outcome := kumquathitch.SendNotExecuted
 		if a.head.Moved {
 			outcome = kumquathitch.SendMoved
@@ -160,11 +159,11 @@
 		return 0, err
 	}
 	message.WriteString("\r\n")
-	message.Write(a.body)
 	if err := a.connection.SetWriteDeadline(a.deadline); err != nil {
 		return 0, err
 	}
-	return message.WriteTo(a.connection)
+	parts := net.Buffers{message.Bytes(), a.body}
+	return parts.WriteTo(a.connection.Conn)
 }
 
 // priority ranks calls by account first, then by route.
@@ -184,10 +183,12 @@
 	if err := a.connection.SetReadDeadline(a.deadline); err != nil {
 		return err
 	}
-	a.watchdog.start(a, a.headTimeout())
+	a.watchdog.start(a, a.headTimeout)
 	defer a.watchdog.stop()
 	for range maxMismatchedResponses {
+		a.connection.limiter.limit()
 		response, err := http.ReadResponse(a.connection.reader, a.request)
+		a.connection.limiter.unlimit()
 		if err != nil {
 			return err
 		}
@@ -195,20 +196,34 @@
 			continue
 		}
 		a.head = a.Dialect.DecodeResponse(response.StatusCode, response.Header, a.Clock.Now())
-		if a.head.CallID == a.call.ID || (a.head.CallID == "" && !a.head.Signed) {
+		if a.isOwnResponse(response) {
 			a.response = response
 			return nil
 		}
+		if a.head.CallID == "" && !a.connection.reused {
+			return errMalformedResponse // No earlier call can have caused it, and no other response will follow.
+		}
 		a.Logger.Info("answer to another call dropped", zap.String("call", a.call.ID),
 			zap.String("answered", a.head.CallID), zap.String("instance", a.choice.Instance.ID))
-		_, err = io.Copy(io.Discard, response.Body)
-		if _ = response.Body.Close(); err != nil || response.Close {
+		ended := drop(response.Body)
+		if !ended || response.Close {
 			return errMismatchedResponse
 		}
 	}
 	return errMismatchedResponse
 }
 
+// isOwnResponse reports whether the response that was just decoded is to this call. An
+// instance that rejects a call early may leave out its ID. Such a response counts only
+// on a new connection, where no response to an earlier call can arrive late, and never
+// as a success.
+func (a *attempt) isOwnResponse(response *http.Response) bool {
+	if a.head.CallID != "" || a.head.Signed {
+		return a.head.CallID == a.call.ID
+	}
+	return !a.connection.reused && response.StatusCode/100 != 2
+}
+
 // headTimeout returns how long to wait for the head of the response before the call
 // fails over to another instance, or 0 if the call may not fail over.
 func (a *attempt) headTimeout() time.Duration {
@@ -256,20 +271,18 @@
 	return kumquathitch.SendResult{Outcome: outcome, FirstByte: a.headAt, Load: a.head.Load, HasLoad: a.head.HasLoad}
 }
 
-// discardBody reads the rest of a response that is not forwarded. It reports
-// whether the connection can be reused.
-func (a *attempt) discardBody() bool {
-	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxResponseBytes))
-	return err == nil && !a.response.Close
-}
-
 // relayBuffered reads a response that is not a stream to its end, and forwards it.
 func (a *attempt) relayBuffered() (kumquathitch.SendResult, sendStatus) {
 	if err := a.connection.SetReadDeadline(a.deadline); err != nil {
 		return a.ended(kumquathitch.SendBroken, sendStatus{delivered: true, mayHaveRun: true, err: err})
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxResponseBytes))
-	if err != nil {
+	content := &heldBody{buffers: a.Buffers}
+	defer content.release()
+	length := a.response.ContentLength
+	if a.response.Body == http.NoBody {
+		length = 0 // The response to a HEAD request states the length of a body that it does not have.
+	}
+	if err := content.readAll(a.response.Body, "body of the response", length, maxResponseBytes); err != nil {
 		return a.ended(kumquathitch.SendBroken, sendStatus{delivered: true, mayHaveRun: true, err: eris.Wrap(err, "response body")})
 	}
 	a.reusable = !a.response.Close
@@ -291,11 +304,11 @@
 	header := a.writer.Header()
 	a.Dialect.CopyResponseHeader(header, a.response.Header)
 	if a.request.Method != http.MethodHead {
-		header["Content-Length"] = []string{strconv.Itoa(len(body))}
+		header["Content-Length"] = []string{strconv.Itoa(len(content.data))}
 	}
 	a.headSent = true
 	a.writer.WriteHeader(status)
-	_, _ = a.writer.Write(body) // A disconnected caller ends the request's context.
+	_, _ = a.writer.Write(content.data) // A disconnected caller ends the request's context.
 	a.Metrics.countResponse(status, "")
 	a.Metrics.ResponseTime.Update(a.Clock.Now().Sub(a.received).Seconds())
 	return a.sendResult(outcome), sendStatus{delivered: true, mayHaveRun: true, answered: true}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,13 +19,18 @@
 	maxEventBytes = 1 << 20
 	// streamBufferBytes is the initial size of the buffer for events.
 	streamBufferBytes = 4 << 10
-	// eventTimeoutFactor limits the silence of a stream, as a multiple of the route's
-	// GapLimit, before the stream resumes on another instance. Shorter pauses occur
-	// because engines preempt streams whose memory more urgent ones need, and resume
-	// them later.
+	// eventTimeoutFactor limits the time without a whole event on a stream, as a multiple
+	// of the route's GapLimit and of the usual gap on the instance, before the stream
+	// resumes on another instance. Shorter pauses occur because engines preempt streams
+	// whose memory more urgent ones need, and resume them later.
 	eventTimeoutFactor = 4
-	// minEventTimeout is the lower limit of that silence, also on routes without a GapLimit.
+	// minEventTimeout is the lower limit of that time, also on routes without a GapLimit.
 	minEventTimeout = time.Second
+	// maxEventTimeoutFactor and maxEventTimeout limit that time on an instance that is
+	// slow for all streams, as a multiple of the GapLimit and absolutely. The greater
+	// one applies. Callers leave after such a gap.
+	maxEventTimeoutFactor = 8
+	maxEventTimeout       = 2 * time.Second
 )
 
 var eventEnd = []byte("\n\n")
@@ -92,14 +97,19 @@
 func (a *attempt) copyEvents() ([]byte, error) {
 	control := http.NewResponseController(a.writer)
 	pending := make([]byte, 0, streamBufferBytes)
-	a.watchdog.start(a, a.eventTimeout())
+	reserved := int64(0)
+	defer func() { a.Buffers.release(reserved) }()
+	a.watchdog.start(a, a.eventTimeout)
 	defer a.watchdog.stop()
 	for {
-		if len(pending) == cap(pending) {
-			pending = append(pending, make([]byte, len(pending))...)[:len(pending)]
+		if size := len(pending); size == cap(pending) {
+			if full := a.Buffers.reserve(int64(size)); full != nil {
+				return pending, full
+			}
+			reserved += int64(size)
+			pending = append(pending, make([]byte, size)...)[:size]
 		}
 		n, err := a.response.Body.Read(pending[len(pending):cap(pending)])
-		a.watchdog.recordActivity()
 		pending = pending[:len(pending)+n]
 		if whole := bytes.LastIndex(pending, eventEnd); whole >= 0 {
 			whole += len(eventEnd)
@@ -127,30 +137,61 @@
 	if err := control.Flush(); err != nil {
 		return err
 	}
+	if !hasData(events) {
+		return nil // Comments keep a connection open, and are no progress of the stream.
+	}
 	now := a.Clock.Now()
+	a.watchdog.recordProgress(now)
 	if a.stream.forwarded {
-		a.stream.longestGap = max(a.stream.longestGap, now.Sub(a.stream.lastEventAt))
+		gap := now.Sub(a.stream.lastEventAt)
+		a.stream.longestGap = max(a.stream.longestGap, gap)
+		a.Pool.paces.record(a.choice.Instance.ID, gap, now)
 	}
 	a.stream.forwarded, a.stream.lastEventAt = true, now
 	if a.route.RetryMode != kumquathitch.RetryResume {
 		return nil
 	}
-	body := events[:len(events)-len(eventEnd)]
-	start := bytes.LastIndex(body, eventEnd)
-	if start < 0 {
-		start = 0
-	}
-	if id, ok := a.Dialect.EventID(body[start:]); ok {
+	if id, ok := a.lastID(events); ok {
 		a.stream.lastEventID = id
 	}
 	return nil
 }
 
-// eventTimeout returns how long the stream may be silent before it resumes on
-// another instance, or 0 if it may not.
+// lastID returns the ID of the last of some events that has one. The events at the end
+// may be comments.
+func (a *attempt) lastID(events []byte) (string, bool) {
+	for len(events) > 0 {
+		rest := events[:len(events)-len(eventEnd)]
+		start := 0
+		if i := bytes.LastIndex(rest, eventEnd); i >= 0 {
+			start = i + len(eventEnd)
+		}
+		if id, ok := a.Dialect.EventID(rest[start:]); ok {
+			return id, true
+		}
+		events = events[:start]
+	}
+	return "", false
+}
+
+// hasData reports whether events contain a data field.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, dataField) || bytes.Contains(events, dataFieldLine)
+}
+
+var (
+	dataField     = []byte("data")
+	dataFieldLine = []byte("\ndata")
+)
+
+// eventTimeout returns how long the stream may go without a whole event before it
+// resumes on another instance, or 0 if it may not.
 func (a *attempt) eventTimeout() time.Duration {
 	if a.route.RetryMode != kumquathitch.RetryResume || !a.mayFailOver() {
 		return 0
 	}
-	return max(minEventTimeout, eventTimeoutFactor*a.route.GapLimit)
+	usual := a.Pool.paces.usual(a.choice.Instance.ID, a.Clock.Now())
+	least := max(minEventTimeout, eventTimeoutFactor*a.route.GapLimit)
+	most := max(least, maxEventTimeout, maxEventTimeoutFactor*a.route.GapLimit)
+	return min(most, max(least, eventTimeoutFactor*usual))
 }
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -13,29 +13,31 @@
 type watchdog struct {
 	mutex        sync.Mutex
 	timer        *time.Timer
-	timeout      time.Duration
-	lastActivity time.Time
+	timeout      func() time.Duration
+	lastProgress time.Time
 	expired      bool
 	stopped      bool
 }
 
-// start watches an attempt for a silence of the given length. A timeout of
-// 0 disables the watchdog.
-func (w *watchdog) start(a *attempt, timeout time.Duration) {
-	if timeout <= 0 {
+// start watches an attempt for a silence of the length that timeout returns. A
+// timeout of 0 disables the watchdog.
+func (w *watchdog) start(a *attempt, timeout func() time.Duration) {
+	first := timeout()
+	if first <= 0 {
 		return
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.timeout, w.lastActivity, w.stopped = timeout, a.Clock.Now(), false
-	w.timer = time.AfterFunc(timeout, func() { w.check(a) })
+	w.timeout, w.lastProgress, w.stopped = timeout, a.Clock.Now(), false
+	w.timer = time.AfterFunc(first, func() { w.check(a) })
 }
 
-// recordActivity restarts the timeout after the instance sent something.
-func (w *watchdog) recordActivity() {
+// recordProgress restarts the timeout after the instance sent a whole event. Single
+// bytes do not count: a stalled instance may send one now and then.
+func (w *watchdog) recordProgress(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.lastActivity = time.Now()
+	w.lastProgress = now
 }
 
 // stop disarms the watchdog.
@@ -57,18 +59,19 @@
 
 // check ends the wait, or restarts the timer.
 func (w *watchdog) check(a *attempt) {
+	defer a.Panics.Recover("relay.watchdog")
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := a.Clock.Now()
-	silent := now.Sub(w.lastActivity)
+	silent, timeout := now.Sub(w.lastProgress), w.timeout()
 	switch {
 	case w.stopped:
 		return
-	case silent < w.timeout:
-		w.timer.Reset(w.timeout - silent)
+	case silent < timeout:
+		w.timer.Reset(timeout - silent)
 		return
 	case !a.Chooser.HasAlternative(a.criteria, a.choice, now) || !a.RetryBudget.Allow(a.criteria.Service, now):
-		w.timer.Reset(w.timeout)
+		w.timer.Reset(timeout)
 		return
 	}
 	w.expired = true
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	budget := retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second})
+//	budget := retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}, time.Now())
 //	budget.RecordCall("planner-llm", now)
 //	if budget.Allow("planner-llm", now) {
 //		// Send the call again.
@@ -43,6 +43,7 @@
 // and is safe for concurrent use.
 type Budget struct {
 	limits  Limits
+	start   time.Time // Slots are counted from here by the monotonic clock, since the wall clock may be set.
 	shards  [shardCount]budgetShard
 	members memberCount
 }
@@ -61,12 +62,13 @@
 type window struct {
 	calls      [slotsPerWindow]float64
 	retries    [slotsPerWindow]float64
-	newestSlot int64 // Unix time in slots.
+	newestSlot int64 // Number of the slot since the start of the budget.
 }
 
 // NewBudget returns a budget whose slack is not divided until SetMemberCount is called.
-func NewBudget(limits Limits) *Budget {
-	b := &Budget{limits: limits, members: memberCount{count: 1}}
+// No call may be earlier than start.
+func NewBudget(limits Limits, start time.Time) *Budget {
+	b := &Budget{limits: limits, start: start, members: memberCount{count: 1}}
 	for i := range b.shards {
 		b.shards[i].services = map[string]*window{}
 	}
@@ -113,7 +115,7 @@
 		w = &window{}
 		s.services[service] = w
 	}
-	slot := now.UnixNano() / int64(b.limits.Window/slotsPerWindow)
+	slot := int64(now.Sub(b.start) / (b.limits.Window / slotsPerWindow))
 	for advanced := 0; w.newestSlot < slot; advanced++ {
 		if advanced == slotsPerWindow {
 			w.newestSlot = slot
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -20,7 +20,7 @@
 		members := rapid.IntRange(1, 5).Draw(t, "members")
 		budgets := make([]*retry.Budget, members)
 		for i := range budgets {
-			budgets[i] = retry.NewBudget(limits)
+			budgets[i] = retry.NewBudget(limits, start)
 			budgets[i].SetMemberCount(members)
 		}
 		var calls, retries []time.Time
--- a/vm/compression.go
+++ b/vm/compression.go
@@ -18,8 +18,9 @@
 	// A configuration with 1,500 routes is sent to every VM, and requests for engines
 	// wait behind it on the same link.
 	minCompressedBytes = 4 << 10
-	// maxDecompressedBytes bounds the decompressed size of a value from another VM.
-	maxDecompressedBytes = 64 << 20
+	// maxDecompressedBytes bounds the decompressed size of a value from another VM. The
+	// store allows 1 MB a key, and a VM may have only 184 MB of memory.
+	maxDecompressedBytes = 16 << 20
 )
 
 // compressedDeployment caches the compressed form of the configuration in force,
@@ -83,6 +84,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "compressed value")
 	}
-	value, err := io.ReadAll(io.LimitReader(reader, maxDecompressedBytes))
+	value, err := io.ReadAll(io.LimitReader(reader, maxDecompressedBytes+1))
+	if len(value) > maxDecompressedBytes {
+		return nil, eris.Errorf("compressed value: more than %d bytes", maxDecompressedBytes)
+	}
 	return value, eris.Wrap(err, "compressed value")
 }
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -60,7 +60,7 @@
 func (v *VM) runExchanges(ctx context.Context) <-chan error {
 	end := make(chan error, 1)
 	go func() {
-		v.exchange(ctx, false)
+		v.guarded("vm.exchange", func() { v.exchange(ctx, false) })
 		next := time.Now().Add(rand.N(exchangeInterval)) //nolint:gosec // Nothing depends on secrecy.
 		for ctx.Err() == nil {
 			clock.Pause(ctx, urgentInterval)
@@ -69,9 +69,9 @@
 			case <-ctx.Done():
 			case <-timer.C:
 				next = time.Now().Add(exchangeInterval)
-				v.exchange(ctx, false)
+				v.guarded("vm.exchange", func() { v.exchange(ctx, false) })
 			case <-v.rateLimiter.ExchangeNeeded():
-				v.exchange(ctx, true)
+				v.guarded("vm.exchange", func() { v.exchange(ctx, true) })
 			}
 			timer.Stop()
 		}
@@ -298,6 +298,7 @@
 // peerServer returns a server for the calls of other entry VMs.
 func (v *VM) peerServer() *peer.Server {
 	server := peer.NewServer(v.tracing)
+	server.Panics = v.panics
 	peer.Handle(server, methodExchange, v.handleExchange)
 	peer.Handle(server, methodAdapter, v.handlePlaceAdapter)
 	peer.Handle(server, methodSchedule, v.handleSchedule)
--- a/vm/reachability.go
+++ b/vm/reachability.go
@@ -100,7 +100,10 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 			defer cancel()
-			err := v.peers.Call(ctx, chosen.Address, methodPing, ping{From: v.environment.Name}, &ping{})
+			err := errStepPanicked
+			v.guarded("vm.ping", func() {
+				err = v.peers.Call(ctx, chosen.Address, methodPing, ping{From: v.environment.Name}, &ping{})
+			})
 			answers <- answer{dataCentre: dataCentre, ok: err == nil}
 		}()
 	}
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -25,6 +27,12 @@
 	// platform checks readiness once a second and stops sending calls after two
 	// failed checks. A call that arrives 3 s after the signal must not be cut off.
 	drainDelay = 2600 * time.Millisecond
+	// quietTime is how long no call may have been in flight before a VM that is stopping
+	// closes its listener, and again before it closes the connections. A caller that has
+	// just opened a connection sends its request within that time.
+	quietTime = 300 * time.Millisecond
+	// quietPollInterval is the interval at which the VM checks for quietTime.
+	quietPollInterval = 20 * time.Millisecond
 	// graceMargin is the time before the end of the grace period, when the process is
 	// killed, by which all responses end.
 	graceMargin = 500 * time.Millisecond
@@ -37,6 +45,8 @@
 type servers struct {
 	vm      *VM
 	callers *http.Server
+	calls   *callCounter
+	accepts net.Listener   // Of the callers' connections.
 	other   []*http.Server // Readiness and metrics.
 	stop    context.CancelFunc
 	peers   <-chan error   // Gets the result of the peer server.
@@ -59,38 +69,75 @@
 			continue
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-		if err := s.serve(ctx, server, address); err != nil {
+		if _, err := s.serve(ctx, server, address); err != nil {
 			stop()
 			return nil, err
 		}
 		s.other = append(s.other, server)
 	}
+	s.calls = &callCounter{handler: v.handler, started: time.Now()}
 	s.callers = &http.Server{
-		Handler: v.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.calls, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(v.log),
 	}
-	if err := s.serve(ctx, s.callers, v.environment.CallerAddress); err != nil {
+	if s.accepts, err = s.serve(ctx, s.callers, v.environment.CallerAddress); err != nil {
 		stop()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *servers) serve(ctx context.Context, server *http.Server, address string) error {
+func (s *servers) serve(ctx context.Context, server *http.Server, address string) (net.Listener, error) {
 	listener, err := link.Listen(ctx, address)
 	if err != nil {
-		return eris.Wrap(err, "VM.Run: address "+address)
+		return nil, eris.Wrap(err, "VM.Run: address "+address)
 	}
 	end := make(chan error, 1)
 	s.ends = append(s.ends, end)
 	go func() {
 		err := server.Serve(listener)
-		if !errors.Is(err, http.ErrServerClosed) {
+		if !isClosed(err) {
 			s.failed <- err
 		}
 		end <- err
 	}()
-	return nil
+	return listener, nil
+}
+
+// isClosed reports whether a server ended because it or its listener was closed.
+func isClosed(err error) bool {
+	return errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed)
+}
+
+// callCounter counts the calls in flight.
+type callCounter struct {
+	handler  http.Handler
+	started  time.Time
+	inFlight atomic.Int64
+	lastEnd  atomic.Int64 // End of the last call, in nanoseconds after started.
+}
+
+// ServeHTTP serves one call.
+func (c *callCounter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.inFlight.Add(1)
+	defer func() {
+		c.lastEnd.Store(int64(time.Since(c.started)))
+		c.inFlight.Add(-1)
+	}()
+	c.handler.ServeHTTP(w, r)
+}
+
+// awaitQuiet waits until no call has been in flight for quietTime, counted from the
+// call of awaitQuiet, or until ctx ends.
+func (c *callCounter) awaitQuiet(ctx context.Context) {
+	begun := time.Since(c.started)
+	for ctx.Err() == nil {
+		quietSince := max(begun, time.Duration(c.lastEnd.Load()))
+		if c.inFlight.Load() == 0 && time.Since(c.started)-quietSince >= quietTime {
+			return
+		}
+		clock.Pause(ctx, quietPollInterval)
+	}
 }
 
 // readiness answers the platform's readiness check.
@@ -113,7 +160,9 @@
 }
 
 // drain waits for the platform to send callers elsewhere and for calls in flight to
-// end, and closes all listeners before the grace period is over.
+// end, and closes all listeners before the grace period is over. A call that still
+// arrives meanwhile is answered. Server.Shutdown comes last, since net/http closes
+// each connection whose request it reads after that without an answer.
 func (s *servers) drain(grace time.Duration) {
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-graceMargin))
@@ -122,6 +171,12 @@
 	s.vm.stopping.Store(true)
 	cancelTimer := time.AfterFunc(time.Until(started.Add(grace-graceMargin-cancelMargin)), s.vm.cancelCalls)
 	defer cancelTimer.Stop()
+	s.callers.SetKeepAlivesEnabled(false) // Closes the idle connections.
+	s.calls.awaitQuiet(ctx)
+	if err := s.accepts.Close(); err != nil {
+		s.vm.log.Warn("cannot close listener", zap.Error(err))
+	}
+	s.calls.awaitQuiet(ctx)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.vm.log.Warn("connections closed at the end of the grace period", zap.Error(err))
 		if err := s.callers.Close(); err != nil {
@@ -138,7 +193,7 @@
 		s.vm.log.Warn("peer listener failed", zap.Error(err))
 	}
 	for _, end := range s.ends {
-		if err := <-end; !errors.Is(err, http.ErrServerClosed) {
+		if err := <-end; !isClosed(err) {
 			s.vm.log.Warn("listener failed", zap.Error(err))
 		}
 	}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -62,6 +62,9 @@
 	// memoryLimitFraction is the memory limit of the Go runtime, as a fraction of the
 	// VM's memory. Near it the garbage collector runs more often.
 	memoryLimitFraction = 0.7
+	// bufferFraction is the memory for the bodies and events that a VM holds, as a
+	// fraction of its memory.
+	bufferFraction = 0.25
 	// gcPercent is above the default of 100, since the heap of a VM is small.
 	gcPercent = 200
 )
@@ -89,6 +92,7 @@
 	reachability    reachability
 	feed            leaderFeed
 	compressed      compressedDeployment
+	panics          *telemetry.PanicGuard
 	handler         *relay.Handler
 	cancelCalls     context.CancelFunc // Cancels the calls that are still in flight.
 	draining        atomic.Bool        // The readiness check fails, so that callers go elsewhere.
@@ -106,11 +110,12 @@
 		deployments: deployment.NewCurrent(),
 		fleet:       fleet.NewFleet(environment.Name, environment.DataCentre),
 		rateLimiter: quota.NewLocalBuckets(clock.Monotonic{}, environment.Bootstrap),
-		retryBudget: retry.NewBudget(retry.Limits{Ratio: environment.RetryRatio, Slack: environment.RetrySlack, Window: environment.RetryWindow}),
+		retryBudget: retry.NewBudget(retry.Limits{Ratio: environment.RetryRatio, Slack: environment.RetrySlack, Window: environment.RetryWindow}, time.Now()),
 		crashGuard:  retry.NewCrashGuard(),
 		demand:      model.NewDemandWithDecay(placement.DemandTimeConstant),
 		forecast:    placement.NewForecast(),
 		peers:       peer.NewClient(tracing),
+		panics:      telemetry.NewPanicGuard(log, set),
 	}
 	v.globalScheduler = fleet.NewGlobalScheduler(v.fleet)
 	member := kumquathitch.Member{Name: environment.Name, Address: environment.PeerAddress, DataCentre: environment.DataCentre, Started: time.Now().Round(0), Capacity: leaderCapacity(environment)}
@@ -119,7 +124,7 @@
 		timing.HandoverDelay = fencedHandoverDelay
 	}
 	v.candidate = election.NewCandidate(environment.Store, clock.NewBoot(), member, timing, log)
-	v.placer = placement.NewController(environment.Control, environment.Name, v.orderFence, clock.Monotonic{}, log, v.set)
+	v.placer = placement.NewController(environment.Control, environment.Name, v.orderFence, clock.Monotonic{}, log, v.set, v.panics)
 	v.watcher = newStoreWatcher(v)
 	var callContext context.Context
 	callContext, v.cancelCalls = context.WithCancel(context.Background())
@@ -127,7 +132,8 @@
 	v.handler = &relay.Handler{
 		Dialect: environment.Dialect, Deployments: v.deployments, Chooser: v.fleet, Scheduler: &scheduler{vm: v}, TokenBuckets: v.rateLimiter, RetryBudget: v.retryBudget,
 		CrashGuard: v.crashGuard, AdapterPlacer: v, Demand: v.demand, Clock: clock.Monotonic{}, Logger: log,
-		Tracer: tracing.Tracer, Metrics: relayMetrics, Pool: relay.NewPool(relayMetrics), Draining: v.draining.Load, Stopping: v.stopping.Load, BaseContext: callContext,
+		Tracer: tracing.Tracer, Metrics: relayMetrics, Pool: relay.NewPool(relayMetrics),
+		Buffers: relay.NewBuffers(int64(bufferFraction * float64(environment.MemoryBytes))), Panics: v.panics, Draining: v.draining.Load, Stopping: v.stopping.Load, BaseContext: callContext,
 	}
 	return v
 }
@@ -201,13 +207,19 @@
 				end <- nil
 				return
 			case <-ticker.C:
-				call(ctx)
+				v.guarded("vm.loop", func() { call(ctx) })
 			}
 		}
 	}()
 	return end
 }
 
+// guarded runs a step of a loop. When it panics, the loop goes on with the next step.
+func (v *VM) guarded(part string, step func()) {
+	defer v.panics.Recover(part)
+	step()
+}
+
 // reconcile plans the placement and sends orders, while this VM may send any.
 func (v *VM) reconcile(ctx context.Context) {
 	snapshot := v.deployments.Snapshot()
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -1,15 +1,19 @@
 package vm_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -44,6 +48,7 @@
 	address string // Address of the store.
 	vms     []*testVM
 	stores  map[string]*refusingStore // By name of the VM.
+	codec   kumquathitch.PlatformCodec
 }
 
 type testVM struct {
@@ -60,7 +65,7 @@
 	store := standin.NewKeyspace(clock.NewSystem())
 	server := httptest.NewServer(standin.NewKeyspaceHandler(store))
 	t.Cleanup(server.Close)
-	return &testPlatform{t: t, store: store, address: server.Listener.Addr().String(), stores: map[string]*refusingStore{}}
+	return &testPlatform{t: t, store: store, address: server.Listener.Addr().String(), stores: map[string]*refusingStore{}, codec: platform.Codec{}}
 }
 
 // startedVMs counts the VMs of this process, each of which has a loopback address of its own.
@@ -83,7 +88,7 @@
 		ShutdownGrace: 2 * time.Second, DrainLag: 300 * time.Millisecond, HandoverDelay: 300 * time.Millisecond, ChecksFencing: true,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		Store: p.stores[name], Control: platform.NewEngineControl(time.Second),
-		Dialect: platform.Dialect{}, Codec: platform.Codec{},
+		Dialect: platform.Dialect{}, Codec: p.codec,
 	}
 	tracing, err := telemetry.NewTracing(p.t.Context(), "test", "")
 	must.NoError(p.t, err)
@@ -219,6 +224,71 @@
 	p.waitFor("the configuration written meanwhile is in force", func() bool { status, _ := v.call(t, "k9", "m"); return status == 200 })
 }
 
+// poisonedCodec panics on one entry of an instance, as a decoder with a fault would.
+type poisonedCodec struct {
+	platform.Codec
+}
+
+func (c poisonedCodec) DecodeInstance(item kumquathitch.KeyItem, now time.Time) (kumquathitch.Instance, error) {
+	if item.Key == "servers/poison" {
+		panic("a fault in the decoder")
+	}
+	return c.Codec.DecodeInstance(item, now)
+}
+
+// TestMalformedEntriesKeepProcessRunning guards against a message that takes a process
+// down, or keeps it from applying the messages after it: entries of the store that
+// cannot be decoded or that the decoder panics on, a lease without a time, and bytes
+// from a peer that are no message.
+func TestMalformedEntriesKeepProcessRunning(t *testing.T) {
+	p := newTestPlatform(t)
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	p.store.Put("servers/poison", []byte("{}"))
+	p.startEngine("m")
+	p.codec = poisonedCodec{}
+	v := p.startVM("entry-1")
+	p.waitFor("the VM is ready", v.isReady)
+	p.waitFor("a call is answered", func() bool { status, _ := v.call(t, "k1", "m"); return status == 200 })
+	p.store.Put("servers/poison", []byte("{}"))
+	p.store.Put("servers/text", []byte("not an entry"))
+	p.store.Put("kumquathitch/members/text", []byte("[]"))
+	conn, err := net.Dial("tcp", v.peers)
+	must.NoError(t, err)
+	_, err = conn.Write(append([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f}, make([]byte, 1<<20)...))
+	_ = err // The VM may have closed the connection already.
+	must.NoError(t, conn.Close())
+	p.store.Put("op/config", testDeployment(2, "k2"))
+	p.waitFor("a later change is in force", func() bool { status, _ := v.call(t, "k2", "m"); return status == 200 })
+}
+
+// TestLeaseWithoutTimeKeepsProcessRunning guards against a ticker without an interval,
+// which ended the process when the store granted a lease without a time.
+func TestLeaseWithoutTimeKeepsProcessRunning(t *testing.T) {
+	store := standin.NewKeyspace(clock.NewSystem())
+	handler := standin.NewKeyspaceHandler(store)
+	var grants atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/kv-lease" || grants.Add(1) > 3 {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		var granted struct {
+			Lease uint64 `json:"lease"`
+		}
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		must.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &granted))
+		must.NoError(t, json.NewEncoder(w).Encode(granted)) // Without the time.
+	}))
+	t.Cleanup(server.Close)
+	p := &testPlatform{t: t, store: store, address: server.Listener.Addr().String(), stores: map[string]*refusingStore{}, codec: platform.Codec{}}
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	p.startEngine("m")
+	v := p.startVM("entry-1")
+	p.waitFor("a call is answered", func() bool { status, _ := v.call(t, "k1", "m"); return status == 200 })
+	must.Greater(t, 3, grants.Load())
+}
+
 // TestGracefulShutdown guards against a VM that reports itself ready while it shuts
 // down, or does not answer a call that arrives in that time.
 func TestGracefulShutdown(t *testing.T) {
@@ -236,6 +306,54 @@
 	must.NoError(t, err)
 }
 
+// TestStopUnderLoadAnswersEveryCall stops a VM while callers open connections and send
+// their requests a moment later. Each request that was sent must get an answer: the
+// standard server closes a connection whose request it reads after the shutdown began.
+func TestStopUnderLoadAnswersEveryCall(t *testing.T) {
+	p := newTestPlatform(t)
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	p.startEngine("m")
+	v := p.startVM("entry-1")
+	p.waitFor("a call is answered", func() bool { status, _ := v.call(t, "k1", "m"); return status == 200 })
+	var answered, refused, unanswered atomic.Int64
+	var callers sync.WaitGroup
+	for n := range 16 {
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				conn, err := net.DialTimeout("tcp", v.callers, time.Second)
+				if err != nil {
+					return // The VM has stopped.
+				}
+				<-time.NewTimer(30 * time.Millisecond).C
+				_, err = fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: c%d-%d\r\nApi-Key: k1\r\nDeadline-Ms: 4000\r\nModel: m\r\nToken-Count: 10,1\r\nContent-Length: 8\r\n\r\nc%02d-%04d", n, i, n, i%10000)
+				must.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				switch {
+				case err != nil:
+					unanswered.Add(1)
+				case response.StatusCode == http.StatusOK:
+					answered.Add(1)
+				case response.StatusCode == http.StatusServiceUnavailable:
+					refused.Add(1)
+				}
+				_ = conn.Close()
+				if err == nil && response.StatusCode == http.StatusServiceUnavailable && i%4 != 0 {
+					return // Most callers go elsewhere after a refusal.
+				}
+			}
+		})
+	}
+	<-time.NewTimer(200 * time.Millisecond).C
+	v.stop()
+	callers.Wait()
+	err := <-v.end
+	v.end <- err
+	must.NoError(t, err)
+	must.Positive(t, answered.Load())
+	must.Positive(t, refused.Load())
+	must.Eq(t, 0, unanswered.Load())
+}
+
 // refusingStore is one VM's view of the store. It can refuse this VM while the
 // others are served.
 type refusingStore struct {
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -75,13 +75,19 @@
 	}
 }
 
+// errStepPanicked is the result of a step of the watch that did not return.
+var errStepPanicked = errors.New("the step panicked")
+
 // run watches the store until ctx ends.
 func (w *storeWatcher) run(ctx context.Context) <-chan error {
 	end := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			err := w.step(ctx)
-			w.dropLapsed(time.Now())
+			err := errStepPanicked
+			w.vm.guarded("vm.watch", func() {
+				err = w.step(ctx)
+				w.dropLapsed(time.Now())
+			})
 			if err != nil && ctx.Err() == nil {
 				w.setFailing()
 				w.vm.log.Info("store call failed", zap.Error(err), zap.Uint64("revision", w.currentRevision()))
@@ -139,11 +145,13 @@
 			continue
 		}
 		fresh = append(fresh, change)
-		if change.Removed {
-			w.remove(change.Key)
-		} else {
-			w.putItem(change.KeyItem)
-		}
+		w.vm.guarded("vm.change", func() { // One entry that cannot be handled must not hold up the others.
+			if change.Removed {
+				w.remove(change.Key)
+			} else {
+				w.putItem(change.KeyItem)
+			}
+		})
 	}
 	w.vm.feed.add(fresh)
 	w.setRevision(revision)
@@ -188,7 +196,7 @@
 	listed := make(map[string]bool, len(all.Items))
 	for _, item := range all.Items {
 		listed[item.Key] = true
-		w.putItem(item)
+		w.vm.guarded("vm.change", func() { w.putItem(item) })
 	}
 	for _, key := range w.keys() {
 		if !listed[key] {
