--- a/relay/call.go
+++ b/relay/call.go
@@ -109,6 +109,14 @@
 		limit = defaultMaxBodyBytes
 	}
 	rc.held.buffers = rc.Buffers
+	control := http.NewResponseController(rc.writer)
+	if rc.request.ContentLength != 0 { // A caller that stops sending must not hold the body for ever.
+		until := rc.received.Add(defaultTimeout)
+		if d := rc.call.Deadline; !d.IsZero() && d.Before(until) {
+			until = d
+		}
+		_ = control.SetReadDeadline(until) // Fails only on a closed connection, which ends the read as well.
+	}
 	err := rc.held.readAll(http.MaxBytesReader(rc.writer, rc.request.Body, limit), "body", rc.request.ContentLength, limit)
 	var tooLong *http.MaxBytesError
 	var large *TooLargeError
@@ -124,10 +132,16 @@
 	case err != nil:
 		return kumquathitch.NewRefusal(http.StatusBadRequest, "body-unreadable", "reading the body: "+err.Error())
 	}
+	_ = control.SetReadDeadline(time.Time{}) // The connection may carry further calls.
 	rc.body = rc.held.data
 	return nil
 }
 
+// boundWrites ends writes to a caller that does not read, shortly after the deadline.
+func (rc *relayedCall) boundWrites(deadline time.Time) {
+	_ = http.NewResponseController(rc.writer).SetWriteDeadline(deadline.Add(writeMargin)) // Fails only on a closed connection.
+}
+
 // prepare sets the deadline of the call, its fingerprint, and its requirements on an instance.
 func (rc *relayedCall) prepare(services kumquathitch.Services) {
 	timeout := rc.route.Timeout
@@ -138,6 +152,7 @@
 	if d := rc.call.Deadline; !d.IsZero() && d.Add(-deadlineMargin).Before(rc.deadline) {
 		rc.deadline = d.Add(-deadlineMargin)
 	}
+	rc.boundWrites(rc.deadline)
 	objective := rc.route.LatencyObjective
 	if objective <= 0 {
 		objective = defaultObjective
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,8 @@
 	// deadlineMargin ends a call before the caller's deadline, so that the response
 	// still reaches the caller in time.
 	deadlineMargin = 20 * time.Millisecond
+	// writeMargin is how long after the deadline of a call writes to its caller may take.
+	writeMargin = time.Second
 	// maxExtraSends is the number of sends beyond the route's MaxAttempts that are
 	// allowed when instances state that they did not run the call.
 	maxExtraSends = 2
@@ -100,6 +102,7 @@
 	rc := &relayedCall{Handler: h, writer: w, request: r, received: h.Clock.Now()}
 	defer rc.answerPanic()
 	defer rc.held.release()
+	rc.boundWrites(rc.received.Add(defaultTimeout)) // Replaces the deadline of an earlier call on the connection.
 	if refusal := rc.admit(); refusal != nil {
 		rc.refuse(refusal)
 		return
--- a/relay/trouble_test.go
+++ b/relay/trouble_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -318,3 +319,49 @@
 	must.Eq(t, 4, statuses[200]+statuses[502])
 	must.Eq(t, 200, vm.call("after", "/book/after").status) // The space is free again.
 }
+
+// TestCallerThatDoesNotReadIsLeft guards against a handler that waits for ever in a
+// write to a caller that has stopped reading, and holds an instance's slot meanwhile.
+func TestCallerThatDoesNotReadIsLeft(t *testing.T) {
+	vm := newTestVM(t)
+	vm.startScripted("i-1", func(call *standin.ScriptedCall) bool {
+		call.WriteHead("200 OK", "Content-Type: text/event-stream\r\n")
+		call.WriteEndless("id: 1\ndata: " + strings.Repeat("x", 64<<10) + "\n\n")
+		return false
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(vm.address, "http://"))
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /stream/draft/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nApi-Key: %s\r\nDeadline-Ms: 300\r\nContent-Length: 0\r\n\r\n", apiKey)
+	must.NoError(t, err)
+	tick, limit := time.NewTicker(20*time.Millisecond), time.NewTimer(8*time.Second)
+	defer tick.Stop()
+	begun := false
+	for {
+		select {
+		case <-tick.C:
+			loads := len(vm.fleet.LocalLoads())
+			begun = begun || loads > 0
+			if begun && loads == 0 {
+				return
+			}
+		case <-limit.C:
+			t.Fatal("the call has not ended")
+		}
+	}
+}
+
+// TestCallerThatStopsSendingIsLeft guards against a body that is awaited for ever.
+func TestCallerThatStopsSendingIsLeft(t *testing.T) {
+	vm := newTestVM(t, standin.NewInstance("i-1", "llm"))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(vm.address, "http://"))
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nApi-Key: %s\r\nDeadline-Ms: 300\r\nContent-Length: 10\r\n\r\nhalf", apiKey)
+	must.NoError(t, err)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(8*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, 400, response.StatusCode)
+}
