Compress changes by segment, and give the leader's record a lease of its own

Half of the calls to the store were renewals of member leases, twice a second for each of 195 VMs. Change: the changes that the leader applied together are one segment, compressed once whatever revision a VM has; large values that a later change supersedes are dropped from it. Members renew a lease of 3 s, and only the leader one of 1.5 s. A leader that must register again as a member keeps its term.

--- a/election/election.go
+++ b/election/election.go
@@ -12,8 +12,9 @@
 //		order.Fence = t.Fence
 //	}
 //
-// The VM's member record and, on the leader, the leader's record are bound to one
-// lease. The revision at which the leader's record was written is the fencing
+// The VM's member record is bound to a lease, and the leader's record to a shorter one
+// that only the leader renews: a lost leader must be replaced soon, while hundreds of
+// members must not renew their leases often. The revision at which the leader's record was written is the fencing
 // token of the term; it rises with each term. A term counts as held only while
 // the lease is certain to run. Its end is determined with a clock that also
 // advances while the VM is suspended.
@@ -83,10 +84,11 @@
 	IsFirst       bool      // No VM has led before.
 }
 
-// Timing sets the TTL of the lease, and how long a new leader waits before it
+// Timing sets the TTLs of the leases, and how long a new leader waits before it
 // sends orders when another VM led before.
 type Timing struct {
-	LeaseTTL      time.Duration
+	LeaseTTL      time.Duration // Of the leader's record.
+	MemberTTL     time.Duration // Of the member records; at least LeaseTTL.
 	HandoverDelay time.Duration
 }
 
@@ -108,6 +110,7 @@
 	strongest    float64              // Highest capacity of a member.
 	campaignAt   time.Time            // When this VM campaigns, while there is no leader.
 	term         *Term                // Nil when this VM does not lead.
+	termLease    kumquathitch.Lease   // Lease of the leader's record that this VM wrote last.
 	termStarted  time.Time
 	handedOver   time.Time // When this VM last gave up a term to a stronger member.
 }
@@ -188,7 +191,7 @@
 // holdLease registers the member under a new lease, and renews the lease until it
 // is lost or ctx ends.
 func (c *Candidate) holdLease(ctx context.Context) error {
-	lease, err := c.store.Grant(ctx, c.timing.LeaseTTL)
+	lease, err := c.store.Grant(ctx, max(c.timing.MemberTTL, c.timing.LeaseTTL))
 	if err != nil {
 		return err
 	}
@@ -202,26 +205,35 @@
 		return err
 	}
 	c.log.Info("member registered", zap.Uint64("lease", lease.ID), zap.Duration("ttl", lease.TTL))
-	defer c.endTerm("lease lost")
 	return c.renew(ctx, lease, record)
 }
 
-// renew renews the lease, and campaigns while there is no leader. It returns an
-// error when the lease has ended, and nil when ctx has.
+// renew renews the lease of the member and that of the leader's record, and campaigns
+// while there is no leader. It returns an error when the member's lease has ended, and
+// nil when ctx has. A term goes on while the member registers again.
 func (c *Candidate) renew(ctx context.Context, lease kumquathitch.Lease, record []byte) error {
 	renewal := time.NewTicker(lease.TTL / renewalsPerLease)
 	defer renewal.Stop()
+	termRenewal := time.NewTicker(c.timing.LeaseTTL / renewalsPerLease)
+	defer termRenewal.Stop()
 	campaign := time.NewTimer(c.untilCampaign())
 	defer campaign.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			c.endTerm("shutting down")
+			c.releaseLease(c.forgetTermLease())
 			c.releaseLease(lease)
 			return nil
 		case <-c.leaderLost:
 			campaign.Reset(c.untilCampaign())
 		case <-campaign.C:
-			c.campaign(ctx, lease, record)
+			c.campaign(ctx, record)
+		case <-termRenewal.C:
+			c.renewTerm(ctx)
+			if c.isLeaderless() { // An earlier campaign failed.
+				campaign.Reset(c.untilCampaign())
+			}
 		case <-renewal.C:
 			sent := c.clock.Now()
 			_, err := c.store.Renew(ctx, lease)
@@ -234,16 +246,54 @@
 				continue
 			}
 			lease.Deadline = sent.Add(lease.TTL)
-			c.extendTerm(lease.Deadline)
-			c.adoptRecord(lease)
-			c.handOver(ctx)
-			if c.isLeaderless() { // An earlier campaign failed.
-				campaign.Reset(c.untilCampaign())
-			}
 		}
 	}
 }
 
+// renewTerm renews the lease of the leader's record, while this VM may lead by it.
+func (c *Candidate) renewTerm(ctx context.Context) {
+	c.mutex.Lock()
+	lease := c.termLease
+	c.mutex.Unlock()
+	if lease.ID == 0 {
+		return
+	}
+	sent := c.clock.Now()
+	_, err := c.store.Renew(ctx, lease)
+	var ended *kumquathitch.LeaseEndedError
+	switch {
+	case errors.As(err, &ended):
+		c.endTerm("lease lost")
+		c.forgetTermLease()
+		return
+	case err != nil:
+		c.log.Warn("lease not renewed", zap.Error(err), zap.Time("ends", lease.Deadline))
+		return
+	}
+	c.mutex.Lock()
+	c.termLease.Deadline = sent.Add(lease.TTL)
+	if c.term != nil {
+		c.term.LeaseDeadline = c.termLease.Deadline
+	}
+	lost := c.term == nil && c.leaderRecord.Revision != 0 && c.leaderRecord.Lease != lease.ID
+	c.mutex.Unlock()
+	if lost { // Another VM leads, so the lease holds no record.
+		c.releaseLease(c.forgetTermLease())
+		return
+	}
+	c.adoptRecord()
+	c.handOver(ctx)
+}
+
+// forgetTermLease returns the lease of the leader's record, which is no longer renewed.
+func (c *Candidate) forgetTermLease() kumquathitch.Lease {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	lease := c.termLease
+	c.termLease = kumquathitch.Lease{}
+	return lease
+}
+
 // untilCampaign returns the time until this candidate campaigns.
 func (c *Candidate) untilCampaign() time.Duration {
 	c.mutex.Lock()
@@ -270,6 +320,7 @@
 	if _, err := c.store.Write(ctx, write); err != nil {
 		c.log.Warn("cannot hand over leadership; the record ends with the lease", zap.Error(err))
 	}
+	c.forgetTermLease()
 }
 
 // ObserveMembers records the members that the store lists.
@@ -316,6 +367,9 @@
 
 // releaseLease ends the lease at shutdown, so that another VM can lead at once.
 func (c *Candidate) releaseLease(lease kumquathitch.Lease) {
+	if lease.ID == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := c.store.Release(ctx, lease); err != nil {
@@ -329,16 +383,8 @@
 	return c.observed && c.leaderRecord.Revision == 0 && c.term == nil
 }
 
-func (c *Candidate) extendTerm(deadline time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.term != nil {
-		c.term.LeaseDeadline = deadline
-	}
-}
-
 // campaign writes the leader's record unless there is one.
-func (c *Candidate) campaign(ctx context.Context, lease kumquathitch.Lease, record []byte) {
+func (c *Candidate) campaign(ctx context.Context, record []byte) {
 	if !c.isLeaderless() {
 		return
 	}
@@ -347,6 +393,11 @@
 		c.log.Warn("cannot read the last leader; no election now", zap.Error(err))
 		return
 	}
+	lease, err := c.termLeaseForCampaign(ctx)
+	if err != nil {
+		c.log.Warn("no lease for the leader's record; no election now", zap.Error(err))
+		return
+	}
 	fence, err := c.store.Write(ctx, kumquathitch.KeyWrite{
 		Expect: []kumquathitch.KeyItem{{Key: leaderKey}, {Key: lastLeaderKey, Revision: last.Revision}},
 		Set: []kumquathitch.KeyItem{
@@ -354,6 +405,10 @@
 			{Key: lastLeaderKey, Value: []byte(c.member.Name)},
 		},
 	})
+	var ended *kumquathitch.LeaseEndedError
+	if errors.As(err, &ended) {
+		c.forgetTermLease()
+	}
 	var failed *kumquathitch.StoreError
 	if errors.As(err, &failed) && failed.Unknown {
 		fence, err = c.confirmCampaign(ctx, lease)
@@ -366,6 +421,27 @@
 	c.startTerm(kumquathitch.KeyItem{Key: leaderKey, Value: record, Revision: fence, Lease: lease.ID}, last, lease.Deadline)
 }
 
+// termLeaseForCampaign returns the lease for the leader's record. A lease that was
+// granted for an earlier campaign is used again while it is certain to run.
+func (c *Candidate) termLeaseForCampaign(ctx context.Context) (kumquathitch.Lease, error) {
+	c.mutex.Lock()
+	lease := c.termLease
+	c.mutex.Unlock()
+	sent := c.clock.Now()
+	if lease.ID != 0 && sent.Add(leaseMargin).Before(lease.Deadline) {
+		return lease, nil
+	}
+	lease, err := c.store.Grant(ctx, c.timing.LeaseTTL)
+	if err != nil {
+		return lease, err
+	}
+	lease.Deadline = sent.Add(lease.TTL)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.termLease = lease
+	return lease, nil
+}
+
 // observeWinner records the leader that a lost campaign ran into, which this VM's watch
 // may show only later.
 func (c *Candidate) observeWinner(err error) {
@@ -397,9 +473,10 @@
 
 // adoptRecord starts the term of an observed leader's record that this VM wrote
 // without getting a response.
-func (c *Candidate) adoptRecord(lease kumquathitch.Lease) {
+func (c *Candidate) adoptRecord() {
 	c.mutex.Lock()
-	leader, unconfirmed := c.leaderRecord, c.term == nil && c.leaderRecord.Revision != 0 && c.leaderRecord.Lease == lease.ID
+	leader, lease := c.leaderRecord, c.termLease
+	unconfirmed := c.term == nil && leader.Revision != 0 && lease.ID != 0 && leader.Lease == lease.ID
 	c.mutex.Unlock()
 	if unconfirmed {
 		c.startTerm(leader, kumquathitch.KeyItem{Revision: leader.Revision}, lease.Deadline)
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,7 @@
 	"kumquathitch.example/kumquathitch/standin"
 )
 
-var timing = election.Timing{LeaseTTL: 1500 * time.Millisecond, HandoverDelay: 3 * time.Second}
+var timing = election.Timing{LeaseTTL: 1500 * time.Millisecond, MemberTTL: 3 * time.Second, HandoverDelay: 3 * time.Second}
 
 // candidate is a candidate that polls the store for the leader's record.
 type candidate struct {
@@ -125,6 +126,50 @@
 	})
 }
 
+// A leader that loses the store must be replaced after the short lease, and a VM that
+// registers again because its member lease has ended keeps its term.
+func TestTermHasItsOwnLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewKeyspace(clock.NewSystem())
+		link := &cuttableStore{Keyspace: store}
+		one := startCandidate(t, link, "one")
+		advance(time.Second)
+		count, _ := leaders(one)
+		must.Eq(t, 1, count)
+		two := startCandidate(t, store, "two")
+		advance(time.Second)
+		link.loseMembers.Store(true) // Renewals of the member lease fail, those of the leader's do not.
+		advance(5 * time.Second)
+		count, _ = leaders(one)
+		must.Eq(t, 1, count)
+		link.loseMembers.Store(false)
+		link.cut.Store(true)
+		advance(timing.LeaseTTL + 600*time.Millisecond) // Less than the member lease.
+		count, _ = leaders(one)
+		must.Eq(t, 0, count)
+		count, _ = leaders(two)
+		must.Eq(t, 1, count)
+		stopAll(one, two)
+	})
+}
+
+// cuttableStore is one VM's link to the store.
+type cuttableStore struct {
+	kumquathitch.Keyspace
+	cut         atomic.Bool
+	loseMembers atomic.Bool
+}
+
+func (s *cuttableStore) Renew(ctx context.Context, lease kumquathitch.Lease) (kumquathitch.Lease, error) {
+	if s.cut.Load() {
+		return lease, &kumquathitch.StoreError{Operation: "Renew"}
+	}
+	if s.loseMembers.Load() && lease.TTL == timing.MemberTTL {
+		return lease, &kumquathitch.LeaseEndedError{Lease: lease.ID}
+	}
+	return s.Keyspace.Renew(ctx, lease)
+}
+
 // A weak VM that was the first to start must not lead for good.
 func TestWeakLeaderHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/exchange.go
+++ b/exchange.go
@@ -27,11 +27,13 @@
 	BucketLevels      map[string]float64  `json:"levels,omitempty"`       // Tokens left in the leader's buckets, by account.
 	RetryAfterSeconds map[string]float64  `json:"dry,omitempty"`          // Seconds until tokens are available, by account without tokens.
 	Suspects          Suspects            `json:"suspects,omitempty"`
-	InFlight          map[string]int      `json:"loads,omitempty"`     // Calls of the other VMs in flight, by instance.
-	Unloading         map[string][]string `json:"unloading,omitempty"` // Models that were ordered to be unloaded, by instance.
-	ChangesComplete   bool                `json:"fed,omitempty"`       // Changes and PackedChanges hold all changes after the requested revision.
+	InFlight          map[string]int      `json:"loads,omitempty"`        // Calls of the other VMs in flight, by instance.
+	Unloading         map[string][]string `json:"unloading,omitempty"`    // Models that were ordered to be unloaded, by instance.
+	ChangesComplete   bool                `json:"fed,omitempty"`          // Changes and PackedChanges hold all changes after the requested revision.
+	SegmentsComplete  bool                `json:"fed-segments,omitempty"` // Segments and Changes do. An older VM does not know the field, and watches the store itself.
 	Changes           []KeyChange         `json:"changes,omitempty"`
-	PackedChanges     []byte              `json:"packed,omitempty"`     // Further changes, encoded and compressed.
+	PackedChanges     []byte              `json:"packed,omitempty"`     // Further changes, encoded and compressed, from an older leader.
+	Segments          [][]byte            `json:"segments,omitempty"`   // Further changes, each segment encoded and compressed.
 	DeploymentVersion uint64              `json:"version"`              // Version of the deployment in force.
 	Deployment        []byte              `json:"deployment,omitempty"` // Document as in the store, compressed.
 	Instances         []KeyItem           `json:"instances,omitempty"`  // Descriptions as in the store, for a VM that cannot reach it.
--- a/vm/compression.go
+++ b/vm/compression.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -49,17 +51,25 @@
 	return compress(encoded)
 }
 
-// decompressChanges reverts packChanges in a response.
-func decompressChanges(response *kumquathitch.ExchangeResponse) error {
-	if len(response.PackedChanges) == 0 {
-		return nil
+// unpackChanges decompresses the changes of a response and sorts all of them by revision.
+func unpackChanges(response *kumquathitch.ExchangeResponse) error {
+	packed := response.Segments
+	if len(response.PackedChanges) > 0 {
+		packed = append(packed, response.PackedChanges)
 	}
-	encoded, err := decompress(response.PackedChanges)
-	if err != nil {
-		return err
+	for _, segment := range packed {
+		encoded, err := decompress(segment)
+		if err != nil {
+			return err
+		}
+		var changes []kumquathitch.KeyChange
+		if err := json.Unmarshal(encoded, &changes); err != nil {
+			return eris.Wrap(err, "compressed changes")
+		}
+		response.Changes = append(response.Changes, changes...)
 	}
-	response.PackedChanges = nil
-	return eris.Wrap(json.Unmarshal(encoded, &response.Changes), "compressed changes")
+	slices.SortStableFunc(response.Changes, func(a, b kumquathitch.KeyChange) int { return cmp.Compare(a.Revision, b.Revision) })
+	return nil
 }
 
 func compress(value []byte) []byte {
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -181,11 +181,12 @@
 		v.fleet.SetRemoteLoads(response.InFlight, now)
 		v.fleet.SetUnloading(response.Unloading, now)
 	}
-	if err := decompressChanges(response); err != nil {
+	complete := response.ChangesComplete || response.SegmentsComplete
+	if err := unpackChanges(response); err != nil {
 		v.log.Warn("cannot decode changes from the leader; reading the store", zap.Error(err))
-		response.ChangesComplete = false
+		complete = false
 	}
-	if response.ChangesComplete {
+	if complete {
 		v.watcher.applyFeed(response.Changes, response.StoreRevision)
 	} else {
 		v.watcher.endFeed()
@@ -230,7 +231,7 @@
 			v.demand.SetRemote(request.From, request.Demand, now)
 			// The revision is read before the changes. Changes that arrive in between are sent twice.
 			response.StoreRevision = v.watcher.currentRevision()
-			response.Changes, response.PackedChanges, response.ChangesComplete = v.changesSince(request.StoreRevision, now)
+			response.Changes, response.Segments, response.SegmentsComplete = v.changesSince(request.StoreRevision, now)
 		}
 	}
 	if leader, known := v.candidate.Leader(); known {
@@ -239,7 +240,7 @@
 	response.Suspects = v.crashGuard.CountsExcept(request.From, now)
 	document, version := v.deployments.Document()
 	response.DeploymentVersion = version
-	if version > request.DeploymentVersion && !response.ChangesComplete { // Otherwise the changes include it.
+	if version > request.DeploymentVersion && !response.SegmentsComplete { // Otherwise the changes include it.
 		response.Deployment = v.compressed.forVersion(document, version)
 	}
 	if request.StoreUnavailable && !v.watcher.storeDown(now) {
@@ -251,7 +252,7 @@
 // changesSince returns the changes of the store after a revision. It reports false
 // when some are no longer kept, or when the store does not answer this VM: other
 // VMs must not rely on a leader without the store.
-func (v *VM) changesSince(revision uint64, now time.Time) (changes []kumquathitch.KeyChange, packed []byte, ok bool) {
+func (v *VM) changesSince(revision uint64, now time.Time) (changes []kumquathitch.KeyChange, segments [][]byte, ok bool) {
 	if !v.watcher.isUpToDate(now) {
 		return nil, nil, false
 	}
--- a/vm/leader_feed.go
+++ b/vm/leader_feed.go
@@ -12,8 +12,8 @@
 	// maxFeedChanges is the number of changes that the leader keeps to pass on. A VM
 	// that is further behind reads the store itself.
 	maxFeedChanges = 1024
-	// maxPackedForms bounds the compressed forms that are kept between two changes.
-	maxPackedForms = 64
+	// minSegmentBytes is the size from which a segment is compressed.
+	minSegmentBytes = 1 << 10
 	// loadsTTL is how long the calls in flight that a VM reported are counted.
 	loadsTTL = 2 * time.Second
 	// loadsExpiryInterval is the interval at which expired loads are dropped.
@@ -24,14 +24,23 @@
 // store, so that they need no watch of their own, and the calls in flight of all VMs.
 type leaderFeed struct {
 	mutex        sync.Mutex
-	changes      []kumquathitch.KeyChange
-	baseRevision uint64            // All changes after this revision are kept.
-	packed       map[uint64][]byte // Compressed changes after a revision, until the next change.
+	segments     []*feedSegment // In the order of their revisions.
+	changeCount  int            // Number of changes in all segments.
+	baseRevision uint64         // All changes after this revision are kept.
 	loads        map[string]reportedLoads
 	totals       map[string]int // Sums of loads, by instance.
 	expireAt     time.Time      // When loads are next checked for expiry.
 }
 
+// feedSegment holds the changes that were applied together. Its compressed form is the
+// same for all VMs: after a change of the leader each VM is at another revision, and
+// compressing the changes for each of 195 VMs took all of the new leader's processor.
+type feedSegment struct {
+	changes []kumquathitch.KeyChange
+	last    uint64 // Revision of the last change.
+	packed  []byte // Compressed changes; nil until needed.
+}
+
 // reportedLoads are the calls in flight of one VM.
 type reportedLoads struct {
 	byInstance map[string]int
@@ -42,57 +51,83 @@
 func (l *leaderFeed) reset(revision uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.changes, l.baseRevision, l.packed = nil, revision, nil
+	l.segments, l.changeCount, l.baseRevision = nil, 0, revision
 }
 
-// add appends changes, and drops the oldest beyond maxFeedChanges.
+// add appends changes as a segment, and drops the oldest segments beyond maxFeedChanges.
 func (l *leaderFeed) add(changes []kumquathitch.KeyChange) {
+	if len(changes) == 0 {
+		return
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if len(changes) > 0 {
-		l.packed = nil
+	changes = lastOfEachKey(changes)
+	l.dropSuperseded(changes)
+	l.segments = append(l.segments, &feedSegment{changes: changes, last: changes[len(changes)-1].Revision})
+	l.changeCount += len(changes)
+	for l.changeCount > maxFeedChanges && len(l.segments) > 1 {
+		oldest := l.segments[0]
+		l.segments, l.changeCount, l.baseRevision = l.segments[1:], l.changeCount-len(oldest.changes), oldest.last
 	}
+}
+
+// lastOfEachKey returns the changes without those that a later one of the same key supersedes.
+func lastOfEachKey(changes []kumquathitch.KeyChange) []kumquathitch.KeyChange {
+	last := make(map[string]uint64, len(changes))
 	for _, change := range changes {
-		// An earlier change of the same key is superseded.
-		l.changes = slices.DeleteFunc(l.changes, func(earlier kumquathitch.KeyChange) bool { return earlier.Key == change.Key })
-		l.changes = append(l.changes, change)
+		last[change.Key] = change.Revision
 	}
-	if over := len(l.changes) - maxFeedChanges; over > 0 {
-		l.baseRevision = l.changes[over-1].Revision
-		l.changes = append([]kumquathitch.KeyChange(nil), l.changes[over:]...)
+	return slices.DeleteFunc(slices.Clone(changes), func(change kumquathitch.KeyChange) bool { return change.Revision != last[change.Key] })
+}
+
+// dropSuperseded removes the large values that new changes supersede: a series of
+// configurations must not be sent in full. Small ones stay, since their segment would
+// have to be compressed again.
+func (l *leaderFeed) dropSuperseded(changes []kumquathitch.KeyChange) {
+	for _, segment := range l.segments {
+		before := len(segment.changes)
+		segment.changes = slices.DeleteFunc(segment.changes, func(earlier kumquathitch.KeyChange) bool {
+			return len(earlier.Value) >= minCompressedBytes &&
+				slices.ContainsFunc(changes, func(change kumquathitch.KeyChange) bool { return change.Key == earlier.Key })
+		})
+		if removed := before - len(segment.changes); removed > 0 {
+			segment.packed, l.changeCount = nil, l.changeCount-removed
+		}
 	}
 }
 
-// changesAfter returns the changes after a revision, in compressed form when they are
-// large. ok is false when some of them are no longer kept. Most VMs ask for the changes
-// after one of a few revisions, so each compressed form is kept until the next change.
-func (l *leaderFeed) changesAfter(revision uint64) (changes []kumquathitch.KeyChange, packed []byte, ok bool) {
+// changesAfter returns the changes after a revision: the large segments compressed, and
+// the changes of the others. They may include some of that revision or before. ok is
+// false when some of them are no longer kept.
+func (l *leaderFeed) changesAfter(revision uint64) (changes []kumquathitch.KeyChange, segments [][]byte, ok bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if revision < l.baseRevision {
 		return nil, nil, false
 	}
-	if packed = l.packed[revision]; packed != nil {
-		return nil, packed, true
-	}
-	size := 0
-	for _, change := range l.changes {
-		if change.Revision > revision {
-			changes = append(changes, change)
-			size += len(change.Value)
+	for _, segment := range l.segments {
+		if segment.last <= revision || len(segment.changes) == 0 {
+			continue
+		}
+		if packed := segment.compressed(); packed != nil {
+			segments = append(segments, packed)
+		} else {
+			changes = append(changes, segment.changes...)
 		}
 	}
-	if size < minCompressedBytes {
-		return changes, nil, true
-	}
-	if packed = packChanges(changes); packed == nil {
-		return changes, nil, true
+	return changes, segments, true
+}
+
+// compressed returns the compressed form of a large segment, and nil for a small one.
+func (s *feedSegment) compressed() []byte {
+	size := 0
+	for _, change := range s.changes {
+		size += len(change.Value)
 	}
-	if l.packed == nil || len(l.packed) >= maxPackedForms {
-		l.packed = map[uint64][]byte{}
+	if s.packed == nil && size >= minSegmentBytes {
+		s.packed = packChanges(s.changes)
 	}
-	l.packed[revision] = packed
-	return nil, packed, true
+	return s.packed
 }
 
 // lastExchange returns when a VM last reported its calls in flight.
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -48,6 +48,9 @@
 	// leaseTTL is the time after which a lost leader can be replaced. The lease is
 	// renewed every 500 ms, and a slow store takes 250 ms for a renewal.
 	leaseTTL = 1500 * time.Millisecond
+	// memberTTL is the time after which a lost VM is no longer a member. Members share
+	// rates and retries and are pinged; each renewal is a paid call.
+	memberTTL = 3 * time.Second
 	// fencedHandoverDelay is the handover delay of a new leader when the instances
 	// check fencing tokens: they refuse late orders of an earlier leader.
 	fencedHandoverDelay = 300 * time.Millisecond
@@ -120,7 +123,7 @@
 	}
 	v.globalScheduler = fleet.NewGlobalScheduler(v.fleet)
 	member := kumquathitch.Member{Name: environment.Name, Address: environment.PeerAddress, DataCentre: environment.DataCentre, Started: time.Now().Round(0), Capacity: leaderCapacity(environment)}
-	timing := election.Timing{LeaseTTL: leaseTTL, HandoverDelay: environment.HandoverDelay}
+	timing := election.Timing{LeaseTTL: leaseTTL, MemberTTL: memberTTL, HandoverDelay: environment.HandoverDelay}
 	if environment.ChecksFencing {
 		timing.HandoverDelay = fencedHandoverDelay
 	}
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -442,10 +442,10 @@
 	must.Eq(t, 500, response.TokensGranted["crew"])
 	must.Nil(t, response.InFlight)
 	must.SliceEmpty(t, response.Deployment)
-	must.False(t, response.ChangesComplete)
+	must.False(t, response.SegmentsComplete)
 	draw.TokensOnly = false
 	must.NoError(t, client.Call(t.Context(), v.peers, "vm.exchange", draw, &response))
-	must.True(t, response.ChangesComplete || len(response.Deployment) > 0)
+	must.True(t, response.SegmentsComplete || len(response.Deployment) > 0)
 }
 
 // In a large fleet the leader names another VM as the scheduler, and a third one when that
