--- a/quota/issuer.go
+++ b/quota/issuer.go
@@ -129,8 +129,8 @@
 }
 
 // issue takes back returned tokens and grants up to the wanted ones, of which calls wait
-// for the urgent part. If it grants less than that part, retryAfter is the time after
-// which to ask again. The level is what remains.
+// for the urgent part. If a call could not get the rest now, retryAfter is the time
+// after which to ask again. The level is what remains.
 func (iss *Issuer) issue(tenant *kumquathitch.Tenant, returned, wanted, urgent, liveFraction float64, now time.Time) (granted, level float64, retryAfter time.Duration) {
 	s := &iss.shards[kumquathitch.ShardOf(tenant.Name, shardCount)]
 	s.mutex.Lock()
@@ -149,13 +149,13 @@
 		return 0, bucket.level, 0
 	}
 	granted = max(0, min(urgent, bucket.level))
+	reserve := min(tenant.Burst/2, reserveTime.Seconds()*tenant.Rate)
+	granted += max(0, min(wanted-urgent, bucket.level-granted-reserve))
 	bucket.level -= granted
-	if lacking := urgent - granted; lacking > 0 {
+	// Calls may still draw from the reserve.
+	if lacking := max(urgent-granted, wanted-granted-bucket.level); lacking > 0 {
 		waitSeconds := lacking / max(1, tenant.Rate*liveFraction)
 		retryAfter = max(minRetryWait, min(time.Second, time.Duration(waitSeconds*float64(time.Second)))) / 2
-	} else if stock := min(wanted-urgent, bucket.level-min(tenant.Burst/2, reserveTime.Seconds()*tenant.Rate)); stock > 0 {
-		bucket.level -= stock
-		granted += stock
 	}
 	return granted, bucket.level, retryAfter
 }
