--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -247,4 +247,16 @@
 	placed := controller.PlaceAdapter(context.Background(), &services[0], kumquathitch.AdapterRequest{Service: "llm", Model: "m2", Adapter: "a2"}, kumquathitch.Instances{listed})
 	must.Eq(t, []string{"s0"}, placed)
 	must.True(t, e.models.Holds("m2", "a2"))
+	orders := e.accepted
+	var callers sync.WaitGroup
+	for range 50 { // Requests of many VMs for one adapter are planned once.
+		callers.Go(func() {
+			request := kumquathitch.AdapterRequest{Service: "llm", Model: "m2", Adapter: "a1"}
+			held := controller.PlaceAdapter(context.Background(), &services[0], request, kumquathitch.Instances{listed})
+			must.Eq(t, []string{"s0"}, held)
+		})
+	}
+	callers.Wait()
+	must.LessEq(t, orders+1, e.accepted)
+	must.True(t, e.models.Holds("m2", "a1"))
 }
--- a/relay/trouble_test.go
+++ b/relay/trouble_test.go
@@ -251,6 +251,34 @@
 	wait.Wait()
 }
 
+// TestStreamOutlivesItsEntry removes the entry of an instance while it runs a stream, as
+// the store does when the instance is silent or slow to report. The stream must go on
+// there, and must not be started on the other instance.
+func TestStreamOutlivesItsEntry(t *testing.T) {
+	vm := newTestVM(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	one := vm.startScripted("i-1", func(call *standin.ScriptedCall) bool {
+		call.WriteHead("200 OK", "Content-Type: text/event-stream\r\nConnection: close\r\n")
+		call.Write("id: 1\ndata: event 1\n\n")
+		close(begun)
+		<-release
+		call.Write("id: 2\ndata: event 2\n\n")
+		return false
+	})
+	result := make(chan callResult, 1)
+	go func() { result <- vm.call("r1", "/stream/plan/1") }()
+	<-begun
+	vm.fleet.Remove("i-1")
+	other := standin.NewInstance("i-2", "llm")
+	vm.startInstance(other)
+	close(release)
+	got := <-result
+	must.NoError(t, got.err)
+	must.Eq(t, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", got.body)
+	must.Eq(t, 1, one.Calls("r1"))
+	must.Eq(t, 0, other.Executions("r1"))
+}
+
 // panickingDialect panics on some responses, as a decoder with a fault would.
 type panickingDialect struct {
 	platform.Dialect
