--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -257,6 +257,6 @@
 		})
 	}
 	callers.Wait()
-	must.LessEq(t, orders+1, e.accepted)
+	must.LessEq(t, orders+2, e.accepted) // A slot is freed for it, and it is loaded.
 	must.True(t, e.models.Holds("m2", "a1"))
 }
