Log the scheduler's decisions by cause, and the processor time of the leader

The logs could not tell why calls of class rig-plan were refused on the large site: whether engines were full, models had no engine, or the leader had no time to pass on tokens and orders.

--- a/dispatch.go
+++ b/dispatch.go
@@ -17,6 +17,7 @@
 	GapLimit          time.Duration // Longest pause between events of a stream; 0 when there is none.
 	HoldUntil         time.Time     // Until then the call may wait for an instance that is not saturated.
 	FirstByteDeadline time.Time     // A call whose response cannot start by then is refused; zero to accept it in any case.
+	Priority          int           // 0 is the most urgent.
 	NoRetry           bool          // The call runs at most once; it is not used to probe an instance that has failed.
 	Exclude           []string      // Instances that were already tried.
 }
--- a/exchange.go
+++ b/exchange.go
@@ -72,7 +72,8 @@
 	Model             string         `json:"model"`
 	Adapter           string         `json:"adapter,omitempty"`
 	Prompt            PromptParts    `json:"prompt,omitempty"`
-	Tokens            int64          `json:"tokens"` // Tokens of the prompt.
+	Tokens            int64          `json:"tokens"`             // Tokens of the prompt.
+	Priority          int            `json:"priority,omitempty"` // 0 is the most urgent.
 	LatencyObjective  time.Duration  `json:"objective"`
 	GapLimit          time.Duration  `json:"gap-limit,omitempty"` // Longest pause between events of a stream; 0 when there is none.
 	MaxHold           time.Duration  `json:"hold,omitempty"`      // Longest wait before the call is sent.
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -38,6 +38,7 @@
 	vms      [shardCount]vmShard
 	engines  [shardCount]engineShard
 	runTimes [shardCount]runTimeShard
+	counts   scheduleCounter
 }
 
 // runTimeShard holds the average run time on full engines in milliseconds, by service.
@@ -66,6 +67,7 @@
 // engineState is the scheduler's view of one engine.
 type engineState struct {
 	calls        int       // In flight, of all VMs.
+	slots        float64   // Of the engine, as last described; 0 before the first call.
 	prefillUntil time.Time // Estimated end of the assigned prefill, which gets prefillShare of the time.
 	started      time.Time // Start of the engine; a restart discards the assigned prefill and the cached prompts.
 	prompts      prefixCache
@@ -167,11 +169,18 @@
 		}
 	}
 	if best.instance == nil {
+		gs.counts.add(request.Priority, ScheduleCounts{NoEngine: 1})
 		return kumquathitch.ScheduleResponse{}
 	}
 	if late := duration(best.waitMS+best.ttfbMS) - request.FirstByteLimit; request.FirstByteLimit > 0 && late > 0 {
+		if duration(best.slotWaitMS) >= late {
+			gs.counts.add(request.Priority, ScheduleCounts{FullSlots: 1})
+		} else {
+			gs.counts.add(request.Priority, ScheduleCounts{FullPrefill: 1})
+		}
 		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: late}
 	}
+	gs.counts.add(request.Priority, ScheduleCounts{Assigned: 1})
 	gs.assign(request.From, &best, chain, now)
 	return kumquathitch.ScheduleResponse{
 		Instance: best.instance.id, PrefillTokens: best.prefillTokens, Wait: duration(best.waitMS), ExpectedTTFB: duration(best.ttfbMS),
@@ -184,6 +193,7 @@
 	prefillTokens int64
 	prefillMS     float64 // Prefill of prefillTokens.
 	waitMS        float64 // From now until the call may be sent.
+	slotWaitMS    float64 // Part of ttfbMS until a slot is free.
 	ttfbMS        float64 // From the send to the first event.
 	costMS        float64
 }
@@ -209,8 +219,9 @@
 		option.waitMS = min(option.waitMS, milliseconds(request.MaxHold))
 	}
 	backlogAtSendMS := max(0, backlogMS-prefillShare*option.waitMS)
-	excess := max(0, float64(engine.calls+1)-snapshot.slots)
-	option.ttfbMS = backlogAtSendMS + option.prefillMS + excess*runTimeMS/snapshot.slots
+	engine.slots = snapshot.slots
+	option.slotWaitMS = max(0, float64(engine.calls+1)-snapshot.slots) * runTimeMS / snapshot.slots
+	option.ttfbMS = backlogAtSendMS + option.prefillMS + option.slotWaitMS
 	option.costMS = option.waitMS + option.ttfbMS + fullBatchCostFraction*objectiveMS*float64(engine.calls)/snapshot.slots
 	if gapLimitMS > 0 && backlogAtSendMS+option.prefillMS > (1-prefillShare)*gapLimitMS {
 		option.costMS += delayedStreamCost * objectiveMS * min(float64(engine.calls), snapshot.slots)
--- a/fleet/global_scheduler_test.go
+++ b/fleet/global_scheduler_test.go
@@ -105,3 +105,24 @@
 	excluding.Exclude = []string{"one", "two"}
 	must.Eq(t, kumquathitch.ScheduleResponse{}, scheduler.Schedule(excluding, start))
 }
+
+// TestSchedulerCountsRefusalsByCause guards against logs that cannot tell full engines
+// from models without an engine.
+func TestSchedulerCountsRefusalsByCause(t *testing.T) {
+	scheduler := newScheduler("one")
+	scheduler.SetVMLoads("entry-1", map[string]int{"one": 30}, start)
+	urgent := scheduleRequest("entry-2", nil)
+	urgent.Priority = 1
+	scheduler.Schedule(urgent, start)
+	unlimited := scheduleRequest("entry-2", nil)
+	unlimited.FirstByteLimit = 0
+	scheduler.Schedule(unlimited, start)
+	absent := scheduleRequest("entry-2", nil)
+	absent.Model = "m2"
+	scheduler.Schedule(absent, start)
+	must.Eq(t, map[int]fleet.ScheduleCounts{0: {Assigned: 1, NoEngine: 1}, 1: {FullSlots: 1}}, scheduler.TakeCounts())
+	must.MapLen(t, 0, scheduler.TakeCounts())
+	use := scheduler.EngineUse(start)
+	must.Eq(t, fleet.EngineUse{Engines: 1, Full: 1, Calls: 30, Backlog: use.Backlog}, use)
+	must.Greater(t, 0, use.Backlog)
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -160,6 +160,7 @@
 	rc.criteria = kumquathitch.InstanceCriteria{
 		Service: rc.pickService(), Model: rc.call.Model, Adapter: rc.call.Adapter,
 		Prompt: rc.call.Prompt, Tokens: rc.call.PromptTokens, LatencyObjective: objective, GapLimit: rc.route.GapLimit,
+		Priority:          rc.priority(),
 		NoRetry:           rc.route.RetryMode == kumquathitch.RetryNever,
 		HoldUntil:         rc.received.Add(time.Duration(holdFraction * float64(objective))),
 		FirstByteDeadline: rc.received.Add(objective),
--- a/relay/send.go
+++ b/relay/send.go
@@ -147,7 +147,7 @@
 	}
 	now := a.Clock.Now()
 	header := a.Dialect.ForwardHeader(a.request.Header, kumquathitch.Dispatch{
-		Account: account, Instance: a.choice.Instance.ID, Priority: a.priority(),
+		Account: account, Instance: a.choice.Instance.ID, Priority: a.criteria.Priority,
 		Deadline: a.deadline, LastEventID: a.stream.resumeAfter(),
 	}, now)
 	if len(a.body) > 0 || a.request.Method == http.MethodPost || a.request.Method == http.MethodPut {
@@ -167,11 +167,11 @@
 }
 
 // priority ranks calls by account first, then by route.
-func (a *attempt) priority() int {
-	if a.tenant == nil || a.tenant.Priority < 0 {
-		return a.route.Priority
+func (rc *relayedCall) priority() int {
+	if rc.tenant == nil || rc.tenant.Priority < 0 {
+		return rc.route.Priority
 	}
-	return accountPriorityStep*a.tenant.Priority + min(a.route.Priority, accountPriorityStep-1)
+	return accountPriorityStep*rc.tenant.Priority + min(rc.route.Priority, accountPriorityStep-1)
 }
 
 // accountPriorityStep is the number of route priorities within one account priority.
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -239,6 +239,7 @@
 		response.LeaderAddress = leader.Address
 	}
 	response.Suspects = v.crashGuard.CountsExcept(request.From, now)
+	v.roleLoad.addSuspects(len(response.Suspects))
 	document, version := v.deployments.Document()
 	response.DeploymentVersion = version
 	if version > request.DeploymentVersion && !response.SegmentsComplete { // Otherwise the changes include it.
--- a/vm/role_load.go
+++ b/vm/role_load.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,11 +26,13 @@
 	since   time.Time
 	counts  roleCounts
 	longest time.Duration // Longest round of the placement.
+	used    time.Duration // Processor time of the process up to since.
 }
 
 type roleCounts struct {
 	Exchanges, Draws, Schedules, Adapters int
 	Wanted, Granted, Returned             float64 // Tokens, of all accounts.
+	Suspects                              int     // Crash counts in the responses.
 }
 
 func newRoleLoad(set *metrics.Set) *roleLoad {
@@ -56,6 +59,13 @@
 	l.counts.Returned += sum(request.TokensReturned)
 }
 
+// addSuspects counts the crash counts that a response carries.
+func (l *roleLoad) addSuspects(count int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.counts.Suspects += count
+}
+
 func sum(tokens map[string]float64) float64 {
 	total := 0.0
 	for _, count := range tokens {
@@ -90,15 +100,26 @@
 
 // log writes the load since the last call, if there was any.
 func (l *roleLoad) log(log *zap.Logger, leading bool, now time.Time) {
+	used := processorTime()
 	l.mutex.Lock()
-	counts, longest, period := l.counts, l.longest, now.Sub(l.since)
-	l.counts, l.longest, l.since = roleCounts{}, 0, now
+	counts, longest, period, spent := l.counts, l.longest, now.Sub(l.since), used-l.used
+	l.counts, l.longest, l.since, l.used = roleCounts{}, 0, now, used
 	l.mutex.Unlock()
 	if counts == (roleCounts{}) {
 		return
 	}
 	log.Info("load of this VM's roles", zap.Bool("leading", leading), zap.Duration("period", period), zap.Int("exchanges", counts.Exchanges),
-		zap.Int("draws", counts.Draws), zap.Int("schedules", counts.Schedules), zap.Int("adapters", counts.Adapters), zap.Duration("longest-placement-round", longest),
+		zap.Int("draws", counts.Draws), zap.Int("schedules", counts.Schedules), zap.Int("adapters", counts.Adapters), zap.Duration("longest-placement-round", longest), zap.Duration("processor-time", spent), zap.Int("suspects-sent", counts.Suspects),
 		zap.Float64("tokens-wanted", math.Round(counts.Wanted)), zap.Float64("tokens-granted", math.Round(counts.Granted)),
 		zap.Float64("tokens-returned", math.Round(counts.Returned)))
 }
+
+// processorTime returns the processor time that this process has used, or 0 if the
+// platform does not tell.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/vm/scheduler_role.go
+++ b/vm/scheduler_role.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,3 +53,20 @@
 	v.log.Info("scheduler named", zap.String("vm", chosen.Name), zap.String("address", chosen.Address), zap.Int("members", len(members)))
 	v.schedulerRole.learn(chosen.Address)
 }
+
+// logSchedules logs the decisions of this VM as the scheduler since the last call, if
+// there were any. Calls that are refused because engines are full, and calls for which
+// there is no engine, have different causes.
+func (v *VM) logSchedules(now time.Time) {
+	counts := v.globalScheduler.TakeCounts()
+	if len(counts) == 0 {
+		return
+	}
+	use := v.globalScheduler.EngineUse(now)
+	for _, priority := range slices.Sorted(maps.Keys(counts)) {
+		c := counts[priority]
+		v.log.Info("calls scheduled", zap.Int("priority", priority), zap.Int("assigned", c.Assigned), zap.Int("full-by-prefill", c.FullPrefill),
+			zap.Int("full-by-slots", c.FullSlots), zap.Int("no-engine", c.NoEngine), zap.Int("engines", use.Engines), zap.Int("engines-full", use.Full),
+			zap.Int("calls", use.Calls), zap.Duration("prefill-left", use.Backlog), zap.Int("deep-queues", use.DeepQueue))
+	}
+}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -251,4 +251,5 @@
 	v.handler.Pool.CloseExpired(now)
 	_, leading := v.candidate.CurrentTerm()
 	v.roleLoad.log(v.log, leading, now)
+	v.logSchedules(now)
 }
