Share the crash counts of blocked calls only, not of all calls on crashed engines

Cause: the crash of an engine counts once for each call on it. The leader kept these counts for a minute and sent all of them in each response, twice a second to each of 195 VMs. After 31 engines crashed, this took the whole processor of the leader (1.7 s in 2 s at a share of 0.8), so that tokens arrived after calls had given up waiting for them, and rounds of the placement took up to 11 s, while engines were half idle. Ruled out by the lines `calls scheduled` and `load of this VM's roles`: a lack of tokens (all that is wanted is granted) and full engines (600 calls in 1,400 slots).

Change: a VM only has to know which calls are blocked. The leader sends the counts of these, 128 at most. VMs report their own counts to each new leader, since it no longer gets them from the one before.

TestCountsOfInnocentCallsAreNotShared: 400 counts in each response before (run with the name of the old function), 0 after.

Conclusion: messages on the leader's path must not grow with the calls in flight. The counts of a lost leader's term are reported again, which TestNewLeaderGetsCrashCounts checks.

--- a/retry/crash_guard.go
+++ b/retry/crash_guard.go
@@ -19,6 +19,8 @@
 	// maxRecordsPerShard bounds the records of a shard. The older half is dropped when
 	// it is reached.
 	maxRecordsPerShard = 512
+	// maxSharedCounts bounds the counts in one message to another VM. The newest are sent.
+	maxSharedCounts = 128
 )
 
 // CrashGuard counts the instances whose connection broke while they ran a call, by the
@@ -37,7 +39,7 @@
 	remoteCrashes  map[string]int // Crashes that other VMs reported, by VM.
 	clearedCrashes int            // All crashes up to the last success of the call; these do not count.
 	lastCrash      time.Time
-	reported       bool // The present localCrashes was handed out by TakeUnreported.
+	reportedTo     string // VM to which the present localCrashes was reported; empty for none.
 }
 
 // NewCrashGuard returns a guard without records.
@@ -55,7 +57,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	record := s.records[fingerprint]
-	return record != nil && now.Sub(record.lastCrash) < recordTTL && record.totalCrashes()-record.clearedCrashes >= maxCrashes
+	return record != nil && record.blocked(now)
 }
 
 // RecordCrash counts an instance whose connection broke while it ran the call.
@@ -65,7 +67,7 @@
 	defer s.mutex.Unlock()
 	record := s.record(fingerprint, now)
 	record.localCrashes++
-	record.lastCrash, record.reported = now, false
+	record.lastCrash, record.reportedTo = now, ""
 }
 
 // RecordSuccess records that an instance answered the call, so the call did not cause
@@ -79,16 +81,16 @@
 	}
 }
 
-// TakeUnreported returns this VM's own crash counts that changed since they were last
-// reported to other VMs, and marks them as reported.
-func (g *CrashGuard) TakeUnreported() kumquathitch.Suspects {
+// TakeUnreported returns this VM's own crash counts that were not yet reported to a VM,
+// and marks them as reported to it. A new leader is sent all of them again.
+func (g *CrashGuard) TakeUnreported(vm string, now time.Time) kumquathitch.Suspects {
 	var unreported kumquathitch.Suspects
 	for i := range g.shards {
 		s := &g.shards[i]
 		s.mutex.Lock()
 		for fingerprint, record := range s.records {
-			if record.localCrashes > 0 && !record.reported {
-				record.reported = true
+			if record.localCrashes > 0 && record.reportedTo != vm && now.Sub(record.lastCrash) < recordTTL {
+				record.reportedTo = vm
 				unreported = append(unreported, kumquathitch.Suspect{Fingerprint: fingerprint, Crashes: record.localCrashes, Seen: record.lastCrash})
 			}
 		}
@@ -103,7 +105,7 @@
 		s := g.shard(suspect.Fingerprint)
 		s.mutex.Lock()
 		if record := s.records[suspect.Fingerprint]; record != nil {
-			record.reported = false
+			record.reportedTo = ""
 		}
 		s.mutex.Unlock()
 	}
@@ -122,20 +124,24 @@
 	}
 }
 
-// CountsExcept returns the crash counts of all VMs but one, to be sent to that VM.
-func (g *CrashGuard) CountsExcept(vm string, now time.Time) kumquathitch.Suspects {
+// BlockedCounts returns the crash counts of blocked calls, without those of one VM, to be
+// sent to that VM. The crash of an engine counts once for each call on it: after 31
+// engines crashed, the counts of all these calls in each message took the processor and
+// the network of a leader of 195 VMs.
+func (g *CrashGuard) BlockedCounts(vm string, now time.Time) kumquathitch.Suspects {
 	var counts kumquathitch.Suspects
 	for i := range g.shards {
 		s := &g.shards[i]
 		s.mutex.Lock()
 		for fingerprint, record := range s.records {
-			if count := record.totalCrashes() - record.remoteCrashes[vm]; count > 0 && now.Sub(record.lastCrash) < recordTTL {
+			if count := record.totalCrashes() - record.remoteCrashes[vm]; count > 0 && record.blocked(now) {
 				counts = append(counts, kumquathitch.Suspect{Fingerprint: fingerprint, Crashes: count, Seen: record.lastCrash})
 			}
 		}
 		s.mutex.Unlock()
 	}
-	return counts
+	slices.SortFunc(counts, func(a, b kumquathitch.Suspect) int { return b.Seen.Compare(a.Seen) })
+	return counts[:min(len(counts), maxSharedCounts)]
 }
 
 func (g *CrashGuard) shard(fingerprint uint64) *guardShard {
@@ -167,6 +173,10 @@
 	}
 }
 
+func (r *crashRecord) blocked(now time.Time) bool {
+	return now.Sub(r.lastCrash) < recordTTL && r.totalCrashes()-r.clearedCrashes >= maxCrashes
+}
+
 func (r *crashRecord) totalCrashes() int {
 	total := r.localCrashes
 	for _, count := range r.remoteCrashes {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/retry"
 )
 
@@ -63,9 +64,9 @@
 	one.RecordCrash(innocent, start)
 	two.RecordCrash(call, start)
 	leader.RecordCrash(call, start)
-	leader.Merge("one", one.TakeUnreported(), start)
-	leader.Merge("two", two.TakeUnreported(), start)
-	one.Merge("", leader.CountsExcept("one", start), start)
+	leader.Merge("one", one.TakeUnreported("leader", start), start)
+	leader.Merge("two", two.TakeUnreported("leader", start), start)
+	one.Merge("", leader.BlockedCounts("one", start), start)
 	must.True(t, leader.Blocked(call, start))
 	must.True(t, one.Blocked(call, start))
 	must.False(t, two.Blocked(call, start))
@@ -93,11 +94,35 @@
 func TestUndeliveredCountsAreReportedAgain(t *testing.T) {
 	guard := retry.NewCrashGuard()
 	guard.RecordCrash(5, start)
-	counts := guard.TakeUnreported()
+	counts := guard.TakeUnreported("leader", start)
 	must.Len(t, 1, counts)
-	must.Len(t, 0, guard.TakeUnreported())
+	must.Len(t, 0, guard.TakeUnreported("leader", start))
 	guard.MarkUnreported(counts)
-	must.Len(t, 1, guard.TakeUnreported())
+	must.Len(t, 1, guard.TakeUnreported("leader", start))
+}
+
+// TestNewLeaderGetsCrashCounts guards against counts that are lost with the leader.
+func TestNewLeaderGetsCrashCounts(t *testing.T) {
+	guard := retry.NewCrashGuard()
+	guard.RecordCrash(5, start)
+	must.Len(t, 1, guard.TakeUnreported("leader", start))
+	must.Len(t, 1, guard.TakeUnreported("next-leader", start))
+	must.Len(t, 0, guard.TakeUnreported("another", start.Add(2*time.Minute)))
+}
+
+// TestCountsOfInnocentCallsAreNotShared guards against messages to all VMs that grow
+// with the number of calls on crashed engines.
+func TestCountsOfInnocentCallsAreNotShared(t *testing.T) {
+	leader := retry.NewCrashGuard()
+	for call := range uint64(400) {
+		leader.Merge("entry-1", kumquathitch.Suspects{{Fingerprint: call, Crashes: 1}}, start)
+	}
+	must.Len(t, 0, leader.BlockedCounts("entry-2", start))
+	for call := range uint64(400) {
+		leader.Merge("entry-3", kumquathitch.Suspects{{Fingerprint: call, Crashes: 2}}, start)
+	}
+	must.LessEq(t, 128, len(leader.BlockedCounts("entry-2", start)))
+	must.Greater(t, 0, len(leader.BlockedCounts("entry-2", start)))
 }
 
 // TestCrashRecordsAreBounded guards against callers that exhaust the memory of a VM.
@@ -106,5 +131,5 @@
 	for i := range uint64(20_000) {
 		guard.RecordCrash(i, start.Add(time.Duration(i)*time.Millisecond))
 	}
-	must.LessEq(t, 8*512, len(guard.TakeUnreported()))
+	must.LessEq(t, 8*512, len(guard.TakeUnreported("leader", start)))
 }
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -108,12 +108,15 @@
 	request := kumquathitch.ExchangeRequest{From: v.environment.Name, TokensOnly: tokensOnly}
 	if !tokensOnly {
 		request.DeploymentVersion, request.Demand, request.InFlight = v.deployments.Version(), v.demand.Local(now), v.fleet.LocalLoads()
-		request.StoreRevision, request.StoreUnavailable, request.Suspects = v.watcher.currentRevision(), v.watcher.needsPeers(now), v.crashGuard.TakeUnreported()
+		request.StoreRevision, request.StoreUnavailable = v.watcher.currentRevision(), v.watcher.needsPeers(now)
 	}
 	address, self := v.exchangePeer(request.StoreUnavailable)
 	if address == "" && !self {
 		return
 	}
+	if !tokensOnly {
+		request.Suspects = v.crashGuard.TakeUnreported(address, now)
+	}
 	if snapshot := v.deployments.Snapshot(); snapshot != nil {
 		v.rateLimiter.PrepareExchange(&request, snapshot.Deployment.Tenants, now)
 	}
@@ -238,7 +241,7 @@
 	if leader, known := v.candidate.Leader(); known {
 		response.LeaderAddress = leader.Address
 	}
-	response.Suspects = v.crashGuard.CountsExcept(request.From, now)
+	response.Suspects = v.crashGuard.BlockedCounts(request.From, now)
 	v.roleLoad.addSuspects(len(response.Suspects))
 	document, version := v.deployments.Document()
 	response.DeploymentVersion = version
