Look at the engines that hold the model only, when an adapter is requested

A call for an adapter that no engine holds asks the leader for it every 60 ms. For each such request the leader copied and sorted the descriptions of all instances, and planned over all engines.

Change: the request reads the engines that list the model, and only if no result is shared. The adapter planner decides as before: other engines could not be chosen, and the demand that it assumes knows no other adapter.

TestAdapterRequestCostIsIndependentOfFleetSize, before: 41 allocations with 4 engines, 636 with 200; it fails.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -223,6 +223,17 @@
 	return all
 }
 
+// Holders returns the descriptions of the instances of a service that list a model, in
+// no particular order.
+func (f *Fleet) Holders(service, model string) kumquathitch.Instances {
+	listed := f.instancesIn(group{service: service, model: model})
+	holders := make(kumquathitch.Instances, 0, len(listed))
+	for _, inst := range listed {
+		holders = append(holders, inst.snapshot())
+	}
+	return holders
+}
+
 // Instance returns the description of an instance, or false if it is not in the fleet.
 func (f *Fleet) Instance(id string) (kumquathitch.Instance, bool) {
 	inst := f.instanceState(id)
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -95,6 +95,7 @@
 	now := c.clock.Now()
 	c.startTerm(fence)
 	c.applyDescriptions(instances, now)
+	c.dropUnlisted(now)
 	for i := range services {
 		s := &services[i]
 		if s.Engine == nil {
@@ -283,11 +284,15 @@
 
 // applyDescriptions updates the states from the descriptions. The state of an
 // unlisted instance is kept for a while, since the entry of an instance that is
-// cut off from the store expires while the instance runs on.
+// cut off from the store expires while the instance runs on; see dropUnlisted.
 func (c *Controller) applyDescriptions(instances kumquathitch.Instances, now time.Time) {
 	for _, instance := range instances {
 		c.withState(instance.ID, func(st *instanceState) { st.applyDescription(instance, now) })
 	}
+}
+
+// dropUnlisted drops the states of instances that have not been listed for unlistedRetention.
+func (c *Controller) dropUnlisted(now time.Time) {
 	for i := range c.shards {
 		s := &c.shards[i]
 		s.mutex.Lock()
@@ -396,8 +401,10 @@
 
 // PlaceAdapter returns the ids of the instances that hold an adapter. When there
 // are none, it orders one to load it; it returns nil when that fails. Requests for one
-// adapter at the same time, or shortly after, share one result.
-func (c *Controller) PlaceAdapter(ctx context.Context, s *kumquathitch.Service, request kumquathitch.AdapterRequest, instances kumquathitch.Instances) []string {
+// adapter at the same time, or shortly after, share one result. holders returns the
+// instances whose descriptions list the model; it is called for the first of such
+// requests only.
+func (c *Controller) PlaceAdapter(ctx context.Context, s *kumquathitch.Service, request kumquathitch.AdapterRequest, holders func() kumquathitch.Instances) []string {
 	shared, first := c.joinAdapterCall(request)
 	if !first {
 		select {
@@ -411,7 +418,7 @@
 		shared.expires = c.clock.Now().Add(adapterResultTTL)
 		close(shared.done)
 	}()
-	shared.held = c.placeAdapter(ctx, s, request, instances)
+	shared.held = c.placeAdapter(ctx, s, request, holders())
 	return shared.held
 }
 
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -244,7 +244,7 @@
 	}
 	must.True(t, e.models.Holds("m2", ""))
 	must.True(t, e.models.Holds("m0", ""))
-	placed := controller.PlaceAdapter(context.Background(), &services[0], kumquathitch.AdapterRequest{Service: "llm", Model: "m2", Adapter: "a2"}, kumquathitch.Instances{listed})
+	placed := controller.PlaceAdapter(context.Background(), &services[0], kumquathitch.AdapterRequest{Service: "llm", Model: "m2", Adapter: "a2"}, func() kumquathitch.Instances { return kumquathitch.Instances{listed} })
 	must.Eq(t, []string{"s0"}, placed)
 	must.True(t, e.models.Holds("m2", "a2"))
 	orders := e.accepted
@@ -252,7 +252,7 @@
 	for range 50 { // Requests of many VMs for one adapter are planned once.
 		callers.Go(func() {
 			request := kumquathitch.AdapterRequest{Service: "llm", Model: "m2", Adapter: "a1"}
-			held := controller.PlaceAdapter(context.Background(), &services[0], request, kumquathitch.Instances{listed})
+			held := controller.PlaceAdapter(context.Background(), &services[0], request, func() kumquathitch.Instances { return kumquathitch.Instances{listed} })
 			must.Eq(t, []string{"s0"}, held)
 		})
 	}
@@ -260,3 +260,36 @@
 	must.LessEq(t, orders+2, e.accepted) // A slot is freed for it, and it is loaded.
 	must.True(t, e.models.Holds("m2", "a1"))
 }
+
+// TestAdapterRequestCostIsIndependentOfFleetSize guards against a leader that spends its
+// processor time on requests for adapters, each of which looked at all engines.
+func TestAdapterRequestCostIsIndependentOfFleetSize(t *testing.T) {
+	allocations := func(engines int) float64 {
+		now := clock.NewManual(time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC))
+		f := &fakeFleet{spec: testSpec(3), clock: now, engines: map[string]*fakeEngine{}}
+		controller := placement.NewController(f, "vm", func() (uint64, bool) { return 9, true }, now, zap.NewNop(), metrics.NewSet(), telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()))
+		services := kumquathitch.Services{{Name: "llm", Engine: f.spec}}
+		var listed kumquathitch.Instances
+		for i := range engines {
+			id := fmt.Sprintf("s%d", i)
+			e := &fakeEngine{models: kumquathitch.ResidentModels{{Name: "m0"}}}
+			if i == 0 {
+				e.models = kumquathitch.ResidentModels{{Name: "m1", Adapters: []string{"a1"}}}
+			}
+			f.engines[id] = e
+			listed = append(listed, kumquathitch.Instance{ID: id, Service: "llm", Address: id, Revision: 1, Models: cloneResidents(e.models)})
+		}
+		for range 8 {
+			f.advance(250 * time.Millisecond)
+			controller.Reconcile(context.Background(), services, listed, map[string]float64{"llm/m1": 100})
+		}
+		holders := func() kumquathitch.Instances { return listed[:1] }
+		return testing.AllocsPerRun(20, func() {
+			now.Advance(time.Second) // Beyond the time for which the last result is shared.
+			held := controller.PlaceAdapter(context.Background(), &services[0], kumquathitch.AdapterRequest{Service: "llm", Model: "m1", Adapter: "a1"}, holders)
+			must.Eq(t, []string{"s0"}, held)
+		})
+	}
+	few, many := allocations(4), allocations(200)
+	must.LessEq(t, 2*few, many, must.Sprintf("%.0f allocations with 4 engines, %.0f with 200", few, many))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,7 +5,7 @@
 //
 //	controller := placement.NewController(control, holder, currentFence, clock, log, metrics, panics)
 //	controller.Reconcile(ctx, services, instances, demand) // Several times a second.
-//	ids := controller.PlaceAdapter(ctx, service, request, instances) // For a call whose adapter no instance holds.
+//	ids := controller.PlaceAdapter(ctx, service, request, holders) // For a call whose adapter no instance holds.
 //
 // The memory in use on an instance is computed from its description and from
 // every order that may still be carried out. An order without a response counts
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -319,7 +319,8 @@
 	if service == nil || service.Engine == nil {
 		return kumquathitch.AdapterResponse{}, nil
 	}
-	return kumquathitch.AdapterResponse{Instances: v.placer.PlaceAdapter(ctx, service, request, v.fleet.Instances())}, nil
+	holders := func() kumquathitch.Instances { return v.fleet.Holders(request.Service, request.Model) }
+	return kumquathitch.AdapterResponse{Instances: v.placer.PlaceAdapter(ctx, service, request, holders)}, nil
 }
 
 // peerServer returns a server for the calls of other entry VMs.
