Block prompt parts that crash engines

A part of a prompt may crash each engine that begins to answer a call with it, whatever else the call holds.

Cause: CrashGuard knows calls by their whole content, and no two of these calls are alike. It also missed engines that crash before the first byte on a kept connection, which look like an idle connection that is closed.

Change: PromptGuard counts crashes by part, of engines that had answered none of the part's calls yet; any answer on any VM clears a part. Three crashes 150 ms apart, and a second in which no VM reports an answer, block it for a minute. Counting crashes alone would block the popular parts of all calls on the crashed engines; blocking by account or first part would refuse sound calls. VMs pass their observations on through the leader, bounded by number.

--- a/dispatch.go
+++ b/dispatch.go
@@ -153,6 +153,20 @@
 	RecordSuccess(fingerprint uint64)
 }
 
+// PromptGuard blocks calls with a prompt part that crashes instances. Implementations are
+// safe for concurrent use.
+type PromptGuard interface {
+	// BlockedUntil returns the time until which calls with the prompt are blocked, and
+	// false if they are not.
+	BlockedUntil(prompt PromptParts, now time.Time) (time.Time, bool)
+	// Suspected reports whether a retry of a call with the prompt may crash an instance.
+	Suspected(prompt PromptParts, now time.Time) bool
+	// RecordCrash records an instance whose connection broke before it answered.
+	RecordCrash(prompt PromptParts, instance *Instance, now time.Time)
+	// RecordAnswer records that an instance answers a call with the prompt.
+	RecordAnswer(prompt PromptParts, now time.Time)
+}
+
 // AdapterPlacer has adapters loaded on demand. Implementations are safe for
 // concurrent use.
 type AdapterPlacer interface {
--- a/exchange.go
+++ b/exchange.go
@@ -13,6 +13,7 @@
 	TokensUrgent      map[string]float64 `json:"urgent,omitempty"`        // Part of TokensWanted that calls wait for, by account.
 	TokensReturned    map[string]float64 `json:"return,omitempty"`        // By account.
 	Suspects          Suspects           `json:"suspects,omitempty"`      // Crash counts of the sending VM.
+	SuspectParts      PartReport         `json:"suspect-parts,omitzero"`  // Prompt parts that may crash engines, as the sending VM observed.
 	InFlight          map[string]int     `json:"loads,omitempty"`         // The VM's own calls in flight, by instance.
 	StoreRevision     uint64             `json:"revision"`                // Highest store revision known to the VM.
 	StoreUnavailable  bool               `json:"without-store,omitempty"` // The VM cannot reach the store.
@@ -28,6 +29,7 @@
 	BucketLevels      map[string]float64  `json:"levels,omitempty"`       // Tokens left in the leader's buckets, by account.
 	RetryAfterSeconds map[string]float64  `json:"dry,omitempty"`          // Seconds until tokens are available, by account without tokens.
 	Suspects          Suspects            `json:"suspects,omitempty"`
+	SuspectParts      PartReport          `json:"suspect-parts,omitzero"` // As all VMs observed.
 	InFlight          map[string]int      `json:"loads,omitempty"`        // Calls of the other VMs in flight, by instance.
 	Unloading         map[string][]string `json:"unloading,omitempty"`    // Models that were ordered to be unloaded, by instance.
 	ChangesComplete   bool                `json:"fed,omitempty"`          // Changes and PackedChanges hold all changes after the requested revision.
@@ -51,6 +53,27 @@
 // Suspects is a list of suspect requests.
 type Suspects []Suspect
 
+// PartReport is what VMs observed of prompt parts that may crash engines. Its times are
+// ages because the clocks of VMs differ.
+type PartReport struct {
+	Parts []SuspectPart `json:"parts,omitempty"`
+}
+
+// SuspectPart is a part of prompts whose calls were on crashed engines.
+type SuspectPart struct {
+	Part        uint64        `json:"part"` // Hash of the part's ID.
+	Crashes     []PartCrash   `json:"crashes,omitempty"`
+	Answered    bool          `json:"answered,omitempty"`     // An engine answered a call with the part.
+	SinceAnswer time.Duration `json:"since-answer,omitempty"` // Time since the last such answer.
+	SinceChange time.Duration `json:"since-change"`           // Time since the last observation.
+}
+
+// PartCrash is the crash of an engine that had not answered a call with the part.
+type PartCrash struct {
+	Instance string        `json:"instance"` // ID and start of the engine.
+	Age      time.Duration `json:"age"`
+}
+
 // AdapterRequest asks the leader to load an adapter that no instance is known to hold.
 type AdapterRequest struct {
 	Service string `json:"service"`
--- a/relay/call.go
+++ b/relay/call.go
@@ -89,9 +89,19 @@
 	if rc.CrashGuard.Blocked(rc.fingerprint, rc.received) {
 		return kumquathitch.NewRefusal(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
 	}
+	if until, blocked := rc.PromptGuard.BlockedUntil(rc.call.Prompt, rc.received); blocked {
+		return crashingPromptRefusal(until)
+	}
 	return rc.chargeTokens()
 }
 
+// crashingPromptRefusal refuses a call that has not run.
+func crashingPromptRefusal(until time.Time) *kumquathitch.RefusalError {
+	refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "prompt-crashes-instances", "calls with a part of this prompt have crashed several instances")
+	refusal.RetryAfter = until
+	return refusal
+}
+
 func stoppingRefusal() *kumquathitch.RefusalError {
 	return kumquathitch.NewRefusal(http.StatusServiceUnavailable, "shutting-down", "this VM is shutting down")
 }
@@ -381,7 +391,8 @@
 	case rc.headSent && rc.route.RetryMode != kumquathitch.RetryResume:
 		return false
 	}
-	return !rc.CrashGuard.Blocked(rc.fingerprint, rc.Clock.Now())
+	now := rc.Clock.Now()
+	return !rc.CrashGuard.Blocked(rc.fingerprint, now) && !rc.PromptGuard.Suspected(rc.call.Prompt, now)
 }
 
 // pauseBeforeResume waits before a stream that has begun is tried at all
--- /dev/null
+++ b/relay/prompt_guard_test.go
@@ -0,0 +1,98 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/retry"
+	"kumquathitch.example/kumquathitch/standin"
+)
+
+// callPrompt sends a call with the given parts of a prompt, and returns its response.
+func (vm *testVM) callPrompt(id, path, prefix string) (status int, retryAfter string) {
+	vm.t.Helper()
+	request, err := http.NewRequestWithContext(vm.t.Context(), http.MethodPost, vm.address+path, nil)
+	must.NoError(vm.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Api-Key", apiKey)
+	request.Header.Set("Prompt-Prefix", prefix)
+	request.Header.Set("Deadline-Ms", "3000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "" // Broken off.
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, response.Header.Get("Retry-After")
+}
+
+// TestCallsThatCrashInstancesAreRecorded guards against missing the crash of an instance
+// that closes a kept connection without a byte, and against blaming calls that it was
+// answering already.
+func TestCallsThatCrashInstancesAreRecorded(t *testing.T) {
+	event := func(call *standin.ScriptedCall, id string) {
+		call.Write("id: %s\ndata: x\n\n", id)
+		time.Sleep(20 * time.Millisecond) // The next event is read separately.
+	}
+	crashes := map[string]struct {
+		answer  func(call *standin.ScriptedCall) bool
+		crashes int
+	}{
+		"before the head": {answer: func(*standin.ScriptedCall) bool { return false }, crashes: 1},
+		"after the head": {answer: func(call *standin.ScriptedCall) bool {
+			call.WriteHead("200 OK", "Content-Length: 1000\r\n")
+			return false
+		}, crashes: 1},
+		"after two events": {answer: func(call *standin.ScriptedCall) bool {
+			call.WriteHead("200 OK", "Content-Length: 1000\r\n")
+			event(call, "1")
+			event(call, "2")
+			return false
+		}, crashes: 0},
+	}
+	for name, crash := range crashes {
+		t.Run(name, func(t *testing.T) {
+			vm := newTestVM(t)
+			vm.startScripted("i-1", func(call *standin.ScriptedCall) bool {
+				if call.ID == "sound" {
+					call.WriteAnswer(call.ID)
+					return true
+				}
+				return crash.answer(call)
+			})
+			guard := retry.NewPromptGuard()
+			vm.handler.PromptGuard = guard
+			status, _ := vm.callPrompt("sound", "/book/1", "aa:100,bb:100,cc:10") // Its connection is kept.
+			must.Eq(t, 200, status)
+			vm.callPrompt("crashing", "/stream/draft/1", "aa:100,dd:100,ee:10")
+			recorded := 0
+			for _, part := range guard.TakeReport("leader", time.Now()).Parts {
+				recorded += len(part.Crashes)
+			}
+			must.Eq(t, 2*crash.crashes, recorded) // One for each part but the last.
+		})
+	}
+}
+
+// TestPromptThatCrashesInstancesIsRefused guards against sending calls to one instance
+// after the other when a part of their prompts crashes all of them.
+func TestPromptThatCrashesInstancesIsRefused(t *testing.T) {
+	vm := newTestVM(t)
+	server := vm.startScripted("i-1", func(call *standin.ScriptedCall) bool { call.WriteAnswer(call.ID); return true })
+	guard := retry.NewPromptGuard()
+	vm.handler.PromptGuard = guard
+	for i, id := range []string{"i-7", "i-8", "i-9"} {
+		parts := kumquathitch.PromptParts{{ID: "dd", Tokens: 100}, {ID: "own", Tokens: 10}}
+		guard.RecordCrash(parts, &kumquathitch.Instance{ID: id}, time.Now().Add(time.Duration(i-5)*time.Second))
+	}
+	status, retryAfter := vm.callPrompt("deadly", "/book/1", "aa:100,dd:100,ee:10")
+	must.Eq(t, 503, status)
+	must.NotEq(t, "", retryAfter)
+	status, _ = vm.callPrompt("sound", "/book/1", "aa:100,bb:100,dd:10") // The last part is the call's own.
+	must.Eq(t, 200, status)
+	must.Eq(t, 0, server.Calls("deadly"))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -71,6 +71,7 @@
 	TokenBuckets  kumquathitch.TokenBuckets
 	RetryBudget   kumquathitch.RetryBudget
 	CrashGuard    kumquathitch.CrashGuard
+	PromptGuard   kumquathitch.PromptGuard
 	AdapterPlacer kumquathitch.AdapterPlacer
 	Demand        kumquathitch.DemandSink
 	Clock         kumquathitch.Clock
--- a/relay/send.go
+++ b/relay/send.go
@@ -78,13 +78,26 @@
 	if status.mayHaveRun && !status.answered {
 		rc.runs++
 	}
+	a.recordForGuards(result.Outcome, status)
+	return result, status
+}
+
+// recordForGuards records what the end of a send says about the call's content.
+func (a *attempt) recordForGuards(outcome kumquathitch.SendOutcome, status sendStatus) {
+	now := a.Clock.Now()
+	broken := outcome == kumquathitch.SendBroken && status.mayHaveRun
 	switch {
-	case result.Outcome == kumquathitch.SendBroken && status.mayHaveRun:
-		rc.CrashGuard.RecordCrash(rc.fingerprint, rc.Clock.Now())
-	case result.Outcome == kumquathitch.SendAnswered:
-		rc.CrashGuard.RecordSuccess(rc.fingerprint)
+	case broken:
+		a.CrashGuard.RecordCrash(a.fingerprint, now)
+	case outcome == kumquathitch.SendAnswered:
+		a.CrashGuard.RecordSuccess(a.fingerprint)
+		a.PromptGuard.RecordAnswer(a.call.Prompt, now)
+	}
+	// An instance that crashes before it has written anything looks like one that closes
+	// an idle connection.
+	if (broken || (outcome == kumquathitch.SendStale && status.mayHaveRun)) && a.eventWrites < provenEventWrites {
+		a.PromptGuard.RecordCrash(a.call.Prompt, &a.choice.Instance, now)
 	}
-	return result, status
 }
 
 func (rc *relayedCall) callerLeft() bool {
@@ -108,8 +121,14 @@
 	headAt     time.Time
 	reusable   bool
 	watchdog   watchdog
+
+	eventWrites int // Writes of events with data to the caller.
 }
 
+// provenEventWrites is the number of such writes after which the prompt is taken not to
+// crash the instance. The first event may be written before the crash.
+const provenEventWrites = 2
+
 // roundTrip writes the call, reads the response and forwards it.
 func (a *attempt) roundTrip(ctx context.Context) (kumquathitch.SendResult, sendStatus) {
 	written, err := a.write()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -142,6 +142,9 @@
 	}
 	now := a.Clock.Now()
 	a.watchdog.recordProgress(now)
+	if a.eventWrites++; a.eventWrites == provenEventWrites {
+		a.PromptGuard.RecordAnswer(a.call.Prompt, now)
+	}
 	if a.stream.forwarded {
 		gap := now.Sub(a.stream.lastEventAt)
 		a.stream.longestGap = max(a.stream.longestGap, gap)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,4 +1,4 @@
-// Package retry limits the retries of calls, and blocks calls that crash upstreams.
+// Package retry limits the retries of calls, and blocks calls and prompt parts that crash upstreams.
 //
 // # Usage
 //
@@ -11,6 +11,10 @@
 //	if guard.Blocked(fingerprint, now) {
 //		// Refuse the call.
 //	}
+//	prompts := retry.NewPromptGuard()
+//	if until, blocked := prompts.BlockedUntil(call.Prompt, now); blocked {
+//		// Refuse the call until then.
+//	}
 //
 // Each VM has its own share of the budget, so that it can retry a call without asking
 // another VM.
--- /dev/null
+++ b/retry/prompt_guard.go
@@ -0,0 +1,345 @@
+package retry
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// minPartCrashes is the number of crashes, without an answer to any call with the
+	// part in between, after which a prompt part is blocked. A sound part gets there when
+	// three engines in a row crash before they answer its calls.
+	minPartCrashes = 3
+	// crashSpacing is the least time between crashes that count separately: engines that
+	// lose power together say nothing about the calls on them.
+	crashSpacing = 150 * time.Millisecond
+	// confirmationTime is the time from the last of these crashes to the block. Answers
+	// that other VMs saw arrive within two exchanges, which come twice a second.
+	confirmationTime = time.Second
+	// partBlockTime is how long a part is blocked for the first time. It doubles each
+	// time up to maxPartBlockTime, since after a block one crash is enough.
+	partBlockTime    = time.Minute
+	maxPartBlockTime = time.Hour
+	// suspicionTTL is how long a crash counts against a part that is not blocked.
+	suspicionTTL = 20 * time.Second
+	// maxPartsPerShard bounds the suspected parts of a shard, and the parts whose last
+	// answer it remembers.
+	maxPartsPerShard = 256
+	// maxCrashesPerPart bounds the crashes kept for a part; the earliest are kept.
+	maxCrashesPerPart = 4
+	// maxReportedParts bounds the parts in one message to another VM.
+	maxReportedParts = 64
+)
+
+// PromptGuard blocks prompt parts that crash engines, whatever else the calls hold. An
+// engine that crashes takes all of its calls with it, so crashes count only against calls
+// that had no answer yet, and any answer to a call with a part clears the part. The last
+// part of a prompt belongs to its call alone and is not considered. It is safe for
+// concurrent use.
+type PromptGuard struct {
+	shards [shardCount]promptShard
+}
+
+type promptShard struct {
+	mutex    sync.Mutex
+	suspects map[uint64]*suspectPart
+	answered *simplelru.LRU[uint64, time.Time] // Last answer seen by this VM, by part.
+}
+
+// suspectPart is what is known of a part since its first crash.
+type suspectPart struct {
+	crashes     []partCrash // In the order of time, at least crashSpacing apart; those before clearedAt are dropped.
+	clearedAt   time.Time   // Last known answer.
+	blockedAt   time.Time   // Zero unless the part was blocked.
+	blocks      int
+	logged      int // Value of blocks at the last TakeBlocked.
+	lastChanged time.Time
+	reportedTo  string // VM that was last sent all of this VM's observations.
+	observed    bool   // This VM observed a crash or an answer.
+}
+
+type partCrash struct {
+	instance string
+	at       time.Time
+	own      bool // Observed by this VM.
+}
+
+// NewPromptGuard returns a guard without suspects.
+func NewPromptGuard() *PromptGuard {
+	g := &PromptGuard{}
+	for i := range g.shards {
+		answered, _ := simplelru.NewLRU[uint64, time.Time](maxPartsPerShard, nil) // Fails only for a size below 1.
+		g.shards[i].suspects, g.shards[i].answered = map[uint64]*suspectPart{}, answered
+	}
+	return g
+}
+
+// BlockedUntil returns the time until which calls with a prompt are blocked, and false
+// if they are not.
+func (g *PromptGuard) BlockedUntil(prompt kumquathitch.PromptParts, now time.Time) (time.Time, bool) {
+	var until time.Time
+	g.eachShared(prompt, func(s *promptShard, part uint64) {
+		if suspect := s.suspects[part]; suspect != nil {
+			if end := suspect.blockedUntil(now); end.After(until) {
+				until = end
+			}
+		}
+	})
+	return until, now.Before(until)
+}
+
+// Suspected reports whether calls with a part of the prompt crashed more than one engine
+// without an answer. Such calls are not retried.
+func (g *PromptGuard) Suspected(prompt kumquathitch.PromptParts, now time.Time) bool {
+	suspected := false
+	g.eachShared(prompt, func(s *promptShard, part uint64) {
+		if suspect := s.suspects[part]; suspect != nil && !suspect.expired(now) && len(suspect.crashes) >= minPartCrashes-1 {
+			suspected = true
+		}
+	})
+	return suspected
+}
+
+// RecordCrash records an instance whose connection broke before it answered a call.
+func (g *PromptGuard) RecordCrash(prompt kumquathitch.PromptParts, instance *kumquathitch.Instance, now time.Time) {
+	incarnation := instance.ID + "@" + strconv.FormatInt(instance.Started.UnixMilli(), 10)
+	g.eachShared(prompt, func(s *promptShard, part uint64) {
+		suspect := s.suspect(part, now)
+		suspect.addCrash(partCrash{instance: incarnation, at: now, own: true}, now)
+		suspect.observed, suspect.reportedTo = true, ""
+	})
+}
+
+// RecordAnswer records that an instance answers a call.
+func (g *PromptGuard) RecordAnswer(prompt kumquathitch.PromptParts, now time.Time) {
+	g.eachShared(prompt, func(s *promptShard, part uint64) {
+		s.answered.Add(part, now)
+		if suspect := s.suspects[part]; suspect != nil && len(suspect.crashes) > 0 {
+			suspect.clear(now, now)
+			suspect.observed, suspect.reportedTo = true, ""
+		}
+	})
+}
+
+// TakeReport returns what this VM observed and has not yet reported to another VM.
+func (g *PromptGuard) TakeReport(vm string, now time.Time) kumquathitch.PartReport {
+	return g.report(now, func(suspect *suspectPart) bool {
+		due := suspect.observed && suspect.reportedTo != vm
+		suspect.reportedTo = vm
+		return due
+	}, func(c partCrash) bool { return c.own })
+}
+
+// MarkUnreported marks a report as not sent, after its message failed.
+func (g *PromptGuard) MarkUnreported(report kumquathitch.PartReport) {
+	for _, part := range report.Parts {
+		s := g.shard(part.Part)
+		s.mutex.Lock()
+		if suspect := s.suspects[part.Part]; suspect != nil {
+			suspect.reportedTo = ""
+		}
+		s.mutex.Unlock()
+	}
+}
+
+// Suspects returns the parts that may have to be blocked, with the observations of all
+// VMs. Parts with a single crash, which any crash of an engine leaves behind, are left
+// out unless they were cleared since.
+func (g *PromptGuard) Suspects(now time.Time) kumquathitch.PartReport {
+	return g.report(now, func(suspect *suspectPart) bool {
+		return len(suspect.crashes) >= minPartCrashes-1 || suspect.blocks > 0 || !suspect.clearedAt.IsZero()
+	}, func(partCrash) bool { return true })
+}
+
+// report returns the selected suspects, the most recently changed first, and drops those
+// that have expired.
+func (g *PromptGuard) report(now time.Time, selected func(*suspectPart) bool, include func(partCrash) bool) kumquathitch.PartReport {
+	var parts []kumquathitch.SuspectPart
+	for i := range g.shards {
+		s := &g.shards[i]
+		s.mutex.Lock()
+		for part, suspect := range s.suspects {
+			if suspect.expired(now) {
+				delete(s.suspects, part)
+				continue
+			}
+			if !selected(suspect) {
+				continue
+			}
+			reported := kumquathitch.SuspectPart{Part: part, SinceChange: now.Sub(suspect.lastChanged)}
+			if !suspect.clearedAt.IsZero() {
+				reported.Answered, reported.SinceAnswer = true, now.Sub(suspect.clearedAt)
+			}
+			for _, c := range suspect.crashes {
+				if include(c) {
+					reported.Crashes = append(reported.Crashes, kumquathitch.PartCrash{Instance: c.instance, Age: now.Sub(c.at)})
+				}
+			}
+			parts = append(parts, reported)
+		}
+		s.mutex.Unlock()
+	}
+	slices.SortFunc(parts, func(a, b kumquathitch.SuspectPart) int { return int(a.SinceChange - b.SinceChange) })
+	return kumquathitch.PartReport{Parts: parts[:min(len(parts), maxReportedParts)]}
+}
+
+// TakeBlocked returns the parts whose block began since the last call, for the log.
+func (g *PromptGuard) TakeBlocked(now time.Time) []BlockedPart {
+	var begun []BlockedPart
+	for i := range g.shards {
+		s := &g.shards[i]
+		s.mutex.Lock()
+		for part, suspect := range s.suspects {
+			if suspect.blocked(now) && suspect.logged != suspect.blocks {
+				suspect.logged = suspect.blocks
+				begun = append(begun, BlockedPart{Part: part, Crashes: len(suspect.crashes), Until: suspect.blockEnd()})
+			}
+		}
+		s.mutex.Unlock()
+	}
+	return begun
+}
+
+// BlockedPart is a prompt part that is blocked.
+type BlockedPart struct {
+	Part    uint64 // Hash of the part's ID.
+	Crashes int    // Engines that crashed, as far as they are kept.
+	Until   time.Time
+}
+
+// Merge adds the observations of other VMs. An answer that this VM saw since clears a
+// part for the others as well.
+func (g *PromptGuard) Merge(report kumquathitch.PartReport, now time.Time) {
+	for _, reported := range report.Parts {
+		s := g.shard(reported.Part)
+		s.mutex.Lock()
+		suspect := s.suspect(reported.Part, now)
+		for _, c := range reported.Crashes {
+			suspect.addCrash(partCrash{instance: c.Instance, at: now.Add(-max(0, c.Age))}, now)
+		}
+		if reported.Answered {
+			suspect.clear(now.Add(-max(0, reported.SinceAnswer)), now)
+		}
+		if answered, ok := s.answered.Peek(reported.Part); ok && len(suspect.crashes) > 0 && answered.After(suspect.crashes[0].at) {
+			suspect.clear(answered, now)
+			suspect.observed, suspect.reportedTo = true, ""
+		}
+		s.mutex.Unlock()
+	}
+}
+
+// eachShared calls a function for each part of a prompt but the last, with the lock of
+// its shard held.
+func (g *PromptGuard) eachShared(prompt kumquathitch.PromptParts, use func(s *promptShard, part uint64)) {
+	for i := range len(prompt) - 1 {
+		part := xxhash.Sum64String(prompt[i].ID)
+		s := g.shard(part)
+		s.mutex.Lock()
+		use(s, part)
+		s.mutex.Unlock()
+	}
+}
+
+func (g *PromptGuard) shard(part uint64) *promptShard {
+	return &g.shards[part%shardCount]
+}
+
+// suspect returns the record of a part, which it creates if necessary. The caller holds
+// the lock.
+func (s *promptShard) suspect(part uint64, now time.Time) *suspectPart {
+	suspect := s.suspects[part]
+	if suspect == nil {
+		if len(s.suspects) >= maxPartsPerShard {
+			s.dropOldest(now)
+		}
+		suspect = &suspectPart{lastChanged: now}
+		s.suspects[part] = suspect
+	}
+	return suspect
+}
+
+// dropOldest drops the suspect that changed least recently, one that is not blocked if
+// there is any.
+func (s *promptShard) dropOldest(now time.Time) {
+	var oldest uint64
+	var found *suspectPart
+	for part, suspect := range s.suspects {
+		if found == nil || (found.blocked(now) && !suspect.blocked(now)) ||
+			(found.blocked(now) == suspect.blocked(now) && suspect.lastChanged.Before(found.lastChanged)) {
+			oldest, found = part, suspect
+		}
+	}
+	delete(s.suspects, oldest)
+}
+
+// addCrash adds a crash, unless it was before the last answer or does not count
+// separately from one that is known.
+func (p *suspectPart) addCrash(crash partCrash, now time.Time) {
+	if !crash.at.After(p.clearedAt) || slices.ContainsFunc(p.crashes, func(c partCrash) bool {
+		return c.instance == crash.instance || crash.at.Sub(c.at).Abs() < crashSpacing
+	}) {
+		return
+	}
+	p.crashes = append(p.crashes, crash)
+	slices.SortFunc(p.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
+	p.crashes = p.crashes[:min(len(p.crashes), maxCrashesPerPart)]
+	p.lastChanged = now
+}
+
+// clear drops the crashes up to the time of an answer, and ends a block.
+func (p *suspectPart) clear(answered, now time.Time) {
+	if !answered.After(p.clearedAt) {
+		return
+	}
+	p.clearedAt, p.lastChanged = answered, now
+	p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return !c.at.After(answered) })
+	if len(p.crashes) == 0 {
+		p.blockedAt, p.blocks = time.Time{}, 0
+	}
+}
+
+// blockedUntil returns the end of the block, which it begins if that is due. The time is
+// zero if the part was never blocked. The crashes are forgotten at the end of a block.
+func (p *suspectPart) blockedUntil(now time.Time) time.Time {
+	if !p.blockedAt.IsZero() && now.After(p.blockEnd()) {
+		p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return !c.at.After(p.blockEnd()) })
+		p.blockedAt = time.Time{}
+	}
+	if !p.blockedAt.IsZero() {
+		return p.blockEnd()
+	}
+	switch {
+	case p.blocks > 0 && len(p.crashes) > 0:
+		p.blockedAt = p.crashes[0].at
+	case len(p.crashes) >= minPartCrashes && now.Sub(p.crashes[minPartCrashes-1].at) >= confirmationTime:
+		p.blockedAt = p.crashes[minPartCrashes-1].at
+	default:
+		return time.Time{}
+	}
+	p.blocks++
+	return p.blockEnd()
+}
+
+func (p *suspectPart) blockEnd() time.Time {
+	return p.blockedAt.Add(min(maxPartBlockTime, partBlockTime<<min(max(0, p.blocks-1), 8)))
+}
+
+func (p *suspectPart) blocked(now time.Time) bool {
+	return now.Before(p.blockedUntil(now))
+}
+
+// expired reports whether the record is of no more use. A part that was blocked is
+// remembered for as long again as it was blocked.
+func (p *suspectPart) expired(now time.Time) bool {
+	if p.blocked(now) {
+		return false
+	}
+	return now.Sub(p.lastChanged) > max(suspicionTTL, time.Duration(p.blocks)*2*partBlockTime)
+}
--- /dev/null
+++ b/retry/prompt_guard_test.go
@@ -0,0 +1,229 @@
+package retry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/retry"
+)
+
+// prompt returns the parts of a prompt with the given IDs.
+func prompt(ids ...string) kumquathitch.PromptParts {
+	var parts kumquathitch.PromptParts
+	for _, id := range ids {
+		parts = append(parts, kumquathitch.PromptPart{ID: id, Tokens: 200})
+	}
+	return parts
+}
+
+func engine(id string) *kumquathitch.Instance {
+	return &kumquathitch.Instance{ID: id, Started: start}
+}
+
+// guardFleet is a number of VMs that exchange their observations with the first one.
+type guardFleet struct {
+	vms []*retry.PromptGuard
+}
+
+func newGuardFleet(vms int) *guardFleet {
+	f := &guardFleet{}
+	for range vms {
+		f.vms = append(f.vms, retry.NewPromptGuard())
+	}
+	return f
+}
+
+// exchange passes the observations of one VM to the leader, and those of all VMs back.
+func (f *guardFleet) exchange(vm int, now time.Time) {
+	f.vms[0].Merge(f.vms[vm].TakeReport("leader", now), now)
+	f.vms[vm].Merge(f.vms[0].Suspects(now), now)
+}
+
+// pendingCall is a sound call whose engine is still reading its prompt.
+type pendingCall struct {
+	vm       int
+	prompt   kumquathitch.PromptParts
+	engine   int
+	answerAt time.Time
+}
+
+// TestDeadlyPartStopsReachingEngines plays calls with a part that crashes each engine,
+// at all VMs, beside sound calls that share their other parts. It guards against one
+// engine after the other that is lost to such calls, and against refusals of sound ones.
+func TestDeadlyPartStopsReachingEngines(t *testing.T) {
+	for _, size := range []struct{ vms, engines, deadlyPerSecond, soundPerSecond int }{{7, 18, 4, 70}, {195, 124, 15, 300}} {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			f := newGuardFleet(size.vms)
+			var pending []pendingCall
+			var fifth time.Time
+			crashes, late, refused, sound := 0, 0, 0, 0
+			for tick := range 2200 {
+				now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+				for vm := range size.vms { // Each VM makes an exchange in each half second.
+					if (tick+7*vm)%50 == 0 {
+						f.exchange(vm, now)
+					}
+				}
+				for len(pending) > 0 && !pending[0].answerAt.After(now) {
+					f.vms[pending[0].vm].RecordAnswer(pending[0].prompt, now)
+					pending = pending[1:]
+				}
+				if random.IntN(100) < size.soundPerSecond {
+					for range 1 + size.soundPerSecond/100 {
+						call := pendingCall{
+							vm: random.IntN(size.vms), engine: random.IntN(size.engines), answerAt: now.Add(120 * time.Millisecond),
+							prompt: prompt(fmt.Sprint("first-", random.IntN(3)), fmt.Sprint("second-", random.IntN(23)), fmt.Sprint("own-", tick)),
+						}
+						sound++
+						if _, blocked := f.vms[call.vm].BlockedUntil(call.prompt, now); blocked {
+							refused++
+							continue
+						}
+						pending = append(pending, call)
+					}
+				}
+				if random.IntN(100) >= size.deadlyPerSecond {
+					continue
+				}
+				vm, target := random.IntN(size.vms), random.IntN(size.engines)
+				deadly := prompt(fmt.Sprint("first-", random.IntN(3)), "deadly", fmt.Sprint("own-deadly-", tick))
+				if _, blocked := f.vms[vm].BlockedUntil(deadly, now); blocked {
+					continue
+				}
+				if crashes++; crashes == 5 {
+					fifth = now
+				}
+				if crashes > 5 && now.Sub(fifth) > 3*time.Second {
+					late++
+				}
+				crashed := engine(fmt.Sprintf("i-%d-%d", target, tick))
+				f.vms[vm].RecordCrash(deadly, crashed, now)
+				var left []pendingCall
+				for _, call := range pending {
+					if call.engine != target {
+						left = append(left, call)
+						continue
+					}
+					f.vms[call.vm].RecordCrash(call.prompt, crashed, now)
+				}
+				pending = left
+			}
+			info := must.Sprintf("%d VMs, seed %d: %d crashes, %d late, %d of %d sound calls refused", size.vms, seed, crashes, late, refused, sound)
+			must.LessEq(t, 3, late, info)
+			must.Less(t, sound/50, refused, info)
+		}
+	}
+}
+
+// TestEnginesThatCrashTogetherCountOnce guards against blocking the parts of the calls
+// on engines that lose power at the same moment.
+func TestEnginesThatCrashTogetherCountOnce(t *testing.T) {
+	guard := retry.NewPromptGuard()
+	for i := range 6 {
+		guard.RecordCrash(prompt("first", "second", "own"), engine(fmt.Sprint("i-", i)), start.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	_, blocked := guard.BlockedUntil(prompt("first", "second", "other"), start.Add(5*time.Second))
+	must.False(t, blocked)
+}
+
+// TestAnswerOnAnotherVMClearsPart guards against blocking a part because all crashes were
+// seen by one VM and all answers by another.
+func TestAnswerOnAnotherVMClearsPart(t *testing.T) {
+	f := newGuardFleet(3)
+	now := start
+	for i := range 5 {
+		f.vms[1].RecordCrash(prompt("first", "own"), engine(fmt.Sprint("i-", i)), now)
+		f.exchange(1, now)
+		f.vms[2].RecordAnswer(prompt("first", "other"), now.Add(100*time.Millisecond))
+		now = now.Add(500 * time.Millisecond)
+		f.exchange(2, now)
+		f.exchange(1, now)
+		for vm, guard := range f.vms {
+			_, blocked := guard.BlockedUntil(prompt("first", "own"), now)
+			must.False(t, blocked, must.Sprintf("VM %d after crash %d", vm, i))
+		}
+	}
+}
+
+// crashThreeTimes has three engines crash on a part, half a second apart, and returns the
+// time at which the part is blocked.
+func crashThreeTimes(guard *retry.PromptGuard, now time.Time) time.Time {
+	for i := range 3 {
+		guard.RecordCrash(prompt("deadly", "own"), engine(fmt.Sprint("i-", now.Unix(), i)), now.Add(time.Duration(i)*500*time.Millisecond))
+	}
+	return now.Add(2 * time.Second)
+}
+
+// TestBlockedPartIsTriedAgain guards against a part that stays blocked for ever, and
+// against three more crashes each time that it is tried again.
+func TestBlockedPartIsTriedAgain(t *testing.T) {
+	guard := retry.NewPromptGuard()
+	now := crashThreeTimes(guard, start)
+	until, blocked := guard.BlockedUntil(prompt("deadly", "other"), now)
+	must.True(t, blocked)
+	must.Eq(t, start.Add(time.Second+time.Minute), until)
+	must.Len(t, 1, guard.TakeBlocked(now))
+	must.Len(t, 0, guard.TakeBlocked(now))
+	_, blocked = guard.BlockedUntil(prompt("deadly"), now) // The last part is the call's own.
+	must.False(t, blocked)
+
+	now = until.Add(time.Second)
+	_, blocked = guard.BlockedUntil(prompt("deadly", "other"), now)
+	must.False(t, blocked)
+	guard.RecordCrash(prompt("deadly", "other"), engine("next"), now)
+	until, blocked = guard.BlockedUntil(prompt("deadly", "other"), now)
+	must.True(t, blocked)
+	must.Eq(t, now.Add(2*time.Minute), until)
+
+	now = until.Add(time.Second)
+	_, blocked = guard.BlockedUntil(prompt("deadly", "other"), now)
+	must.False(t, blocked)
+	guard.RecordCrash(prompt("deadly", "other"), engine("third"), now)
+	guard.RecordAnswer(prompt("deadly", "other"), now.Add(time.Millisecond))
+	_, blocked = guard.BlockedUntil(prompt("deadly", "other"), now.Add(time.Minute))
+	must.False(t, blocked)
+}
+
+// TestSuspectedPartIsNotRetried guards against a second crash by the retry of a call
+// whose part has crashed two engines.
+func TestSuspectedPartIsNotRetried(t *testing.T) {
+	guard := retry.NewPromptGuard()
+	guard.RecordCrash(prompt("deadly", "own"), engine("one"), start)
+	must.False(t, guard.Suspected(prompt("deadly", "own"), start))
+	guard.RecordCrash(prompt("deadly", "own"), engine("two"), start.Add(time.Second))
+	must.True(t, guard.Suspected(prompt("deadly", "own"), start.Add(time.Second)))
+	must.False(t, guard.Suspected(prompt("deadly", "own"), start.Add(time.Minute)))
+}
+
+// TestSuspectPartsAreBounded guards against callers that exhaust the memory of a VM, or
+// the messages between VMs, with prompts of ever new parts.
+func TestSuspectPartsAreBounded(t *testing.T) {
+	guard := retry.NewPromptGuard()
+	now := start
+	for i := range 20_000 {
+		now = now.Add(time.Millisecond)
+		guard.RecordCrash(prompt(fmt.Sprint("part-", i), "own"), engine(fmt.Sprint("i-", i)), now)
+	}
+	must.LessEq(t, 64, len(guard.TakeReport("leader", now).Parts))
+	must.Len(t, 0, guard.Suspects(now).Parts)
+	must.Len(t, 0, guard.TakeReport("next-leader", now.Add(time.Hour)).Parts)
+}
+
+// TestUndeliveredReportIsSentAgain guards against observations that are lost with the
+// message that carried them, or with the leader.
+func TestUndeliveredReportIsSentAgain(t *testing.T) {
+	guard := retry.NewPromptGuard()
+	guard.RecordCrash(prompt("first", "own"), engine("one"), start)
+	report := guard.TakeReport("leader", start)
+	must.Len(t, 1, report.Parts)
+	must.Len(t, 0, guard.TakeReport("leader", start).Parts)
+	guard.MarkUnreported(report)
+	must.Len(t, 1, guard.TakeReport("leader", start).Parts)
+	must.Len(t, 1, guard.TakeReport("next-leader", start).Parts)
+}
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if !tokensOnly {
-		request.Suspects = v.crashGuard.TakeUnreported(address, now)
+		request.Suspects, request.SuspectParts = v.crashGuard.TakeUnreported(address, now), v.promptGuard.TakeReport(address, now)
 	}
 	if snapshot := v.deployments.Snapshot(); snapshot != nil {
 		v.rateLimiter.PrepareExchange(&request, snapshot.Deployment.Tenants, now)
@@ -129,6 +129,7 @@
 		cancel()
 		if err != nil {
 			v.crashGuard.MarkUnreported(request.Suspects)
+			v.promptGuard.MarkUnreported(request.SuspectParts)
 			if !tokensOnly {
 				v.watcher.endFeed()
 			}
@@ -179,6 +180,7 @@
 	now := time.Now()
 	v.rateLimiter.ApplyResponse(response, now)
 	v.crashGuard.Merge("", response.Suspects, now)
+	v.promptGuard.Merge(response.SuspectParts, now)
 	if response.Leader {
 		v.schedulerRole.learn(response.SchedulerAddress)
 		v.fleet.SetRemoteLoads(response.InFlight, now)
@@ -227,6 +229,7 @@
 		return response, nil
 	}
 	v.crashGuard.Merge(request.From, request.Suspects, now)
+	v.promptGuard.Merge(request.SuspectParts, now)
 	if issuer != nil {
 		response.Unloading = v.placer.Unloading()
 		v.globalScheduler.SetVMLoads(request.From, request.InFlight, now)
@@ -241,8 +244,8 @@
 	if leader, known := v.candidate.Leader(); known {
 		response.LeaderAddress = leader.Address
 	}
-	response.Suspects = v.crashGuard.BlockedCounts(request.From, now)
-	v.roleLoad.addSuspects(len(response.Suspects))
+	response.Suspects, response.SuspectParts = v.crashGuard.BlockedCounts(request.From, now), v.promptGuard.Suspects(now)
+	v.roleLoad.addSuspects(len(response.Suspects) + len(response.SuspectParts.Parts))
 	document, version := v.deployments.Document()
 	response.DeploymentVersion = version
 	if version > request.DeploymentVersion && !response.SegmentsComplete { // Otherwise the changes include it.
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,7 @@
 	rateLimiter     *quota.LocalBuckets
 	retryBudget     *retry.Budget
 	crashGuard      *retry.CrashGuard
+	promptGuard     *retry.PromptGuard
 	demand          *model.Demand
 	forecast        *placement.Forecast
 	candidate       *election.Candidate
@@ -118,6 +120,7 @@
 		rateLimiter: quota.NewLocalBuckets(clock.Monotonic{}, environment.Bootstrap),
 		retryBudget: retry.NewBudget(retry.Limits{Ratio: environment.RetryRatio, Slack: environment.RetrySlack, Window: environment.RetryWindow}, time.Now()),
 		crashGuard:  retry.NewCrashGuard(),
+		promptGuard: retry.NewPromptGuard(),
 		demand:      model.NewDemandWithDecay(placement.DemandTimeConstant),
 		forecast:    placement.NewForecast(),
 		peers:       peer.NewClient(tracing),
@@ -138,7 +141,7 @@
 	relayMetrics := relay.NewMetrics(v.set)
 	v.handler = &relay.Handler{
 		Dialect: environment.Dialect, Deployments: v.deployments, Chooser: v.fleet, Scheduler: &scheduler{vm: v}, TokenBuckets: v.rateLimiter, RetryBudget: v.retryBudget,
-		CrashGuard: v.crashGuard, AdapterPlacer: v, Demand: v.demand, Clock: clock.Monotonic{}, Logger: log,
+		CrashGuard: v.crashGuard, PromptGuard: v.promptGuard, AdapterPlacer: v, Demand: v.demand, Clock: clock.Monotonic{}, Logger: log,
 		Tracer: tracing.Tracer, Metrics: relayMetrics, Pool: relay.NewPool(relayMetrics),
 		Buffers: relay.NewBuffers(int64(bufferFraction * float64(environment.MemoryBytes))), Panics: v.panics, Draining: v.draining.Load, Stopping: v.stopping.Load, BaseContext: callContext,
 	}
@@ -252,4 +255,7 @@
 	_, leading := v.candidate.CurrentTerm()
 	v.roleLoad.log(v.log, leading, now)
 	v.logSchedules(now)
+	for _, blocked := range v.promptGuard.TakeBlocked(now) {
+		v.log.Warn("prompt part blocked", zap.String("part", strconv.FormatUint(blocked.Part, 16)), zap.Int("crashes", blocked.Crashes), zap.Duration("for", blocked.Until.Sub(now)))
+	}
 }
