Report prompt parts that are about to be blocked before all others, and the rest later

A message between VMs holds 64 prompt parts, the most recently changed ones. After a crash of many engines the parts of their calls filled it, and a deadly part that was found before was left out: VMs that had not heard of it went on sending its calls. What a VM's own report had no room for was taken for reported, and got lost.

Change: parts with two crashes or a block come first, and what is left out of a VM's report stays unreported. Both tests failed before: the VM did not block the part after 200 sound parts with one crash each, and of 100 parts 64 were reported.

--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"sync"
@@ -171,13 +172,17 @@
 	})
 }
 
-// TakeReport returns what this VM observed and has not yet reported to another VM.
+// TakeReport returns what this VM observed and has not yet reported to another VM. What
+// finds no room in the report is left for the next one.
 func (g *PromptGuard) TakeReport(vm string, now time.Time) kumquathitch.PartReport {
-	return g.report(now, func(suspect *suspectPart) bool {
+	parts := g.report(now, func(suspect *suspectPart) bool {
 		due := suspect.observed && suspect.reportedTo != vm
 		suspect.reportedTo = vm
 		return due
 	}, func(c partCrash) bool { return c.own })
+	taken := min(len(parts), maxReportedParts)
+	g.MarkUnreported(kumquathitch.PartReport{Parts: parts[taken:]})
+	return kumquathitch.PartReport{Parts: parts[:taken]}
 }
 
 // MarkUnreported marks a report as not sent, after its message failed.
@@ -196,15 +201,16 @@
 // VMs. Parts with a single crash, which any crash of an engine leaves behind, are left
 // out unless they were cleared since.
 func (g *PromptGuard) Suspects(now time.Time) kumquathitch.PartReport {
-	return g.report(now, func(suspect *suspectPart) bool {
-		return len(suspect.crashes) >= minPartCrashes-1 || suspect.blocks > 0 || !suspect.clearedAt.IsZero()
+	parts := g.report(now, func(suspect *suspectPart) bool {
+		return suspect.nearBlock() || !suspect.clearedAt.IsZero()
 	}, func(partCrash) bool { return true })
+	return kumquathitch.PartReport{Parts: parts[:min(len(parts), maxReportedParts)]}
 }
 
-// report returns the selected suspects, the most recently changed first, and drops those
-// that have expired.
-func (g *PromptGuard) report(now time.Time, selected func(*suspectPart) bool, include func(partCrash) bool) kumquathitch.PartReport {
-	var parts []kumquathitch.SuspectPart
+// report returns the selected suspects, and drops those that have expired. The parts that
+// may have to be blocked come first, then the most recently changed ones.
+func (g *PromptGuard) report(now time.Time, selected func(*suspectPart) bool, include func(partCrash) bool) []kumquathitch.SuspectPart {
+	var urgent, others []kumquathitch.SuspectPart
 	for i := range g.shards {
 		s := &g.shards[i]
 		s.mutex.Lock()
@@ -225,12 +231,18 @@
 					reported.Crashes = append(reported.Crashes, kumquathitch.PartCrash{Instance: c.instance, Age: now.Sub(c.at), Companions: c.companions})
 				}
 			}
-			parts = append(parts, reported)
+			if suspect.nearBlock() {
+				urgent = append(urgent, reported)
+			} else {
+				others = append(others, reported)
+			}
 		}
 		s.mutex.Unlock()
 	}
-	slices.SortFunc(parts, func(a, b kumquathitch.SuspectPart) int { return int(a.SinceChange - b.SinceChange) })
-	return kumquathitch.PartReport{Parts: parts[:min(len(parts), maxReportedParts)]}
+	latestFirst := func(a, b kumquathitch.SuspectPart) int { return cmp.Compare(a.SinceChange, b.SinceChange) }
+	slices.SortFunc(urgent, latestFirst)
+	slices.SortFunc(others, latestFirst)
+	return append(urgent, others...)
 }
 
 // TakeBlocked returns the parts whose block began since the last call, for the log.
@@ -366,6 +378,12 @@
 	}
 }
 
+// nearBlock reports whether the part may have to be blocked after one more crash, or
+// was blocked before.
+func (p *suspectPart) nearBlock() bool {
+	return len(p.crashes) >= minPartCrashes-1 || p.blocks > 0
+}
+
 // clear drops the crashes up to the time of an answer, and ends a block.
 func (p *suspectPart) clear(answered, now time.Time) {
 	p.known = true
--- a/retry/prompt_guard_test.go
+++ b/retry/prompt_guard_test.go
@@ -270,3 +270,35 @@
 	must.Len(t, 1, guard.TakeReport("leader", start).Parts)
 	must.Len(t, 1, guard.TakeReport("next-leader", start).Parts)
 }
+
+// TestDeadlyPartIsReportedBesideManySoundOnes guards against a VM that never hears of a
+// deadly part because a crash of many engines left more suspects than a message holds.
+func TestDeadlyPartIsReportedBesideManySoundOnes(t *testing.T) {
+	leader := retry.NewPromptGuard()
+	now := crashThreeTimes(leader, start)
+	for i := range 200 {
+		sound := prompt(fmt.Sprint("sound-", i), "own")
+		leader.RecordCrash(sound, engine("i-9"), now)
+		leader.RecordAnswer(sound, now.Add(10*time.Millisecond))
+	}
+	vm := retry.NewPromptGuard()
+	vm.Merge(leader.Suspects(now.Add(time.Second)), now.Add(time.Second))
+	_, blocked := vm.BlockedUntil(prompt("deadly", "other"), now.Add(time.Second))
+	must.True(t, blocked)
+}
+
+// TestLongReportIsSentInParts guards against observations that are taken for reported
+// although the message had no room for them.
+func TestLongReportIsSentInParts(t *testing.T) {
+	vm := retry.NewPromptGuard()
+	for i := range 100 {
+		vm.RecordCrash(prompt(fmt.Sprint("part-", i), "own"), engine("i-9"), start)
+	}
+	reported := map[uint64]bool{}
+	for range 2 {
+		for _, part := range vm.TakeReport("leader", start).Parts {
+			reported[part.Part] = true
+		}
+	}
+	must.MapLen(t, 100, reported)
+}
