Let the VMs try a blocked prompt part again one after the other

Change: a VM adds to the block a part of its length that follows from its name, so that few VMs end early; a crash after the earliest end blocks the part again on all of them. The first block lasts five minutes, since each try costs an engine's calls and models. Blocks begin also on VMs without calls with the part, and a VM that started since learns how often the part was blocked.

--- a/exchange.go
+++ b/exchange.go
@@ -61,8 +61,9 @@
 
 // SuspectPart is a part of prompts whose calls were on crashed engines.
 type SuspectPart struct {
-	Part        uint64        `json:"part"`            // Hash of the part's ID.
-	Known       bool          `json:"known,omitempty"` // An engine answered a call with the part, possibly before the crashes.
+	Part        uint64        `json:"part"`             // Hash of the part's ID.
+	Known       bool          `json:"known,omitempty"`  // An engine answered a call with the part, possibly before the crashes.
+	Blocks      int           `json:"blocks,omitempty"` // Times that the part was blocked, with the present block.
 	Crashes     []PartCrash   `json:"crashes,omitempty"`
 	Answered    bool          `json:"answered,omitempty"`     // An engine answered a call with the part.
 	SinceAnswer time.Duration `json:"since-answer,omitempty"` // Time since the last such answer.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -11,7 +11,7 @@
 //	if guard.Blocked(fingerprint, now) {
 //		// Refuse the call.
 //	}
-//	prompts := retry.NewPromptGuard()
+//	prompts := retry.NewPromptGuard(name)
 //	if until, blocked := prompts.BlockedUntil(call.Prompt, now); blocked {
 //		// Refuse the call until then.
 //	}
--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -24,10 +25,15 @@
 	// confirmationTime is the time from the last of these crashes to the block. Answers
 	// that other VMs saw arrive within two exchanges, which come twice a second.
 	confirmationTime = time.Second
-	// partBlockTime is how long a part is blocked for the first time. It doubles each
-	// time up to maxPartBlockTime, since after a block one crash is enough.
-	partBlockTime    = time.Minute
+	// partBlockTime is the least time for which a part is blocked at first. It doubles each
+	// time up to maxPartBlockTime, since after a block one crash is enough. Each VM adds a
+	// time of its own of up to the same length: the first call that is tried again then
+	// tells the other VMs whether the part still crashes engines.
+	partBlockTime    = 5 * time.Minute
 	maxPartBlockTime = time.Hour
+	// blockSettleTime is the least time that a VM adds. The ends of the VMs' blocks differ
+	// by less without it, since each VM blocks a part by the crashes that it knows.
+	blockSettleTime = 2 * time.Second
 	// suspicionTTL is how long a crash counts against a part that is not blocked.
 	suspicionTTL = 20 * time.Second
 	// maxPartsPerShard bounds the suspected parts of a shard, and the parts whose last
@@ -48,6 +54,7 @@
 // its crashes. The last part of a prompt belongs to its call alone and is not considered.
 // It is safe for concurrent use.
 type PromptGuard struct {
+	vm     string
 	shards [shardCount]promptShard
 }
 
@@ -62,9 +69,10 @@
 	crashes     []partCrash // In the order of time, at least crashSpacing apart; those before clearedAt are dropped.
 	clearedAt   time.Time   // Last known answer.
 	known       bool        // A VM saw an answer, possibly before the crashes.
-	blockedAt   time.Time   // Zero unless the part was blocked.
-	blocks      int
-	logged      int // Value of blocks at the last TakeBlocked.
+	blocks      int         // Blocks so far, with the present one.
+	probesFrom  time.Time   // Earliest time at which a VM sends a call again; zero before the first block.
+	blockedTill time.Time   // Time at which this VM does.
+	logged      int         // Value of blocks at the last TakeBlocked.
 	lastChanged time.Time
 	reportedTo  string // VM that was last sent all of this VM's observations.
 	observed    bool   // This VM observed a crash or an answer.
@@ -77,9 +85,10 @@
 	companions []uint64 // Other parts of the calls, without those that had been answered on the VM.
 }
 
-// NewPromptGuard returns a guard without suspects.
-func NewPromptGuard() *PromptGuard {
-	g := &PromptGuard{}
+// NewPromptGuard returns the guard of a VM, without suspects. The name of the VM must
+// differ from those of the others.
+func NewPromptGuard(vm string) *PromptGuard {
+	g := &PromptGuard{vm: vm}
 	for i := range g.shards {
 		answered, _ := simplelru.NewLRU[uint64, time.Time](maxPartsPerShard, nil) // Fails only for a size below 1.
 		g.shards[i].suspects, g.shards[i].answered = map[uint64]*suspectPart{}, answered
@@ -100,7 +109,7 @@
 }
 
 // blockedUntil returns the end of a part's block, which it begins if that is due. The time
-// is zero if the part is not blocked.
+// is not after now if the part is not blocked.
 func (g *PromptGuard) blockedUntil(part uint64, now time.Time) time.Time {
 	s := g.shard(part)
 	s.mutex.Lock()
@@ -109,17 +118,44 @@
 		s.mutex.Unlock()
 		return time.Time{}
 	}
-	end, due, explanations := suspect.activeBlockEnd(now), suspect.blockDue(now), suspect.explanations()
+	end, due, explanations := suspect.blockedTill, suspect.blockDue(now), suspect.explanations()
 	s.mutex.Unlock()
-	if !end.IsZero() || !due || slices.ContainsFunc(explanations, g.isNewSuspect) {
+	if !due || slices.ContainsFunc(explanations, g.isNewSuspect) {
 		return end
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if suspect.blockDue(now) {
-		suspect.block()
+		suspect.block(g.blockSpread(part, suspect.blocks))
 	}
-	return suspect.activeBlockEnd(now)
+	return suspect.blockedTill
+}
+
+// beginBlocks begins the blocks that are due, also of parts without calls on this VM:
+// other VMs learn of a block from it.
+func (g *PromptGuard) beginBlocks(now time.Time) {
+	for i := range g.shards {
+		s := &g.shards[i]
+		s.mutex.Lock()
+		var due []uint64
+		for part, suspect := range s.suspects {
+			if suspect.blockDue(now) {
+				due = append(due, part)
+			}
+		}
+		s.mutex.Unlock()
+		for _, part := range due {
+			g.blockedUntil(part, now)
+		}
+	}
+}
+
+// blockSpread returns this VM's part of the time that VMs add to a block, from 0 to 1. The
+// square root makes few of the VMs end early, so that few calls are tried before the
+// outcome of the first is known.
+func (g *PromptGuard) blockSpread(part uint64, blocks int) float64 {
+	hash := xxhash.Sum64String(g.vm + " " + strconv.FormatUint(part, 16) + " " + strconv.Itoa(blocks))
+	return math.Sqrt(float64(hash) / math.MaxUint64)
 }
 
 // isNewSuspect reports whether a part is suspected and was never answered.
@@ -210,6 +246,7 @@
 // report returns the selected suspects, and drops those that have expired. The parts that
 // may have to be blocked come first, then the most recently changed ones.
 func (g *PromptGuard) report(now time.Time, selected func(*suspectPart) bool, include func(partCrash) bool) []kumquathitch.SuspectPart {
+	g.beginBlocks(now)
 	var urgent, others []kumquathitch.SuspectPart
 	for i := range g.shards {
 		s := &g.shards[i]
@@ -222,7 +259,7 @@
 			if !selected(suspect) {
 				continue
 			}
-			reported := kumquathitch.SuspectPart{Part: part, Known: suspect.known, SinceChange: now.Sub(suspect.lastChanged)}
+			reported := kumquathitch.SuspectPart{Part: part, Known: suspect.known, Blocks: suspect.blocks, SinceChange: now.Sub(suspect.lastChanged)}
 			if !suspect.clearedAt.IsZero() {
 				reported.Answered, reported.SinceAnswer = true, now.Sub(suspect.clearedAt)
 			}
@@ -254,7 +291,7 @@
 		for part, suspect := range s.suspects {
 			if suspect.blocked(now) && suspect.logged != suspect.blocks {
 				suspect.logged = suspect.blocks
-				begun = append(begun, BlockedPart{Part: part, Crashes: len(suspect.crashes), Until: suspect.blockEnd()})
+				begun = append(begun, BlockedPart{Part: part, Crashes: len(suspect.crashes), Until: suspect.blockedTill})
 			}
 		}
 		s.mutex.Unlock()
@@ -285,6 +322,9 @@
 		if reported.Known {
 			suspect.markKnown()
 		}
+		if len(suspect.crashes) > 0 { // A VM that has started since needs no three crashes of its own.
+			suspect.blocks = max(suspect.blocks, reported.Blocks-1)
+		}
 		if answered, ok := s.answered.Peek(reported.Part); ok && len(suspect.crashes) > 0 {
 			if answered.After(suspect.crashes[0].at) {
 				suspect.clear(answered, now)
@@ -353,6 +393,9 @@
 	if !crash.at.After(p.clearedAt) {
 		return
 	}
+	if crash.at.After(p.probesFrom) { // The crashes that led to a block do not count again.
+		p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return !c.at.After(p.probesFrom) })
+	}
 	for i := range p.crashes {
 		c := &p.crashes[i]
 		if c.instance != crash.instance && crash.at.Sub(c.at).Abs() >= crashSpacing {
@@ -393,7 +436,7 @@
 	p.clearedAt, p.lastChanged = answered, now
 	p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return !c.at.After(answered) })
 	if len(p.crashes) == 0 {
-		p.blockedAt, p.blocks = time.Time{}, 0
+		p.unblock()
 	}
 }
 
@@ -401,15 +444,19 @@
 // is decided again.
 func (p *suspectPart) markKnown() {
 	if !p.known && p.blocks <= 1 {
-		p.blockedAt, p.blocks = time.Time{}, 0
+		p.unblock()
 	}
 	p.known = true
 }
 
+func (p *suspectPart) unblock() {
+	p.blocks, p.probesFrom, p.blockedTill = 0, time.Time{}, time.Time{}
+}
+
 // blockDue reports whether the crashes are enough to block the part.
 func (p *suspectPart) blockDue(now time.Time) bool {
 	if p.blocks > 0 {
-		return len(p.crashes) > 0
+		return len(p.crashes) > 0 && p.crashes[0].at.After(p.probesFrom)
 	}
 	return len(p.crashes) >= minPartCrashes && now.Sub(p.crashes[minPartCrashes-1].at) >= confirmationTime
 }
@@ -426,43 +473,32 @@
 	return common
 }
 
-// block begins a block.
-func (p *suspectPart) block() {
-	if p.blocks > 0 {
-		p.blockedAt = p.crashes[0].at
-	} else {
-		p.blockedAt = p.crashes[minPartCrashes-1].at
+// block begins a block, to which the VM adds a part of its length.
+func (p *suspectPart) block(spread float64) {
+	last := p.crashes[0].at
+	if p.blocks == 0 {
+		last = p.crashes[minPartCrashes-1].at
 	}
+	length := p.nextBlockTime()
+	p.probesFrom = last.Add(length)
+	p.blockedTill = p.probesFrom.Add(blockSettleTime + time.Duration(spread*float64(length)))
 	p.blocks++
 }
 
-// activeBlockEnd returns the end of the block, or zero if there is none. The crashes are
-// forgotten at the end of a block.
-func (p *suspectPart) activeBlockEnd(now time.Time) time.Time {
-	if p.blockedAt.IsZero() {
-		return time.Time{}
-	}
-	if now.After(p.blockEnd()) {
-		p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return !c.at.After(p.blockEnd()) })
-		p.blockedAt = time.Time{}
-		return time.Time{}
-	}
-	return p.blockEnd()
-}
-
-func (p *suspectPart) blockEnd() time.Time {
-	return p.blockedAt.Add(min(maxPartBlockTime, partBlockTime<<min(max(0, p.blocks-1), 8)))
+// nextBlockTime returns the least length of the next block.
+func (p *suspectPart) nextBlockTime() time.Duration {
+	return min(maxPartBlockTime, partBlockTime<<min(p.blocks, 8))
 }
 
 func (p *suspectPart) blocked(now time.Time) bool {
-	return now.Before(p.activeBlockEnd(now))
+	return now.Before(p.blockedTill)
 }
 
 // expired reports whether the record is of no more use. A part that was blocked is
-// remembered for as long again as it was blocked.
+// remembered for the length of its next block.
 func (p *suspectPart) expired(now time.Time) bool {
-	if p.blocked(now) {
+	if p.blocks > 0 && !now.After(p.blockedTill.Add(p.nextBlockTime())) {
 		return false
 	}
-	return now.Sub(p.lastChanged) > max(suspicionTTL, time.Duration(p.blocks)*2*partBlockTime)
+	return now.Sub(p.lastChanged) > suspicionTTL
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -120,7 +120,7 @@
 		rateLimiter: quota.NewLocalBuckets(clock.Monotonic{}, environment.Bootstrap),
 		retryBudget: retry.NewBudget(retry.Limits{Ratio: environment.RetryRatio, Slack: environment.RetrySlack, Window: environment.RetryWindow}, time.Now()),
 		crashGuard:  retry.NewCrashGuard(),
-		promptGuard: retry.NewPromptGuard(),
+		promptGuard: retry.NewPromptGuard(environment.Name),
 		demand:      model.NewDemandWithDecay(placement.DemandTimeConstant),
 		forecast:    placement.NewForecast(),
 		peers:       peer.NewClient(tracing),
