Refuse calls that are blocked while they wait for an instance

Calls with content or a prompt part that crashes engines were checked when they arrived, and could wait for seconds after that for capacity, their model or an assignment. Those that waited while the block began were still sent, and crashed one engine each. TestCallThatIsBlockedWhileItWaitsIsRefused got 200 in place of 503 before, for CrashGuard and PromptGuard alike.

Change: both are asked again when the instance has been chosen, which is then given up. The call has not run, and is told so.

--- a/relay/call.go
+++ b/relay/call.go
@@ -86,20 +86,24 @@
 		return refusal
 	}
 	rc.prepare(snapshot.Deployment.Services)
-	if rc.CrashGuard.Blocked(rc.fingerprint, rc.received) {
-		return kumquathitch.NewRefusal(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
-	}
-	if until, blocked := rc.PromptGuard.BlockedUntil(rc.call.Prompt, rc.received); blocked {
-		return crashingPromptRefusal(until)
+	if refusal := rc.crashRefusal(rc.received); refusal != nil {
+		return refusal
 	}
 	return rc.chargeTokens()
 }
 
-// crashingPromptRefusal refuses a call that has not run.
-func crashingPromptRefusal(until time.Time) *kumquathitch.RefusalError {
-	refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "prompt-crashes-instances", "calls with a part of this prompt have crashed several instances")
-	refusal.RetryAfter = until
-	return refusal
+// crashRefusal returns the refusal of a call that crashes instances, or nil. The call must
+// not have run.
+func (rc *relayedCall) crashRefusal(now time.Time) *kumquathitch.RefusalError {
+	if rc.CrashGuard.Blocked(rc.fingerprint, now) {
+		return kumquathitch.NewRefusal(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
+	}
+	if until, blocked := rc.PromptGuard.BlockedUntil(rc.call.Prompt, now); blocked {
+		refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "prompt-crashes-instances", "calls with a part of this prompt have crashed several instances")
+		refusal.RetryAfter = until
+		return refusal
+	}
+	return nil
 }
 
 func stoppingRefusal() *kumquathitch.RefusalError {
@@ -233,7 +237,7 @@
 		rc.Demand.Add(rc.criteria.Service+"/"+rc.call.Target(), rc.call.PromptTokens+rc.call.MaxOutputTokens, rc.received)
 	}
 	for {
-		choice, err := rc.choose(ctx)
+		choice, err := rc.chooseUnblocked(ctx)
 		if err != nil {
 			if rc.pauseBeforeResume(ctx) {
 				continue
@@ -264,6 +268,21 @@
 	return rc.send(ctx, choice)
 }
 
+// chooseUnblocked is choose, followed by a check that the call was not blocked during the
+// wait. Calls wait for capacity or their model for seconds.
+func (rc *relayedCall) chooseUnblocked(ctx context.Context) (kumquathitch.InstanceChoice, error) {
+	choice, err := rc.choose(ctx)
+	if err != nil {
+		return choice, err
+	}
+	now := rc.Clock.Now()
+	if refusal := rc.crashRefusal(now); refusal != nil {
+		rc.Chooser.Done(rc.criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled, Ended: now})
+		return choice, refusal
+	}
+	return choice, nil
+}
+
 // choose returns the instance for the next send. If no instance holds the
 // adapter, the call waits for its placement, which takes milliseconds. If no
 // instance holds a configured model, the call waits as long as the model may
--- a/relay/prompt_guard_test.go
+++ b/relay/prompt_guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +97,50 @@
 	must.Eq(t, 200, status)
 	must.Eq(t, 0, server.Calls("deadly"))
 }
+
+// hookedChooser calls a function when an instance was chosen.
+type hookedChooser struct {
+	kumquathitch.Chooser
+	chosen func()
+}
+
+func (c *hookedChooser) Choose(criteria kumquathitch.InstanceCriteria, now time.Time) (kumquathitch.InstanceChoice, error) {
+	choice, err := c.Chooser.Choose(criteria, now)
+	c.chosen()
+	return choice, err
+}
+
+// TestCallThatIsBlockedWhileItWaitsIsRefused guards against one more crash by each call
+// that waits for an instance while its prompt or its content is blocked.
+func TestCallThatIsBlockedWhileItWaitsIsRefused(t *testing.T) {
+	for name, block := range map[string]func(vm *testVM){
+		"prompt": func(vm *testVM) {
+			for i, id := range []string{"i-7", "i-8", "i-9"} {
+				parts := kumquathitch.PromptParts{{ID: "dd", Tokens: 100}, {ID: "own", Tokens: 10}}
+				vm.handler.PromptGuard.RecordCrash(parts, &kumquathitch.Instance{ID: id}, time.Now().Add(time.Duration(i-5)*time.Second))
+			}
+		},
+		"content": func(vm *testVM) { vm.handler.CrashGuard.(*switchedGuard).blocked.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm := newTestVM(t)
+			server := vm.startScripted("i-1", func(call *standin.ScriptedCall) bool { call.WriteAnswer(call.ID); return true })
+			vm.handler.CrashGuard = &switchedGuard{CrashGuard: retry.NewCrashGuard()}
+			vm.handler.Chooser = &hookedChooser{Chooser: vm.fleet, chosen: func() { block(vm) }}
+			status, _ := vm.callPrompt("deadly", "/book/1", "aa:100,dd:100,ee:10")
+			must.Eq(t, 503, status)
+			must.Eq(t, 0, server.Calls("deadly"))
+			must.MapEmpty(t, vm.fleet.LocalLoads())
+		})
+	}
+}
+
+// switchedGuard blocks all calls once blocked is set.
+type switchedGuard struct {
+	kumquathitch.CrashGuard
+	blocked atomic.Bool
+}
+
+func (g *switchedGuard) Blocked(uint64, time.Time) bool {
+	return g.blocked.Load()
+}
