Test answers with neither a length nor chunks, and streams that end within an event

Not found as a fault: answers that the end of their connection ends are forwarded whole, a stream that ends within an event is broken off for its caller, or resumed where its route allows it. No test covered it.

--- a/relay/trouble_test.go
+++ b/relay/trouble_test.go
@@ -393,3 +393,51 @@
 	must.NoError(t, response.Body.Close())
 	must.Eq(t, 400, response.StatusCode)
 }
+
+// TestAnswerWithoutLength guards against taking a stream that ends within an event for a
+// whole one, and against refusing an answer that only the end of its connection ends.
+func TestAnswerWithoutLength(t *testing.T) {
+	const event = "Content-Type: text/event-stream\r\n"
+	for name, answer := range map[string]struct {
+		path, lines, body string
+		whole             bool
+	}{
+		"body":                   {path: "/book/1", body: "whole", whole: true},
+		"stream":                 {path: "/stream/draft/1", lines: event, body: "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", whole: true},
+		"ends in a field":        {path: "/stream/draft/1", lines: event, body: "id: 1\ndata: x\n\nid: 2\nda"},
+		"ends after a field":     {path: "/stream/draft/1", lines: event, body: "id: 1\ndata: x\n\nid: 2\ndata: y\n"},
+		"ends in its only event": {path: "/stream/draft/1", lines: event, body: "id: 1\nda"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm := newTestVM(t)
+			server := vm.startScripted("i-1", func(call *standin.ScriptedCall) bool {
+				call.WriteHead("200 OK", answer.lines)
+				call.Write("%s", answer.body)
+				return false
+			})
+			got := vm.call("r1", answer.path)
+			must.Eq(t, 1, server.Calls("r1"))
+			if answer.whole {
+				must.NoError(t, got.err)
+				must.Eq(t, 200, got.status)
+				must.Eq(t, answer.body, got.body)
+				return
+			}
+			must.Error(t, got.err)
+			must.Eq(t, 0, strings.Count(got.body, "id: 2"))
+		})
+	}
+	t.Run("resumed", func(t *testing.T) {
+		vm := newTestVM(t, standin.NewInstance("i-2", "llm"))
+		vm.startScripted("i-1", func(call *standin.ScriptedCall) bool {
+			call.WriteHead("200 OK", event)
+			call.Write("id: 1\ndata: event 1\n\nid: 2\nda")
+			return false
+		})
+		for n := range 4 { // Some of them begin on the instance that breaks off.
+			got := vm.call(fmt.Sprintf("r%d", n), "/stream/plan/1")
+			must.NoError(t, got.err)
+			must.Eq(t, 5, strings.Count(got.body, "data:"))
+		}
+	})
+}
