Explain refusals of prompts that crash engines

`kumquathitch explain` printed no cause for the code prompt-crashes-instances, and left out the lines that tell when the block of a part began (TestPrintExplainsBlockedPrompt, which failed).

--- a/trail/print.go
+++ b/trail/print.go
@@ -35,6 +35,8 @@
 	"shutting-down":      "the VM was shutting down",
 	"crashes-instances":  "instances crashed each time they started to execute this request",
 	"no-deployment":      "the VM had no configuration yet",
+
+	"prompt-crashes-instances": "calls with a part of its prompt had crashed engines; look for 'prompt part blocked' lines on this VM",
 }
 
 // Cause returns how the call ended, as far as the logs show.
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -49,3 +49,17 @@
 	must.NoError(t, found.Print(&out))
 	must.Eq(t, "no log line contains call c7\n", out.String())
 }
+
+// TestPrintExplainsBlockedPrompt guards against a refusal without a cause when a part of the
+// prompt crashes engines.
+func TestPrintExplainsBlockedPrompt(t *testing.T) {
+	log := `   0.90 entry-1 time=2026-12-04T10:00:00.9Z level=warn msg="prompt part blocked" part=5c1e07a2 crashes=3 for=420
+   1.30 entry-1 time=2026-12-04T10:00:01.3Z level=info msg="call refused" call=c1 version=3 status=503 code=prompt-crashes-instances run=not-run reason="calls with a part of this prompt have crashed several instances" after=0
+`
+	found := trail.New("c1")
+	must.NoError(t, found.ReadLog("entry-1.log", strings.NewReader(log)))
+	var out strings.Builder
+	must.NoError(t, found.Print(&out))
+	must.StrContains(t, out.String(), "cause: prompt-crashes-instances: calls with a part")
+	must.StrContains(t, out.String(), "prompt part blocked part=5c1e07a2")
+}
