Offer no calls to instances that say in their responses that they leave or want a pause

Servers of the platform now mark all their answers when they leave, and may add Retry-After to a rejection: they want nothing from that VM for so long. Neither was read. A VM went by the store's list, which it may not reach, and tried a rejecting instance again after 150 ms.

Change: the head of a response takes effect as soon as it is read, for the start of the instance that sent it, and survives an entry that lapses. A call that was given the instance before is given another one. When all instances pause, a call waits only if the first pause ends within its objective; it is refused with that time otherwise.

--- a/dispatch.go
+++ b/dispatch.go
@@ -66,9 +66,13 @@
 	ChooseAssigned(criteria InstanceCriteria, assignment Assignment, now time.Time) (InstanceChoice, bool)
 	// HasAlternative reports whether another instance could take the call now.
 	HasAlternative(criteria InstanceCriteria, choice InstanceChoice, now time.Time) bool
-	// ResponseStarted records that the response has started, which shows that the
-	// instance has processed the prompt.
-	ResponseStarted(choice InstanceChoice)
+	// Accepts reports whether the chosen instance still takes calls from this VM. It may
+	// have said otherwise since the choice.
+	Accepts(choice InstanceChoice, now time.Time) bool
+	// ResponseStarted records the head of the response, which shows that the instance has
+	// processed the prompt. It reports whether the head says for the first time that the
+	// instance leaves, or extends the time for which it takes no calls from this VM.
+	ResponseStarted(choice InstanceChoice, head ResponseHead) (withdrawn bool)
 	// Done ends a choice and records the result of the send.
 	Done(criteria InstanceCriteria, choice InstanceChoice, result SendResult)
 	// CapacityFreed returns a channel that is closed when an instance may have capacity again.
@@ -117,9 +121,16 @@
 	// Saturated is set when the call would delay the streams of every instance and
 	// can still wait.
 	Saturated bool
+	// PausedUntil is the earliest time at which an instance takes calls again, when all
+	// that could take the call have asked this VM for a pause. Otherwise it is zero.
+	PausedUntil time.Time
 }
 
 func (e *NoInstanceError) Error() string {
+	if !e.PausedUntil.IsZero() {
+		return "all instances of service " + e.Service + " that hold model " + e.Model + " adapter " + e.Adapter +
+			" want no calls from this VM, the first of them until " + e.PausedUntil.UTC().Format(time.RFC3339Nano)
+	}
 	return "no instance of service " + e.Service + " can take a call for model " + e.Model + " adapter " + e.Adapter
 }
 
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -154,12 +154,18 @@
 	return pacedPrefillFraction * milliseconds(criteria.GapLimit) * share
 }
 
-// ResponseStarted records that an instance has read the prompt of a call.
-func (f *Fleet) ResponseStarted(choice kumquathitch.InstanceChoice) {
-	if inst := f.instanceState(choice.Instance.ID); inst != nil {
-		inst.finishPrefill(choice)
-	}
-	f.notifyCapacity()
+// Accepts reports whether the chosen instance still takes calls from this VM.
+func (f *Fleet) Accepts(choice kumquathitch.InstanceChoice, now time.Time) bool {
+	inst := f.instanceState(choice.Instance.ID)
+	return inst != nil && inst.accepts(choice, now)
+}
+
+// ResponseStarted records the head of a response. It reports whether the head is the
+// first to say that the instance leaves, or asks for a longer pause than before.
+func (f *Fleet) ResponseStarted(choice kumquathitch.InstanceChoice, head kumquathitch.ResponseHead) bool {
+	defer f.notifyCapacity()
+	inst := f.instanceState(choice.Instance.ID)
+	return inst != nil && inst.startResponse(choice, head)
 }
 
 // instanceState returns the state of an instance, or nil if it is not in the fleet.
@@ -172,7 +178,11 @@
 
 func (f *Fleet) noInstanceError(criteria kumquathitch.InstanceCriteria, candidates []*instanceState, now time.Time) error {
 	holders := 0
+	var pausedUntil time.Time
 	for _, inst := range candidates {
+		if end := inst.pauseEnd(criteria, now); !end.IsZero() && (pausedUntil.IsZero() || end.Before(pausedUntil)) {
+			pausedUntil = end
+		}
 		if _, ok := inst.engineSnapshot(criteria.Model, "", now); ok {
 			holders++
 		}
@@ -181,6 +191,7 @@
 		Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
 		AdapterNotResident: criteria.Adapter != "" && holders > 0 && len(criteria.Exclude) == 0,
 		ModelNotResident:   criteria.Model != "" && holders == 0 && len(f.instancesIn(group{service: criteria.Service})) > 0,
+		PausedUntil:        pausedUntil,
 	}
 }
 
@@ -221,7 +232,7 @@
 			return found, false
 		}
 	}
-	if !inst.serves(criteria.Model, criteria.Adapter, now) {
+	if !inst.serves(criteria.Model, criteria.Adapter, now) || now.Before(inst.pausedUntil) {
 		return found, false
 	}
 	load, slots := inst.load(now), float64(max(1, inst.description.Slots))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"kumquathitch.example/kumquathitch"
 )
 
@@ -49,8 +51,12 @@
 type instanceShard struct {
 	mutex     sync.RWMutex
 	instances map[string]*instanceState
+	withdrawn *simplelru.LRU[string, *instanceState] // Removed instances that had said that they take no calls, by ID.
 }
 
+// maxWithdrawnPerShard bounds the removed instances that a shard remembers.
+const maxWithdrawnPerShard = 64
+
 // groupShard holds lists of instances by service and resident model. The lists are
 // replaced, never changed.
 type groupShard struct {
@@ -102,6 +108,7 @@
 	f.capacity.changed = make(chan struct{})
 	for i := range f.shards {
 		f.shards[i].instances = map[string]*instanceState{}
+		f.shards[i].withdrawn, _ = simplelru.NewLRU[string, *instanceState](maxWithdrawnPerShard, nil) // Fails only for a size below 1.
 		f.groups[i].groups = map[group][]*instanceState{}
 		f.services[i].services = map[string]*serviceStats{}
 	}
@@ -136,6 +143,10 @@
 	inst := s.instances[instance.ID]
 	if inst == nil {
 		inst = newInstanceState(instance)
+		if former, ok := s.withdrawn.Peek(instance.ID); ok {
+			inst.restoreWithdrawal(former, &instance)
+			s.withdrawn.Remove(instance.ID)
+		}
 		s.instances[instance.ID] = inst
 	}
 	s.mutex.Unlock()
@@ -151,6 +162,9 @@
 	s.mutex.Lock()
 	inst := s.instances[id]
 	delete(s.instances, id)
+	if inst != nil && inst.withdrawn() { // Its entry may only have lapsed while the store was away.
+		s.withdrawn.Add(id, inst)
+	}
 	s.mutex.Unlock()
 	if inst != nil {
 		f.updateGroups(inst, inst.currentGroups(), nil)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -178,7 +178,7 @@
 	must.True(t, errors.As(err, &none))
 	must.True(t, none.Saturated)
 	freed := f.CapacityFreed()
-	f.ResponseStarted(first)
+	f.ResponseStarted(first, kumquathitch.ResponseHead{})
 	select {
 	case <-freed:
 	default:
@@ -209,3 +209,102 @@
 	must.Eq(t, "one", choice.Instance.ID)
 	must.False(t, choice.Probe)
 }
+
+// TestInstanceThatSaysItLeavesGetsNoCalls guards against calls to an instance between its
+// first response that says so and the store's word of it, and after older descriptions.
+func TestInstanceThatSaysItLeavesGetsNoCalls(t *testing.T) {
+	f := fleet.NewFleet("entry-1", "a")
+	f.Put(newEngine("one", 1, "m1"), start)
+	choice, err := f.Choose(criteriaFor("m1"), start)
+	must.NoError(t, err)
+	must.True(t, f.Accepts(choice, start))
+	must.True(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true}))
+	must.False(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true})) // No news.
+	refuses := func(when string) {
+		_, err := f.Choose(criteriaFor("m1"), start)
+		must.Error(t, err, must.Sprint(when))
+		_, assigned := f.ChooseAssigned(criteriaFor("m1"), kumquathitch.Assignment{InstanceID: "one"}, start)
+		must.False(t, assigned, must.Sprint(when))
+		must.False(t, f.Accepts(choice, start), must.Sprint(when))
+	}
+	refuses("after the response")
+	must.SliceContains(t, f.AvoidedInstances(criteriaFor("m1"), start), "one")
+	must.True(t, f.Instances()[0].Leaving) // The placement goes by this.
+	f.Put(newEngine("one", 2, "m1"), start)
+	refuses("after a description")
+	f.Remove("one")
+	f.Put(newEngine("one", 3, "m1"), start)
+	refuses("after its entry lapsed")
+
+	restarted := newEngine("one", 4, "m1")
+	restarted.Started = start.Add(time.Second)
+	f.Put(restarted, start)
+	_, err = f.Choose(criteriaFor("m1"), start)
+	must.NoError(t, err)
+	must.False(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true})) // Of the start before.
+	_, err = f.Choose(criteriaFor("m1"), start)
+	must.NoError(t, err)
+}
+
+// TestPausedInstanceGetsNoCalls guards against calls to an instance within the time for
+// which it wants none, and against losing that time to a shorter one or a lapsed entry.
+func TestPausedInstanceGetsNoCalls(t *testing.T) {
+	f := fleet.NewFleet("entry-1", "a")
+	f.Put(newEngine("one", 1, "m1"), start)
+	f.Put(newEngine("two", 2, "m1"), start)
+	pauseUntil := func(id string, seconds int) bool {
+		choice, ok := f.ChooseAssigned(criteriaFor("m1"), kumquathitch.Assignment{InstanceID: id}, start)
+		if !ok { // It is paused already.
+			instance, _ := f.Instance(id)
+			choice = kumquathitch.InstanceChoice{Instance: instance}
+		}
+		return f.ResponseStarted(choice, kumquathitch.ResponseHead{PausedUntil: start.Add(time.Duration(seconds) * time.Second)})
+	}
+	must.True(t, pauseUntil("one", 5))
+	must.False(t, pauseUntil("one", 2))
+	for range 20 {
+		choice, err := f.Choose(criteriaFor("m1"), start.Add(4*time.Second))
+		must.NoError(t, err)
+		must.Eq(t, "two", choice.Instance.ID)
+	}
+	must.Eq(t, []string{"one"}, f.AvoidedInstances(criteriaFor("m1"), start))
+
+	must.True(t, pauseUntil("two", 3))
+	_, err := f.Choose(criteriaFor("m1"), start)
+	var none *kumquathitch.NoInstanceError
+	must.True(t, errors.As(err, &none))
+	must.Eq(t, start.Add(3*time.Second), none.PausedUntil)
+	choice, err := f.Choose(criteriaFor("m1"), start.Add(3*time.Second))
+	must.NoError(t, err)
+	must.Eq(t, "two", choice.Instance.ID)
+
+	must.True(t, pauseUntil("one", 8))
+	f.Remove("one")
+	f.Put(newEngine("one", 3, "m1"), start)
+	must.SliceContains(t, f.AvoidedInstances(criteriaFor("m1"), start.Add(7*time.Second)), "one")
+	restarted := newEngine("one", 4, "m1")
+	restarted.Started = start.Add(time.Second)
+	f.Put(restarted, start)
+	must.SliceNotContains(t, f.AvoidedInstances(criteriaFor("m1"), start), "one")
+}
+
+// TestWithdrawalsAreBounded guards against memory that grows with each instance that leaves.
+func TestWithdrawalsAreBounded(t *testing.T) {
+	f := fleet.NewFleet("entry-1", "a")
+	accepted := 0
+	for i := range 5000 {
+		id := "i-" + strconv.Itoa(i)
+		f.Put(newEngine(id, 1, "m1"), start)
+		choice, _ := f.ChooseAssigned(criteriaFor("m1"), kumquathitch.Assignment{InstanceID: id}, start)
+		f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true})
+		f.Remove(id)
+	}
+	for i := range 5000 {
+		id := "i-" + strconv.Itoa(i)
+		f.Put(newEngine(id, 2, "m1"), start)
+		if _, ok := f.ChooseAssigned(criteriaFor("m1"), kumquathitch.Assignment{InstanceID: id}, start); ok {
+			accepted++
+		}
+	}
+	must.Between(t, 3000, accepted, 4999) // Some of the latest are remembered.
+}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -76,6 +76,9 @@
 	probeInFlight     bool
 	busyUntil         time.Time
 
+	saidLeaving bool      // A response said that the instance leaves.
+	pausedUntil time.Time // Until when the instance takes no calls from this VM, by its rejections.
+
 	placedAdapters map[string]time.Time // Expiry of adapters that the description does not list yet, by model/adapter.
 	unloading      []string             // Models that are being unloaded, valid until unloadingUntil.
 	unloadingUntil time.Time
@@ -93,7 +96,8 @@
 	inst.description = kumquathitch.Instance{ID: instance.ID}
 	inst.remoteInFlight, inst.prefillRate, inst.unqueuedPrefillRate, inst.latency, inst.runTime = 0, initialTokensPerMS, initialTokensPerMS, initialLatency, initialRunTime
 	inst.failureRate, inst.consecutiveBreaks, inst.consecutiveOpens = 0, 0, 0
-	inst.openUntil, inst.busyUntil = time.Time{}, time.Time{}
+	inst.openUntil, inst.busyUntil, inst.pausedUntil = time.Time{}, time.Time{}, time.Time{}
+	inst.saidLeaving = false
 	inst.placedAdapters = map[string]time.Time{}
 	inst.prompts = newPrefixCache()
 }
@@ -119,6 +123,7 @@
 		}
 	}
 	maps.DeleteFunc(inst.placedAdapters, func(_ string, until time.Time) bool { return !now.Before(until) })
+	instance.Leaving = instance.Leaving || inst.saidLeaving // The description may be older than the response.
 	inst.description = instance
 	return before, true
 }
@@ -200,11 +205,64 @@
 	}
 }
 
-// finishPrefill records that the prompt of a send has been read.
-func (inst *instanceState) finishPrefill(choice kumquathitch.InstanceChoice) {
+// startResponse records the head of a response: the prompt has been read, and the
+// instance may leave or ask for a pause. It reports whether the latter is news. The latest
+// end of several pauses applies.
+func (inst *instanceState) startResponse(choice kumquathitch.InstanceChoice, head kumquathitch.ResponseHead) bool {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
 	inst.pendingPrefill -= choice.PrefillTokens
+	if !inst.description.SameIncarnation(&choice.Instance) {
+		return false
+	}
+	withdrawn := false
+	if head.Leaving && !inst.saidLeaving {
+		inst.saidLeaving, inst.description.Leaving, withdrawn = true, true, true
+	}
+	if head.PausedUntil.After(inst.pausedUntil) {
+		inst.pausedUntil, withdrawn = head.PausedUntil, true
+	}
+	return withdrawn
+}
+
+// accepts reports whether the instance of a choice takes calls from this VM.
+func (inst *instanceState) accepts(choice kumquathitch.InstanceChoice, now time.Time) bool {
+	inst.mutex.Lock()
+	defer inst.mutex.Unlock()
+	return inst.description.SameIncarnation(&choice.Instance) && !inst.description.Leaving && !now.Before(inst.pausedUntil)
+}
+
+// withdrawn reports whether the instance has said that it takes no calls, even if the
+// pause that it asked for has ended.
+func (inst *instanceState) withdrawn() bool {
+	inst.mutex.Lock()
+	defer inst.mutex.Unlock()
+	return inst.saidLeaving || !inst.pausedUntil.IsZero()
+}
+
+// restoreWithdrawal takes over what the instance said before it was removed, if it has
+// not started again since.
+func (inst *instanceState) restoreWithdrawal(former *instanceState, instance *kumquathitch.Instance) {
+	former.mutex.Lock()
+	same, leaving, until := former.description.SameIncarnation(instance), former.saidLeaving, former.pausedUntil
+	former.mutex.Unlock()
+	if !same {
+		return
+	}
+	inst.mutex.Lock()
+	defer inst.mutex.Unlock()
+	inst.saidLeaving, inst.pausedUntil = leaving, until
+}
+
+// pauseEnd returns the end of the pause of an instance that would serve the call without
+// it. Otherwise the time is zero.
+func (inst *instanceState) pauseEnd(criteria kumquathitch.InstanceCriteria, now time.Time) time.Time {
+	inst.mutex.Lock()
+	defer inst.mutex.Unlock()
+	if slices.Contains(criteria.Exclude, inst.id) || !inst.serves(criteria.Model, criteria.Adapter, now) || !now.Before(inst.pausedUntil) {
+		return time.Time{}
+	}
+	return inst.pausedUntil
 }
 
 // endSend records the result of a send.
@@ -213,7 +271,7 @@
 	defer inst.mutex.Unlock()
 	inst.inFlight--
 	if result.FirstByte.IsZero() {
-		inst.pendingPrefill -= choice.PrefillTokens // Otherwise finishPrefill has subtracted it.
+		inst.pendingPrefill -= choice.PrefillTokens // Otherwise startResponse has subtracted it.
 	}
 	if choice.Probe {
 		inst.probeInFlight = false
@@ -276,7 +334,7 @@
 func (inst *instanceState) avoided(noRetry bool, now time.Time) bool {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	return inst.circuitOpen(noRetry, now) || now.Before(inst.busyUntil)
+	return inst.circuitOpen(noRetry, now) || now.Before(inst.busyUntil) || now.Before(inst.pausedUntil) || inst.description.Leaving
 }
 
 // openCircuit opens the circuit, for twice as long each time. The caller holds the lock.
--- a/relay/call.go
+++ b/relay/call.go
@@ -269,18 +269,24 @@
 }
 
 // chooseUnblocked is choose, followed by a check that the call was not blocked during the
-// wait. Calls wait for capacity or their model for seconds.
+// wait, and that the instance still takes calls. Calls wait for capacity, their model or
+// their turn for seconds.
 func (rc *relayedCall) chooseUnblocked(ctx context.Context) (kumquathitch.InstanceChoice, error) {
-	choice, err := rc.choose(ctx)
-	if err != nil {
-		return choice, err
-	}
-	now := rc.Clock.Now()
-	if refusal := rc.crashRefusal(now); refusal != nil {
+	for {
+		choice, err := rc.choose(ctx)
+		if err != nil {
+			return choice, err
+		}
+		now := rc.Clock.Now()
+		refusal := rc.crashRefusal(now)
+		if refusal == nil && rc.Chooser.Accepts(choice, now) {
+			return choice, nil
+		}
 		rc.Chooser.Done(rc.criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled, Ended: now})
-		return choice, refusal
+		if refusal != nil {
+			return choice, refusal
+		}
 	}
-	return choice, nil
 }
 
 // choose returns the instance for the next send. If no instance holds the
@@ -305,6 +311,10 @@
 			return choice, stoppingRefusal()
 		}
 		switch {
+		case !none.PausedUntil.IsZero():
+			if !rc.pauseUntil(ctx, none.PausedUntil) {
+				return choice, err
+			}
 		case none.Saturated:
 			if !rc.awaitCapacity(ctx) {
 				return choice, err
@@ -371,6 +381,15 @@
 	return now.Add(min(modelWaitFactor*rc.criteria.LatencyObjective, rc.deadline.Sub(now)/2))
 }
 
+// pauseUntil waits until an instance takes calls again. It reports false at once if the
+// call could not start within its objective then, and if ctx ends.
+func (rc *relayedCall) pauseUntil(ctx context.Context, until time.Time) bool {
+	if !until.Before(rc.received.Add(rc.criteria.LatencyObjective)) {
+		return false
+	}
+	return clock.Pause(ctx, until.Sub(rc.Clock.Now()))
+}
+
 // pauseForModel waits for modelPollInterval. It reports false if that would
 // exceed until, or if ctx ends.
 func (rc *relayedCall) pauseForModel(ctx context.Context, until time.Time) bool {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -15,6 +15,7 @@
 	Resends       *metrics.Counter
 	Resumes       *metrics.Counter
 	CallersLeft   *metrics.Counter // Callers that disconnected before their response.
+	Withdrawals   *metrics.Counter // Responses that said that an instance leaves or wants a pause.
 	FirstByteTime *metrics.Histogram
 	ResponseTime  *metrics.Histogram
 }
@@ -28,6 +29,7 @@
 		Resends:       set.NewCounter("kumquathitch_resends_total"),
 		Resumes:       set.NewCounter("kumquathitch_stream_resumes_total"),
 		CallersLeft:   set.NewCounter("kumquathitch_callers_left_total"),
+		Withdrawals:   set.NewCounter("kumquathitch_instance_withdrawals_total"),
 		FirstByteTime: set.NewHistogram("kumquathitch_first_byte_seconds"),
 		ResponseTime:  set.NewHistogram("kumquathitch_answer_seconds"),
 	}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -45,6 +45,11 @@
 		return refusal
 	}
 	var none *kumquathitch.NoInstanceError
+	if errors.As(err, &none) && !none.PausedUntil.IsZero() {
+		refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "instances-paused", err.Error())
+		refusal.RetryAfter = none.PausedUntil
+		return refusal
+	}
 	code := "no-instance"
 	if errors.As(err, &none) && (none.ModelNotResident || none.AdapterNotResident) {
 		code = "model-not-resident"
--- a/relay/send.go
+++ b/relay/send.go
@@ -142,7 +142,9 @@
 		return a.headFailed(err)
 	}
 	a.headAt = a.Clock.Now()
-	a.Chooser.ResponseStarted(a.choice)
+	if a.Chooser.ResponseStarted(a.choice, a.head) {
+		a.logWithdrawal()
+	}
 	a.Metrics.FirstByteTime.Update(a.headAt.Sub(a.received).Seconds())
 	if a.head.NotExecuted {
 		a.reusable = drop(a.response.Body) && !a.response.Close
@@ -158,6 +160,14 @@
 	return a.relayBuffered()
 }
 
+// logWithdrawal counts and logs an instance that takes no more calls from this VM, for a
+// while or for good.
+func (a *attempt) logWithdrawal() {
+	a.Metrics.Withdrawals.Inc()
+	a.Logger.Info("instance takes no calls", zap.String("instance", a.choice.Instance.ID), zap.String("call", a.call.ID), zap.Int("status", a.response.StatusCode),
+		zap.Bool("leaving", a.head.Leaving), zap.Duration("pause", max(0, a.head.PausedUntil.Sub(a.headAt))))
+}
+
 // write sends the head and the body of the call. It returns the number of bytes written.
 func (a *attempt) write() (int64, error) {
 	account := ""
--- a/standin/instance.go
+++ b/standin/instance.go
@@ -13,14 +13,16 @@
 // InstanceFaults are the faults that an instance simulates. Numbers of calls count
 // down with each call that they apply to.
 type InstanceFaults struct {
-	RejectCalls        int  // Number of calls to refuse with 503 and the header Not-Executed.
-	FailCalls          int  // Number of calls to execute and answer with 500.
-	BreakCalls         int  // Number of calls to execute before closing the connection without a response.
-	BreakStreamAfter   int  // Closes the connection within the event after this many, unless the stream is resumed there or later; 0 for never.
-	RejectResumes      int  // Number of calls that resume a stream to refuse, as RejectCalls does.
-	HangCalls          bool // Executes calls and never responds.
-	WrongResponseFirst bool // Sends a response to another call before each response.
-	StallStreamAfter   int  // Sends nothing more on a stream after this many events; 0 for never.
+	RejectCalls        int    // Number of calls to refuse with 503 and the header Not-Executed.
+	RetryAfter         string // Retry-After of these refusals; empty for none.
+	Leaving            bool   // Marks all responses with Server-Leaving.
+	FailCalls          int    // Number of calls to execute and answer with 500.
+	BreakCalls         int    // Number of calls to execute before closing the connection without a response.
+	BreakStreamAfter   int    // Closes the connection within the event after this many, unless the stream is resumed there or later; 0 for never.
+	RejectResumes      int    // Number of calls that resume a stream to refuse, as RejectCalls does.
+	HangCalls          bool   // Executes calls and never responds.
+	WrongResponseFirst bool   // Sends a response to another call before each response.
+	StallStreamAfter   int    // Sends nothing more on a stream after this many events; 0 for never.
 }
 
 // Instance is a server of the users' platform: it answers calls, streams events,
@@ -135,8 +137,14 @@
 	id := r.Header.Get("Request-Id")
 	faults, rejected := i.beginCall(r, id)
 	w.Header().Set("Request-Id", id)
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if rejected {
 		w.Header().Set("Not-Executed", "1")
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/trail/print.go
+++ b/trail/print.go
@@ -14,6 +14,7 @@
 	"call refused":                   "refused with {status} {code} ({run}) after {after} s: {reason}",
 	"answer broken off":              "response aborted, {code}: {reason}",
 	"caller left":                    "the caller disconnected after {sends} sends",
+	"instance takes no calls":        "instance {instance} takes no new calls from this VM: leaving {leaving}, pause of {pause} s",
 	"instance silent":                "instance {instance} sent no data for {silent} s; the send was ended to retry the call on another instance",
 	"stream resumed":                 "stream resumed after event {after-event} at instance {instance}",
 	"stream slow":                    "stream slow at instance {instance}: first event after {first} s, longest pause {longest-pause} s, {running} requests running and {waiting} waiting there, {to-read} prompt tokens to prefill",
@@ -36,6 +37,7 @@
 	"crashes-instances":  "instances crashed each time they started to execute this request",
 	"no-deployment":      "the VM had no configuration yet",
 
+	"instances-paused":         "all instances for the call had asked this VM for a pause; look for 'instance takes no calls' lines",
 	"prompt-crashes-instances": "calls with a part of its prompt had crashed engines; look for 'prompt part blocked' lines on this VM",
 }
 
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -43,7 +43,7 @@
 	"instance described": true, "instance gone": true, "configuration in force": true, "leading": true, "no longer leading": true,
 	"lease not renewed": true, "store call failed": true, "store regained": true, "exchange failed": true, "engine not named": true,
 	"reach of other data centres": true, "starting": true, "stopping": true, "order": true,
-	"prompt part blocked": true,
+	"prompt part blocked": true, "instance takes no calls": true,
 }
 
 // Event is one line of a log.
