Keep what an instance said if its new description arrives after its response

An instance that starts again under its ID and then leaves, or asks for a pause, was offered calls on a VM that got its response before its new description, for example while the store was away: the description cleared what the response had said. TestWithdrawalBeforeDescriptionIsKept fails without the change.

Change: a response counts for the new start if it came later than that start and from the same address. The two times are of different clocks, so that it holds for 30 s in place of for good.

--- a/call.go
+++ b/call.go
@@ -78,6 +78,7 @@
 	Load           LoadCount
 	HasLoad        bool
 	KeepAliveUntil time.Time // When the upstream closes the idle connection; zero when it does not state it.
+	Received       time.Time // When the head was read.
 	Leaving        bool      // The upstream leaves, and takes no new calls.
 	PausedUntil    time.Time // With a rejection: until when the upstream takes no calls from this VM; zero when it does not state it.
 }
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -232,7 +232,7 @@
 			return found, false
 		}
 	}
-	if !inst.serves(criteria.Model, criteria.Adapter, now) || now.Before(inst.pausedUntil) {
+	if !inst.serves(criteria.Model, criteria.Adapter, now) || now.Before(inst.withdrawal.pausedUntil) {
 		return found, false
 	}
 	load, slots := inst.load(now), float64(max(1, inst.description.Slots))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -308,3 +308,45 @@
 	}
 	must.Between(t, 3000, accepted, 4999) // Some of the latest are remembered.
 }
+
+// TestWithdrawalBeforeDescriptionIsKept guards against calls to an instance that started
+// again and leaves, on a VM that gets its new description after its response.
+func TestWithdrawalBeforeDescriptionIsKept(t *testing.T) {
+	checkWithdrawalBeforeDescription(t, false)
+	checkWithdrawalBeforeDescription(t, true)
+}
+
+// checkWithdrawalBeforeDescription also has the entry lapse before the new description.
+func checkWithdrawalBeforeDescription(t *testing.T, lapsed bool) {
+	t.Helper()
+	at := start.Add(10 * time.Second) // When the response arrives.
+	for name, head := range map[string]kumquathitch.ResponseHead{
+		"leaving": {Received: at, Leaving: true},
+		"pause":   {Received: at, PausedUntil: at.Add(20 * time.Second)},
+	} {
+		f := fleet.NewFleet("entry-1", "a")
+		f.Put(newEngine("one", 1, "m1"), start)
+		choice, err := f.Choose(criteriaFor("m1"), at)
+		must.NoError(t, err)
+		must.True(t, f.ResponseStarted(choice, head))
+		restarted := newEngine("one", 2, "m1")
+		restarted.Started = start.Add(5 * time.Second)
+		if lapsed {
+			f.Remove("one")
+		}
+		f.Put(restarted, at)
+		_, err = f.Choose(criteriaFor("m1"), at.Add(19*time.Second))
+		must.Error(t, err, must.Sprint(name))
+		_, err = f.Choose(criteriaFor("m1"), at.Add(31*time.Second)) // Clocks may differ, so it is tried again.
+		must.NoError(t, err, must.Sprint(name))
+		must.True(t, f.ResponseStarted(choiceOf(restarted), head) || name == "pause")
+		restarted.Revision, restarted.Started = 3, at.Add(time.Second)
+		f.Put(restarted, at)
+		_, err = f.Choose(criteriaFor("m1"), at.Add(time.Second))
+		must.NoError(t, err, must.Sprint(name))
+	}
+}
+
+func choiceOf(instance kumquathitch.Instance) kumquathitch.InstanceChoice {
+	return kumquathitch.InstanceChoice{Instance: instance}
+}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -34,6 +34,9 @@
 	// placedAdapterTTL is how long a placed adapter counts as resident before the
 	// description lists it. Descriptions are updated about once a second.
 	placedAdapterTTL = 4 * time.Second
+	// leavingCarryTime is how long an instance is taken to leave by a response that came
+	// before this VM knew of its present start. Instances exit seconds after they leave.
+	leavingCarryTime = 30 * time.Second
 	// unloadingTTL is how long the leader's list of models being unloaded counts. It
 	// is repeated twice a second.
 	unloadingTTL = 1500 * time.Millisecond
@@ -53,6 +56,31 @@
 	initialLatency = 20 * time.Millisecond
 )
 
+// withdrawal is what the responses of an instance say of calls from this VM.
+type withdrawal struct {
+	leaving     bool      // The instance leaves.
+	pausedUntil time.Time // Until when it takes no calls.
+	at          time.Time // Last response that said either.
+}
+
+// carriedTo returns what still holds after a new description. After another start of the
+// instance, a response counts if it came later than that start and from its address: the
+// VM then had not known of the start yet. The times are those of two clocks, so that it
+// counts only for a while that the instance leaves.
+func (w withdrawal) carriedTo(from, to *kumquathitch.Instance) withdrawal {
+	if from.SameIncarnation(to) {
+		return w
+	}
+	if from.Address != to.Address || !w.at.After(to.Started) {
+		return withdrawal{}
+	}
+	if end := w.at.Add(leavingCarryTime); w.leaving && end.After(w.pausedUntil) {
+		w.pausedUntil = end
+	}
+	w.leaving = false
+	return w
+}
+
 // instanceState is the description of an instance, and what this VM has observed of it.
 type instanceState struct {
 	id          string // Immutable, so read without the lock.
@@ -76,8 +104,7 @@
 	probeInFlight     bool
 	busyUntil         time.Time
 
-	saidLeaving bool      // A response said that the instance leaves.
-	pausedUntil time.Time // Until when the instance takes no calls from this VM, by its rejections.
+	withdrawal withdrawal
 
 	placedAdapters map[string]time.Time // Expiry of adapters that the description does not list yet, by model/adapter.
 	unloading      []string             // Models that are being unloaded, valid until unloadingUntil.
@@ -96,8 +123,7 @@
 	inst.description = kumquathitch.Instance{ID: instance.ID}
 	inst.remoteInFlight, inst.prefillRate, inst.unqueuedPrefillRate, inst.latency, inst.runTime = 0, initialTokensPerMS, initialTokensPerMS, initialLatency, initialRunTime
 	inst.failureRate, inst.consecutiveBreaks, inst.consecutiveOpens = 0, 0, 0
-	inst.openUntil, inst.busyUntil, inst.pausedUntil = time.Time{}, time.Time{}, time.Time{}
-	inst.saidLeaving = false
+	inst.openUntil, inst.busyUntil, inst.withdrawal = time.Time{}, time.Time{}, withdrawal{}
 	inst.placedAdapters = map[string]time.Time{}
 	inst.prompts = newPrefixCache()
 }
@@ -115,7 +141,9 @@
 		before = groupsOf(&inst.description)
 	}
 	if inst.description.Service != "" && !inst.description.SameIncarnation(&instance) {
+		carried := inst.withdrawal.carriedTo(&inst.description, &instance)
 		inst.reset(instance)
+		inst.withdrawal = carried
 	}
 	for _, r := range inst.description.Models {
 		if !instance.Models.Holds(r.Name, "") {
@@ -123,7 +151,7 @@
 		}
 	}
 	maps.DeleteFunc(inst.placedAdapters, func(_ string, until time.Time) bool { return !now.Before(until) })
-	instance.Leaving = instance.Leaving || inst.saidLeaving // The description may be older than the response.
+	instance.Leaving = instance.Leaving || inst.withdrawal.leaving // The description may be older than the response.
 	inst.description = instance
 	return before, true
 }
@@ -215,21 +243,24 @@
 	if !inst.description.SameIncarnation(&choice.Instance) {
 		return false
 	}
-	withdrawn := false
-	if head.Leaving && !inst.saidLeaving {
-		inst.saidLeaving, inst.description.Leaving, withdrawn = true, true, true
+	before := inst.withdrawal
+	if head.Leaving || !head.PausedUntil.IsZero() {
+		inst.withdrawal.at = head.Received
+	}
+	if head.Leaving {
+		inst.withdrawal.leaving, inst.description.Leaving = true, true
 	}
-	if head.PausedUntil.After(inst.pausedUntil) {
-		inst.pausedUntil, withdrawn = head.PausedUntil, true
+	if head.PausedUntil.After(before.pausedUntil) {
+		inst.withdrawal.pausedUntil = head.PausedUntil
 	}
-	return withdrawn
+	return inst.withdrawal.leaving != before.leaving || !inst.withdrawal.pausedUntil.Equal(before.pausedUntil)
 }
 
 // accepts reports whether the instance of a choice takes calls from this VM.
 func (inst *instanceState) accepts(choice kumquathitch.InstanceChoice, now time.Time) bool {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	return inst.description.SameIncarnation(&choice.Instance) && !inst.description.Leaving && !now.Before(inst.pausedUntil)
+	return inst.description.SameIncarnation(&choice.Instance) && !inst.description.Leaving && !now.Before(inst.withdrawal.pausedUntil)
 }
 
 // withdrawn reports whether the instance has said that it takes no calls, even if the
@@ -237,21 +268,17 @@
 func (inst *instanceState) withdrawn() bool {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	return inst.saidLeaving || !inst.pausedUntil.IsZero()
+	return inst.withdrawal.leaving || !inst.withdrawal.pausedUntil.IsZero()
 }
 
-// restoreWithdrawal takes over what the instance said before it was removed, if it has
-// not started again since.
+// restoreWithdrawal takes over what the instance said before it was removed.
 func (inst *instanceState) restoreWithdrawal(former *instanceState, instance *kumquathitch.Instance) {
 	former.mutex.Lock()
-	same, leaving, until := former.description.SameIncarnation(instance), former.saidLeaving, former.pausedUntil
+	carried := former.withdrawal.carriedTo(&former.description, instance)
 	former.mutex.Unlock()
-	if !same {
-		return
-	}
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	inst.saidLeaving, inst.pausedUntil = leaving, until
+	inst.withdrawal = carried
 }
 
 // pauseEnd returns the end of the pause of an instance that would serve the call without
@@ -259,10 +286,10 @@
 func (inst *instanceState) pauseEnd(criteria kumquathitch.InstanceCriteria, now time.Time) time.Time {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	if slices.Contains(criteria.Exclude, inst.id) || !inst.serves(criteria.Model, criteria.Adapter, now) || !now.Before(inst.pausedUntil) {
+	if slices.Contains(criteria.Exclude, inst.id) || !inst.serves(criteria.Model, criteria.Adapter, now) || !now.Before(inst.withdrawal.pausedUntil) {
 		return time.Time{}
 	}
-	return inst.pausedUntil
+	return inst.withdrawal.pausedUntil
 }
 
 // endSend records the result of a send.
@@ -334,7 +361,7 @@
 func (inst *instanceState) avoided(noRetry bool, now time.Time) bool {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	return inst.circuitOpen(noRetry, now) || now.Before(inst.busyUntil) || now.Before(inst.pausedUntil) || inst.description.Leaving
+	return inst.circuitOpen(noRetry, now) || now.Before(inst.busyUntil) || now.Before(inst.withdrawal.pausedUntil) || inst.description.Leaving
 }
 
 // openCircuit opens the circuit, for twice as long each time. The caller holds the lock.
