Have engines of the soak leave and ask for pauses, and check that VMs obey

Engines ask for pauses of 0.6 to 2 s, and one at a time leaves and starts again, beside all other faults. After a run no more than two calls of a VM may have reached an engine within a pause, from half a second after the rejection on, and none that was sent 0.5 s after the VM passed on that the engine leaves. Restarts, freezes and cuts of the VM or of its connections to the engine in between excuse it.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -59,6 +59,7 @@
 	engineProxies []*proxy // In the order of engines.
 	vms           []*entryVM
 	version       int // Version of the configuration.
+	withdrawals   withdrawals
 }
 
 // entryVM is a VM whose process can be restarted.
@@ -73,6 +74,7 @@
 	process      *exec.Cmd
 	log          *bytes.Buffer
 	logStart     int // Length of the log when the process started.
+	disturbances disturbances
 }
 
 // loopback returns the address of a VM. It depends on the process id, so that
@@ -149,6 +151,7 @@
 func (v *entryVM) start() {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	v.disturbances.add()
 	v.process = exec.Command(entryBinary)
 	v.process.Env = append(os.Environ(), "KUMQUATHITCH_NODE_FILE="+v.settingsFile)
 	v.process.Stdout, v.process.Stderr = v.log, v.log
@@ -159,6 +162,7 @@
 func (v *entryVM) signal(signal syscall.Signal) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	v.disturbances.add()
 	_ = v.process.Process.Signal(signal) // The process may have exited.
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -25,6 +25,7 @@
 
 	mutex        sync.Mutex
 	fault        proxyFault
+	disturbances disturbances
 	faultChanged chan struct{} // Closed when the fault is replaced.
 	conns        map[net.Conn]bool
 }
@@ -119,6 +120,7 @@
 
 // setFault replaces the fault, also for bytes that are waiting.
 func (p *proxy) setFault(fault proxyFault) {
+	p.disturbances.add()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.fault = fault
@@ -128,6 +130,7 @@
 
 // resetConnections closes all connections with a TCP reset.
 func (p *proxy) resetConnections() {
+	p.disturbances.add()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for conn := range p.conns {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -84,7 +84,9 @@
 		}
 	}
 	random := rand.New(rand.NewPCG(seed, 0))
+	withdrawn := c.startWithdrawals(rand.New(rand.NewPCG(seed, 1)))
 	c.injectFaults(random)
+	<-withdrawn
 	for _, v := range c.vms {
 		c.waitFor(v.name+" to become ready again", recoveryLimit, v.isReady)
 	}
@@ -103,6 +105,7 @@
 	if successful == 0 {
 		t.Error("no call succeeded")
 	}
+	c.checkWithdrawals()
 	for _, engine := range c.engines {
 		if engine.Crashed() {
 			t.Errorf("%s was ordered to exceed its memory or adapter slots", engine.ID)
@@ -206,12 +209,16 @@
 	for name, value := range map[string]string{"Request-Id": result.id, "Api-Key": key, "Deadline-Ms": "4000", "Model": "m", "Token-Count": "100,10"} {
 		r.Header.Set(name, value)
 	}
+	c.withdrawals.recordCall(result.id, v)
 	response, err := client.Do(r)
 	if err != nil {
 		result.err = err
 		return result
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get("Server-Leaving") == "1" {
+		c.withdrawals.recordLeaving(result.id, strings.TrimPrefix(response.Header.Get("Response-Signature"), "signed-by-"))
+	}
 	body, err := io.ReadAll(response.Body)
 	result.status, result.body, result.err = response.StatusCode, string(body), err
 	return result
--- a/standin/instance.go
+++ b/standin/instance.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // InstanceFaults are the faults that an instance simulates. Numbers of calls count
@@ -37,7 +38,9 @@
 	ModelMB      map[string]float64 // Sizes by model name; 0 for a model without an entry.
 
 	mutex          sync.Mutex
+	born           int64 // Start of the instance, in Unix milliseconds.
 	faults         InstanceFaults
+	arrivals       []Arrival
 	executions     map[string]int // By request id.
 	requestHeaders []http.Header
 	models         map[string][]string
@@ -46,10 +49,18 @@
 	closed         chan struct{}
 }
 
+// Arrival is a call that reached an instance.
+type Arrival struct {
+	Call        string // Request ID.
+	At          time.Time
+	Born        int64     // Start of the instance that it reached.
+	PausedUntil time.Time // Set if the call was rejected with Retry-After.
+}
+
 // NewInstance returns an instance in zone-a with resident models.
 func NewInstance(id, service string, models ...string) *Instance {
 	i := &Instance{
-		ID: id, Service: service, Zone: "zone-a", StreamEvents: 5, MemoryMB: 200, AdapterSlots: 8, ModelMB: map[string]float64{},
+		ID: id, born: 1, Service: service, Zone: "zone-a", StreamEvents: 5, MemoryMB: 200, AdapterSlots: 8, ModelMB: map[string]float64{},
 		executions: map[string]int{}, models: map[string][]string{}, closed: make(chan struct{}),
 	}
 	for _, name := range models {
@@ -65,6 +76,28 @@
 	i.faults = faults
 }
 
+// UpdateFaults changes the simulated faults.
+func (i *Instance) UpdateFaults(update func(*InstanceFaults)) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	update(&i.faults)
+}
+
+// Restart starts the instance again under its ID, without faults. It keeps its models.
+func (i *Instance) Restart() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.born = time.Now().UnixMilli()
+	i.orderCount, i.faults = 0, InstanceFaults{}
+}
+
+// Arrivals returns the calls that reached the instance, in order.
+func (i *Instance) Arrivals() []Arrival {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return slices.Clone(i.arrivals)
+}
+
 // Executions returns how many times the call with a request id was executed.
 func (i *Instance) Executions(call string) int {
 	i.mutex.Lock()
@@ -99,7 +132,7 @@
 	defer i.mutex.Unlock()
 	text, _ := json.Marshal(map[string]any{ // Plain values always encode.
 		"service": i.Service, "address": address, "zone": i.Zone, "version": "v1", "slots": 4,
-		"state": "ready", "seq": 7, "born": 1, "models": i.describeModels(),
+		"state": "ready", "seq": 7, "born": i.born, "models": i.describeModels(),
 	})
 	return text
 }
@@ -125,7 +158,7 @@
 	case "/v1/report":
 		i.mutex.Lock()
 		defer i.mutex.Unlock()
-		writeJSON(w, http.StatusOK, map[string]any{"stage": "colocated", "models": i.describeModels(), "busy": false, "seq": i.orderCount, "born": 1})
+		writeJSON(w, http.StatusOK, map[string]any{"stage": "colocated", "models": i.describeModels(), "busy": false, "seq": i.orderCount, "born": i.born})
 	case "/v1/order":
 		i.serveOrder(w, r)
 	default:
@@ -176,8 +209,13 @@
 func (i *Instance) beginCall(r *http.Request, id string) (InstanceFaults, bool) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	arrival := Arrival{Call: id, At: time.Now(), Born: i.born}
+	defer func() { i.arrivals = append(i.arrivals, arrival) }()
 	if i.faults.RejectCalls > 0 {
 		i.faults.RejectCalls--
+		if seconds, err := strconv.ParseFloat(i.faults.RetryAfter, 64); err == nil {
+			arrival.PausedUntil = arrival.At.Add(time.Duration(seconds * float64(time.Second)))
+		}
 		return i.faults, true
 	}
 	if i.faults.RejectResumes > 0 && r.Header.Get("Last-Event-Id") != "" {
