Keep what an instance says in a response to a call that was sent before its new description

A response that arrived after the description of another start of its instance, to a call that was sent before that, was dropped: the VM went on offering calls to an instance that had said that it leaves, or had asked for a pause. The rule for responses that came before the description applies to it as well. TestWithdrawalOfCallSentBeforeDescriptionIsKept fails without the change.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -347,6 +347,24 @@
 	}
 }
 
+// TestWithdrawalOfCallSentBeforeDescriptionIsKept guards against dropping what an instance
+// says in a response to a call that was sent by the description of its start before.
+func TestWithdrawalOfCallSentBeforeDescriptionIsKept(t *testing.T) {
+	f := fleet.NewFleet("entry-1", "a")
+	f.Put(newEngine("one", 1, "m1"), start)
+	choice, err := f.Choose(criteriaFor("m1"), start)
+	must.NoError(t, err)
+	restarted := newEngine("one", 2, "m1")
+	restarted.Started = start.Add(5 * time.Second)
+	f.Put(restarted, start)
+	at := start.Add(6 * time.Second)
+	must.True(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Received: at, PausedUntil: at.Add(3 * time.Second)}))
+	_, err = f.Choose(criteriaFor("m1"), at.Add(2*time.Second))
+	must.Error(t, err)
+	_, err = f.Choose(criteriaFor("m1"), at.Add(3*time.Second))
+	must.NoError(t, err)
+}
+
 func choiceOf(instance kumquathitch.Instance) kumquathitch.InstanceChoice {
 	return kumquathitch.InstanceChoice{Instance: instance}
 }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -63,6 +63,10 @@
 	at          time.Time // Last response that said either.
 }
 
+func (w withdrawal) empty() bool {
+	return !w.leaving && w.pausedUntil.IsZero()
+}
+
 // carriedTo returns what still holds after a new description. After another start of the
 // instance, a response counts if it came later than that start and from its address: the
 // VM then had not known of the start yet. The times are those of two clocks, so that it
@@ -240,18 +244,17 @@
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
 	inst.pendingPrefill -= choice.PrefillTokens
-	if !inst.description.SameIncarnation(&choice.Instance) {
+	said := withdrawal{leaving: head.Leaving, pausedUntil: head.PausedUntil, at: head.Received}
+	said = said.carriedTo(&choice.Instance, &inst.description)
+	if said.empty() {
 		return false
 	}
 	before := inst.withdrawal
-	if head.Leaving || !head.PausedUntil.IsZero() {
-		inst.withdrawal.at = head.Received
-	}
-	if head.Leaving {
-		inst.withdrawal.leaving, inst.description.Leaving = true, true
-	}
-	if head.PausedUntil.After(before.pausedUntil) {
-		inst.withdrawal.pausedUntil = head.PausedUntil
+	inst.withdrawal.at = said.at
+	inst.withdrawal.leaving = before.leaving || said.leaving
+	inst.description.Leaving = inst.description.Leaving || said.leaving
+	if said.pausedUntil.After(before.pausedUntil) {
+		inst.withdrawal.pausedUntil = said.pausedUntil
 	}
 	return inst.withdrawal.leaving != before.leaving || !inst.withdrawal.pausedUntil.Equal(before.pausedUntil)
 }
@@ -268,7 +271,7 @@
 func (inst *instanceState) withdrawn() bool {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	return inst.withdrawal.leaving || !inst.withdrawal.pausedUntil.IsZero()
+	return !inst.withdrawal.empty()
 }
 
 // restoreWithdrawal takes over what the instance said before it was removed.
