Send orders to engines that start again without asking them for reports

Engines that crashed and came back stayed empty for a second longer than they had to: the leader asked each of them for two reports, 0.7 s apart, before its first order.

Change: an engine that is first listed within a term has had no order in it, so its first order expects a count of zero. An order under way from an earlier leader makes it refuse that order, and reports are asked for as before. Fewer probes, too.

--- a/placement/controller.go
+++ b/placement/controller.go
@@ -59,6 +59,7 @@
 	lastLogged   atomic.Int64 // When the placement was last logged, nanoseconds since created.
 	created      time.Time
 	stateFence   atomic.Uint64 // Fencing token of the term in which the states were collected.
+	listedFence  atomic.Uint64 // Fencing token of the last term in which all instances were listed.
 	shards       [shardCount]stateShard
 	limiter      loadLimiter
 }
@@ -95,6 +96,7 @@
 	now := c.clock.Now()
 	c.startTerm(fence)
 	c.applyDescriptions(instances, now)
+	c.listedFence.Store(fence)
 	c.dropUnlisted(now)
 	for i := range services {
 		s := &services[i]
@@ -286,8 +288,10 @@
 // unlisted instance is kept for a while, since the entry of an instance that is
 // cut off from the store expires while the instance runs on; see dropUnlisted.
 func (c *Controller) applyDescriptions(instances kumquathitch.Instances, now time.Time) {
+	fence := c.stateFence.Load()
+	firstListedInTerm := fence != 0 && c.listedFence.Load() == fence
 	for _, instance := range instances {
-		c.withState(instance.ID, func(st *instanceState) { st.applyDescription(instance, now) })
+		c.withState(instance.ID, func(st *instanceState) { st.applyDescription(instance, firstListedInTerm, now) })
 	}
 }
 
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -161,7 +161,10 @@
 func (e *fakeEngine) describe(write, reveal bool) {
 	if write {
 		next := e.visible
-		next.Revision += uint64(len(e.unseen) + 1)
+		if len(e.unseen) > 0 {
+			next = e.unseen[len(e.unseen)-1]
+		}
+		next.Revision++
 		next.Models = cloneResidents(e.models)
 		e.unseen = append(e.unseen, next)
 	}
@@ -170,14 +173,28 @@
 	}
 }
 
+// restart starts the engine again, without models and with a count of zero. Orders under
+// way may still reach it.
+func (e *fakeEngine) restart(now time.Time) {
+	e.models, e.reported, e.accepted, e.busy = nil, nil, 0, false
+	next := e.visible
+	if len(e.unseen) > 0 {
+		next = e.unseen[len(e.unseen)-1]
+	}
+	next.Started, next.Models = now, nil
+	next.Revision++
+	e.unseen = append(e.unseen, next)
+}
+
 // TestMemoryIsNeverOvercommitted plays random demand with late descriptions, lost
-// responses, late orders and new terms. No engine may be ordered to hold more
+// responses, late orders, restarts and new terms. No engine may be ordered to hold more
 // models or adapters than fit.
 func TestMemoryIsNeverOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := clock.NewManual(time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC))
 		f := &fakeFleet{spec: testSpec(6), clock: now, engines: map[string]*fakeEngine{}}
 		losing := rapid.IntRange(0, 30).Draw(t, "losing-percent")
+		restarting := rapid.IntRange(0, 5).Draw(t, "restarting-percent")
 		ids := []string{"s0", "s1", "s2"}
 		for n, id := range ids {
 			e := &fakeEngine{models: kumquathitch.ResidentModels{{Name: fmt.Sprintf("m%d", n)}}}
@@ -191,6 +208,9 @@
 			f.advance(250 * time.Millisecond)
 			f.losingResponses = rapid.IntRange(0, 99).Draw(t, "lost") < losing
 			for _, id := range ids {
+				if rapid.IntRange(0, 99).Draw(t, "restarted") < restarting {
+					f.engines[id].restart(now.Now())
+				}
 				f.engines[id].describe(rapid.IntRange(0, 3).Draw(t, "written") == 0, rapid.IntRange(0, 7).Draw(t, "heard") == 0)
 			}
 			if rapid.IntRange(0, 40).Draw(t, "term") == 0 {
@@ -261,6 +281,32 @@
 	must.True(t, e.models.Holds("m2", "a1"))
 }
 
+// TestRestartedEngineIsLoadedAtOnce guards against engines that start again and stay empty
+// while the leader asks them for reports.
+func TestRestartedEngineIsLoadedAtOnce(t *testing.T) {
+	now := clock.NewManual(time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC))
+	f := &fakeFleet{spec: testSpec(3), clock: now, engines: map[string]*fakeEngine{}}
+	for _, id := range []string{"s0", "s1"} {
+		e := &fakeEngine{models: kumquathitch.ResidentModels{{Name: "m0"}, {Name: "m1"}}}
+		e.visible = kumquathitch.Instance{ID: id, Service: "llm", Address: id, Revision: 1, Models: cloneResidents(e.models)}
+		f.engines[id] = e
+	}
+	controller := placement.NewController(f, "vm", func() (uint64, bool) { return 9, true }, now, zap.NewNop(), metrics.NewSet(), telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()))
+	services := kumquathitch.Services{{Name: "llm", Engine: f.spec}}
+	reconcile := func() {
+		f.advance(250 * time.Millisecond)
+		instances := kumquathitch.Instances{f.engines["s0"].visible, f.engines["s1"].visible}
+		controller.Reconcile(t.Context(), services, instances, map[string]float64{"llm/m0": 100, "llm/m1": 100})
+	}
+	for range 40 {
+		reconcile()
+	}
+	f.engines["s1"].restart(now.Now())
+	f.engines["s1"].describe(false, true)
+	reconcile()
+	must.Eq(t, 1, f.engines["s1"].accepted)
+}
+
 // TestAdapterRequestCostIsIndependentOfFleetSize guards against a leader that spends its
 // processor time on requests for adapters, each of which looked at all engines.
 func TestAdapterRequestCostIsIndependentOfFleetSize(t *testing.T) {
--- a/placement/instance_state.go
+++ b/placement/instance_state.go
@@ -70,11 +70,13 @@
 	until    time.Time // After this the effect is taken as given, subject to a report.
 }
 
-// applyDescription updates the estimate from the instance's description. A new
-// start of the instance resets it.
-func (st *instanceState) applyDescription(instance kumquathitch.Instance, now time.Time) {
+// applyDescription updates the estimate from the instance's description. A new start of
+// the instance resets it. A start that was first listed within the present term has had no
+// order yet. If it has had one after all, it refuses the first order of this VM, whose
+// expected count is zero.
+func (st *instanceState) applyDescription(instance kumquathitch.Instance, firstListedInTerm bool, now time.Time) {
 	if !st.instance.SameIncarnation(&instance) {
-		*st = instanceState{instance: instance, models: cloneResidents(instance.Models), uncertain: true, listedAt: now}
+		*st = instanceState{instance: instance, models: cloneResidents(instance.Models), uncertain: !firstListedInTerm, listedAt: now}
 		return
 	}
 	st.instance, st.listedAt = instance, now
