Hold calls with a new prompt part as soon as it has crashed three engines

A second more passed for the confirmation, in which calls with the part were still sent.

Change: crashes of a part that no engine has ever answered count separately if 20 ms lie between them; longer series count as one, and a crash that a busy VM sees late belongs to the series of its engine. For parts that were answered before, 150 ms stay. While the block of a new part is confirmed, its calls are refused with the time of the decision. Ruled out: a shorter confirmation, which rests on two exchanges. TestNewDeadlyPartIsHeldAfterThirdCrash fails without the change.

--- a/exchange.go
+++ b/exchange.go
@@ -70,10 +70,12 @@
 	SinceChange time.Duration `json:"since-change"`           // Time since the last observation.
 }
 
-// PartCrash is the crash of an engine that had not answered a call with the part.
+// PartCrash is a series of crashes of engines that had not answered a call with the part.
 type PartCrash struct {
-	Instance   string        `json:"instance"` // ID and start of the engine.
-	Age        time.Duration `json:"age"`
+	Instance   string        `json:"instance"`             // ID and start of one of the engines.
+	Others     []string      `json:"others,omitempty"`     // Those of the others, as far as they are kept.
+	Age        time.Duration `json:"age"`                  // Time since the first crash.
+	Span       time.Duration `json:"span,omitempty"`       // From the first crash to the last one.
 	Companions []uint64      `json:"companions,omitempty"` // Other parts of the calls that had not been answered.
 }
 
--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -22,8 +22,13 @@
 	// crashSpacing is the least time between crashes that count separately: engines that
 	// lose power together say nothing about the calls on them.
 	crashSpacing = 150 * time.Millisecond
+	// newPartCrashSpacing is the same time, from the end of one series of crashes to the
+	// next, for a part that was never answered. Hardly any of these is on the calls of
+	// several engines that lose power together.
+	newPartCrashSpacing = 20 * time.Millisecond
 	// confirmationTime is the time from the last of these crashes to the block. Answers
-	// that other VMs saw arrive within two exchanges, which come twice a second.
+	// that other VMs saw arrive within two exchanges, which come twice a second. Calls
+	// with a part that was never answered are refused meanwhile.
 	confirmationTime = time.Second
 	// partBlockTime is the least time for which a part is blocked at first. It doubles each
 	// time up to maxPartBlockTime, since after a block one crash is enough. Each VM adds a
@@ -39,8 +44,10 @@
 	// maxPartsPerShard bounds the suspected parts of a shard, and the parts whose last
 	// answer it remembers.
 	maxPartsPerShard = 256
-	// maxCrashesPerPart bounds the crashes kept for a part; the earliest are kept.
-	maxCrashesPerPart = 4
+	// maxCrashesPerPart bounds the series of crashes kept for a part.
+	maxCrashesPerPart = 8
+	// maxSeriesInstances bounds the engines kept for a series.
+	maxSeriesInstances = 8
 	// maxCompanions bounds the companions kept for a crash.
 	maxCompanions = 8
 	// maxReportedParts bounds the parts in one message to another VM.
@@ -66,7 +73,7 @@
 
 // suspectPart is what is known of a part since its first crash.
 type suspectPart struct {
-	crashes     []partCrash // In the order of time, at least crashSpacing apart; those before clearedAt are dropped.
+	crashes     []partCrash // In the order of time, at least newPartCrashSpacing apart; those before clearedAt are dropped.
 	clearedAt   time.Time   // Last known answer.
 	known       bool        // A VM saw an answer, possibly before the crashes.
 	blocks      int         // Blocks so far, with the present one.
@@ -78,9 +85,11 @@
 	observed    bool   // This VM observed a crash or an answer.
 }
 
+// partCrash is a series of crashes in quick succession.
 type partCrash struct {
-	instance   string
-	at         time.Time
+	instances  []string  // Engines, by ID and start, in the order in which they became known.
+	at         time.Time // Time of the first crash.
+	lastAt     time.Time
 	own        bool     // Observed by this VM.
 	companions []uint64 // Other parts of the calls, without those that had been answered on the VM.
 }
@@ -118,7 +127,7 @@
 		s.mutex.Unlock()
 		return time.Time{}
 	}
-	end, due, explanations := suspect.blockedTill, suspect.blockDue(now), suspect.explanations()
+	end, due, explanations := suspect.blockEnd(now), suspect.blockDue(now), suspect.explanations()
 	s.mutex.Unlock()
 	if !due || slices.ContainsFunc(explanations, g.isNewSuspect) {
 		return end
@@ -172,7 +181,7 @@
 func (g *PromptGuard) Suspected(prompt kumquathitch.PromptParts, now time.Time) bool {
 	suspected := false
 	g.eachShared(prompt, func(s *promptShard, part uint64) {
-		if suspect := s.suspects[part]; suspect != nil && !suspect.expired(now) && len(suspect.crashes) >= minPartCrashes-1 {
+		if suspect := s.suspects[part]; suspect != nil && !suspect.expired(now) && len(suspect.separateCrashes()) >= minPartCrashes-1 {
 			suspected = true
 		}
 	})
@@ -191,7 +200,7 @@
 	g.eachShared(prompt, func(s *promptShard, part uint64) {
 		suspect := s.suspect(part, now)
 		companions := slices.DeleteFunc(slices.Clone(unanswered), func(other uint64) bool { return other == part })
-		suspect.addCrash(partCrash{instance: incarnation, at: now, own: true, companions: companions}, now)
+		suspect.addCrash(partCrash{instances: []string{incarnation}, at: now, lastAt: now, own: true, companions: companions}, now)
 		suspect.known = suspect.known || s.answered.Contains(part)
 		suspect.observed, suspect.reportedTo = true, ""
 	})
@@ -265,7 +274,7 @@
 			}
 			for _, c := range suspect.crashes {
 				if include(c) {
-					reported.Crashes = append(reported.Crashes, kumquathitch.PartCrash{Instance: c.instance, Age: now.Sub(c.at), Companions: c.companions})
+					reported.Crashes = append(reported.Crashes, kumquathitch.PartCrash{Instance: c.instances[0], Others: c.instances[1:], Age: now.Sub(c.at), Span: c.lastAt.Sub(c.at), Companions: c.companions})
 				}
 			}
 			if suspect.nearBlock() {
@@ -314,7 +323,9 @@
 		s.mutex.Lock()
 		suspect := s.suspect(reported.Part, now)
 		for _, c := range reported.Crashes {
-			suspect.addCrash(partCrash{instance: c.Instance, at: now.Add(-max(0, c.Age)), companions: c.Companions}, now)
+			at := now.Add(-max(0, c.Age))
+			instances := append([]string{c.Instance}, c.Others...)
+			suspect.addCrash(partCrash{instances: instances, at: at, lastAt: at.Add(max(0, c.Span)), companions: c.Companions}, now)
 		}
 		if reported.Answered {
 			suspect.clear(now.Add(-max(0, reported.SinceAnswer)), now)
@@ -387,8 +398,9 @@
 	delete(s.suspects, oldest)
 }
 
-// addCrash adds a crash, unless it was before the last answer. A crash that does not count
-// separately from one that is known adds its companions to it.
+// addCrash adds a series of crashes, unless it began before the last answer. It extends a
+// known series that it follows or precedes closely, or that has an engine in common: a busy VM
+// may see a crash late.
 func (p *suspectPart) addCrash(crash partCrash, now time.Time) {
 	if !crash.at.After(p.clearedAt) {
 		return
@@ -397,20 +409,74 @@
 		p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return !c.at.After(p.probesFrom) })
 	}
 	for i := range p.crashes {
-		c := &p.crashes[i]
-		if c.instance != crash.instance && crash.at.Sub(c.at).Abs() >= crashSpacing {
-			continue
+		if c := &p.crashes[i]; c.near(crash) || slices.ContainsFunc(crash.instances, c.includes) {
+			c.extend(crash)
+			return
 		}
-		c.own = c.own || crash.own
-		c.addCompanions(crash.companions)
-		return
 	}
 	p.crashes = append(p.crashes, crash)
 	slices.SortFunc(p.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
-	p.crashes = p.crashes[:min(len(p.crashes), maxCrashesPerPart)]
+	if len(p.crashes) > maxCrashesPerPart {
+		p.dropClosest()
+	}
 	p.lastChanged = now
 }
 
+// dropClosest joins the two series with the least time between them.
+func (p *suspectPart) dropClosest() {
+	closest := 1
+	for i := 2; i < len(p.crashes); i++ {
+		if p.crashes[i].at.Sub(p.crashes[i-1].at) < p.crashes[closest].at.Sub(p.crashes[closest-1].at) {
+			closest = i
+		}
+	}
+	p.crashes[closest-1].extend(p.crashes[closest])
+	p.crashes = slices.Delete(p.crashes, closest, closest+1)
+}
+
+func (c *partCrash) includes(instance string) bool {
+	return slices.Contains(c.instances, instance)
+}
+
+// near reports whether two series are too close in time to count separately for any part.
+func (c *partCrash) near(other partCrash) bool {
+	return other.at.Sub(c.lastAt) < newPartCrashSpacing && c.at.Sub(other.lastAt) < newPartCrashSpacing
+}
+
+// extend adds another series to this one.
+func (c *partCrash) extend(other partCrash) {
+	if other.at.Before(c.at) {
+		c.at = other.at
+	}
+	if other.lastAt.After(c.lastAt) {
+		c.lastAt = other.lastAt
+	}
+	c.own = c.own || other.own
+	for _, instance := range other.instances {
+		if len(c.instances) < maxSeriesInstances && !c.includes(instance) {
+			c.instances = append(slices.Clone(c.instances), instance) // Reports share the slice before.
+		}
+	}
+	c.addCompanions(other.companions)
+}
+
+// separateCrashes returns the series that count separately. Those of a part that was
+// answered before are joined if they began within crashSpacing.
+func (p *suspectPart) separateCrashes() []partCrash {
+	if !p.known {
+		return p.crashes
+	}
+	var separate []partCrash
+	for _, c := range p.crashes {
+		if last := len(separate) - 1; last >= 0 && c.at.Sub(separate[last].at) < crashSpacing {
+			separate[last].addCompanions(c.companions)
+			continue
+		}
+		separate = append(separate, c)
+	}
+	return separate
+}
+
 // addCompanions adds the companions of another call on the same engine. The result is a
 // new slice, since reports share the one before.
 func (c *partCrash) addCompanions(companions []uint64) {
@@ -424,7 +490,7 @@
 // nearBlock reports whether the part may have to be blocked after one more crash, or
 // was blocked before.
 func (p *suspectPart) nearBlock() bool {
-	return len(p.crashes) >= minPartCrashes-1 || p.blocks > 0
+	return p.blocks > 0 || len(p.separateCrashes()) >= minPartCrashes-1
 }
 
 // clear drops the crashes up to the time of an answer, and ends a block.
@@ -458,7 +524,27 @@
 	if p.blocks > 0 {
 		return len(p.crashes) > 0 && p.crashes[0].at.After(p.probesFrom)
 	}
-	return len(p.crashes) >= minPartCrashes && now.Sub(p.crashes[minPartCrashes-1].at) >= confirmationTime
+	due := p.firstBlockDue()
+	return !due.IsZero() && !now.Before(due)
+}
+
+// firstBlockDue returns the time at which the first block is due, or zero if the crashes
+// are too few.
+func (p *suspectPart) firstBlockDue() time.Time {
+	crashes := p.separateCrashes()
+	if len(crashes) < minPartCrashes {
+		return time.Time{}
+	}
+	return crashes[minPartCrashes-1].at.Add(confirmationTime)
+}
+
+// blockEnd returns the end of the block, or of the confirmation before the first block of a
+// part that was never answered.
+func (p *suspectPart) blockEnd(now time.Time) time.Time {
+	if due := p.firstBlockDue(); p.blocks == 0 && !p.known && now.Before(due) {
+		return due
+	}
+	return p.blockedTill
 }
 
 // explanations returns the companions that all crashes of a known part have in common.
@@ -466,8 +552,9 @@
 	if !p.known || p.blocks > 0 || len(p.crashes) == 0 {
 		return nil
 	}
-	common := slices.Clone(p.crashes[0].companions)
-	for _, c := range p.crashes[1:] {
+	crashes := p.separateCrashes()
+	common := slices.Clone(crashes[0].companions)
+	for _, c := range crashes[1:] {
 		common = slices.DeleteFunc(common, func(companion uint64) bool { return !slices.Contains(c.companions, companion) })
 	}
 	return common
@@ -477,7 +564,7 @@
 func (p *suspectPart) block(spread float64) {
 	last := p.crashes[0].at
 	if p.blocks == 0 {
-		last = p.crashes[minPartCrashes-1].at
+		last = p.separateCrashes()[minPartCrashes-1].at
 	}
 	length := p.nextBlockTime()
 	p.probesFrom = last.Add(length)
--- a/retry/prompt_guard_test.go
+++ b/retry/prompt_guard_test.go
@@ -175,6 +175,44 @@
 	must.False(t, blocked)
 }
 
+// TestLateSightOfCrashCountsOnce guards against counting the crashes of engines that lose
+// power together again when a busy VM sees them late.
+func TestLateSightOfCrashCountsOnce(t *testing.T) {
+	f := newGuardFleet(2)
+	for i := range 3 {
+		f.vms[0].RecordCrash(prompt("first", "own"), engine(fmt.Sprint("i-", i)), start)
+		f.vms[1].RecordCrash(prompt("first", "other"), engine(fmt.Sprint("i-", i)), start.Add(time.Duration(60*(i+1))*time.Millisecond))
+	}
+	now := start.Add(time.Second)
+	for range 3 {
+		f.exchange(1, now)
+		now = now.Add(time.Second)
+	}
+	_, blocked := f.vms[0].BlockedUntil(prompt("first", "next"), now)
+	must.False(t, blocked)
+}
+
+// TestNewDeadlyPartIsHeldAfterThirdCrash guards against engines that crash while a part that
+// no engine ever answered is confirmed, and against refusals of a part that was answered.
+func TestNewDeadlyPartIsHeldAfterThirdCrash(t *testing.T) {
+	guard := retry.NewPromptGuard("vm-1")
+	guard.RecordAnswer(prompt("first", "warm"), start.Add(-time.Second))
+	for i := range 3 {
+		now := start.Add(time.Duration(i) * 30 * time.Millisecond)
+		_, blocked := guard.BlockedUntil(prompt("first", "deadly", "own"), now)
+		must.False(t, blocked)
+		guard.RecordCrash(prompt("first", "deadly", "own"), engine(fmt.Sprint("i-", i)), now)
+	}
+	now := start.Add(70 * time.Millisecond)
+	until, blocked := guard.BlockedUntil(prompt("first", "deadly", "next"), now)
+	must.True(t, blocked)
+	must.Eq(t, start.Add(1060*time.Millisecond), until)
+	_, blocked = guard.BlockedUntil(prompt("first", "sound", "next"), now)
+	must.False(t, blocked)
+	until, _ = guard.BlockedUntil(prompt("first", "deadly", "next"), until)
+	must.Greater(t, 5*time.Minute, until.Sub(start))
+}
+
 // TestAnswerOnAnotherVMClearsPart guards against blocking a part because all crashes were
 // seen by one VM and all answers by another.
 func TestAnswerOnAnotherVMClearsPart(t *testing.T) {
