Tell the scheduler of crashes at once, and have it block calls by their prompt

A VM learned of crashes that other VMs saw in the exchanges with the leader, which come twice a second: for up to a second it went on sending calls with a part that had crashed three engines, while every such call was assigned by a VM that could have known.

The scheduler does not assign engines to calls with a blocked part; their VM refuses them. A VM of an older build chooses an engine itself, as before. TestSchedulerBlocksPromptAfterReports and TestCallThatSchedulerBlocksIsRefused fail without the change.

--- a/dispatch.go
+++ b/dispatch.go
@@ -91,11 +91,22 @@
 // safe for concurrent use.
 type Scheduler interface {
 	// Schedule asks the leader for the engine of a call. It returns an
-	// *EnginesFullError when no engine would start the response in time. After
+	// *EnginesFullError when no engine would start the response in time, and a
+	// *PromptBlockedError when calls with a part of the prompt crash engines. After
 	// any other error the VM chooses an engine itself.
 	Schedule(ctx context.Context, criteria InstanceCriteria) (Assignment, error)
 }
 
+// PromptBlockedError reports that calls with a part of the prompt crash engines.
+type PromptBlockedError struct {
+	Until time.Time // Time at which such calls are tried again.
+}
+
+// Error implements error.
+func (e *PromptBlockedError) Error() string {
+	return "calls with a part of this prompt have crashed several instances"
+}
+
 // EnginesFullError reports that the queue of every engine with the model is longer
 // than the call can wait.
 type EnginesFullError struct {
--- a/exchange.go
+++ b/exchange.go
@@ -118,6 +118,7 @@
 	EnginesFull   bool          `json:"full,omitempty"`     // No engine would start the response in time.
 	Wait          time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has capacity again.
 	ExpectedTTFB  time.Duration `json:"expected"`           // From the end of Wait to the first event.
+	Blocked       time.Duration `json:"blocked,omitempty"`  // Time for which calls with a part of the prompt are blocked; 0 if they are not.
 }
 
 // Member is the record of an entry VM in the store. It exists as long as its lease.
--- a/relay/call.go
+++ b/relay/call.go
@@ -99,9 +99,7 @@
 		return kumquathitch.NewRefusal(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
 	}
 	if until, blocked := rc.PromptGuard.BlockedUntil(rc.call.Prompt, now); blocked {
-		refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "prompt-crashes-instances", "calls with a part of this prompt have crashed several instances")
-		refusal.RetryAfter = until
-		return refusal
+		return promptRefusal(&kumquathitch.PromptBlockedError{Until: until})
 	}
 	return nil
 }
@@ -296,7 +294,8 @@
 func (rc *relayedCall) choose(ctx context.Context) (kumquathitch.InstanceChoice, error) {
 	choice, err := rc.chooseScheduled(ctx)
 	var full *kumquathitch.EnginesFullError
-	if err == nil || errors.As(err, &full) {
+	var blocked *kumquathitch.PromptBlockedError
+	if err == nil || errors.As(err, &full) || errors.As(err, &blocked) {
 		return choice, err
 	}
 	until := rc.modelWaitEnd()
--- a/relay/prompt_guard_test.go
+++ b/relay/prompt_guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,8 +14,9 @@
 	"kumquathitch.example/kumquathitch/standin"
 )
 
-// callPrompt sends a call with the given parts of a prompt, and returns its response.
-func (vm *testVM) callPrompt(id, path, prefix string) (status int, retryAfter string) {
+// callPrompt sends a call with the given parts of a prompt, and optionally for a model, and
+// returns its response.
+func (vm *testVM) callPrompt(id, path, prefix string, models ...string) (status int, retryAfter string) {
 	vm.t.Helper()
 	request, err := http.NewRequestWithContext(vm.t.Context(), http.MethodPost, vm.address+path, nil)
 	must.NoError(vm.t, err)
@@ -23,6 +25,9 @@
 	request.Header.Set("Api-Key", apiKey)
 	request.Header.Set("Prompt-Prefix", prefix)
 	request.Header.Set("Deadline-Ms", "3000")
+	for _, name := range models {
+		request.Header.Set("Model", name)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, "" // Broken off.
@@ -144,3 +149,17 @@
 func (g *switchedGuard) Blocked(uint64, time.Time) bool {
 	return g.blocked.Load()
 }
+
+// TestCallThatSchedulerBlocksIsRefused guards against a VM that chooses an engine itself for
+// a call that the scheduler has blocked.
+func TestCallThatSchedulerBlocksIsRefused(t *testing.T) {
+	instance := standin.NewInstance("i-1", "llm")
+	vm := newTestVM(t, instance)
+	vm.scheduleError = &kumquathitch.PromptBlockedError{Until: time.Now().Add(2500 * time.Millisecond)}
+	status, retryAfter := vm.callPrompt("r1", "/stream/draft/1", "aa:100,bb:20", "m")
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	seconds, err := strconv.ParseFloat(retryAfter, 64)
+	must.NoError(t, err)
+	must.Between(t, 0.9, seconds, 1) // Callers wait at most a third of the time that they have left.
+	must.Eq(t, 0, instance.Executions("r1"))
+}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -35,6 +35,10 @@
 	if errors.As(err, &refused) {
 		return refused
 	}
+	var blocked *kumquathitch.PromptBlockedError
+	if errors.As(err, &blocked) {
+		return promptRefusal(blocked)
+	}
 	var full *kumquathitch.EnginesFullError
 	if errors.As(err, &full) {
 		refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "engines-full", err.Error())
@@ -65,6 +69,13 @@
 	return refusal
 }
 
+// promptRefusal returns the refusal of a call that is blocked by a part of its prompt.
+func promptRefusal(blocked *kumquathitch.PromptBlockedError) *kumquathitch.RefusalError {
+	refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "prompt-crashes-instances", blocked.Error())
+	refusal.RetryAfter = blocked.Until
+	return refusal
+}
+
 // failedSendRefusal returns the refusal of a call whose last send failed.
 func (rc *relayedCall) failedSendRefusal(ctx context.Context, result kumquathitch.SendResult, status sendStatus) *kumquathitch.RefusalError {
 	if rc.runs == 0 {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -42,6 +42,7 @@
 	stopping      atomic.Bool
 	cancelBase    context.CancelFunc // Cancels the handler's BaseContext.
 	placeRequests atomic.Int64       // Number of requests to the leader to place an adapter.
+	scheduleError error              // Returned by Schedule; nil for that of a VM without a leader.
 	instances     []*standin.Instance
 }
 
@@ -51,8 +52,11 @@
 	return true
 }
 
-// Schedule returns an error, since the VM of these tests has no leader.
+// Schedule returns an error, by default that of a VM that has no leader.
 func (vm *testVM) Schedule(context.Context, kumquathitch.InstanceCriteria) (kumquathitch.Assignment, error) {
+	if vm.scheduleError != nil {
+		return kumquathitch.Assignment{}, vm.scheduleError
+	}
 	return kumquathitch.Assignment{}, errors.New("no leader")
 }
 
--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -61,8 +61,9 @@
 // its crashes. The last part of a prompt belongs to its call alone and is not considered.
 // It is safe for concurrent use.
 type PromptGuard struct {
-	vm     string
-	shards [shardCount]promptShard
+	vm        string
+	crashSeen chan struct{} // Holds at most one signal.
+	shards    [shardCount]promptShard
 }
 
 type promptShard struct {
@@ -97,7 +98,7 @@
 // NewPromptGuard returns the guard of a VM, without suspects. The name of the VM must
 // differ from those of the others.
 func NewPromptGuard(vm string) *PromptGuard {
-	g := &PromptGuard{vm: vm}
+	g := &PromptGuard{vm: vm, crashSeen: make(chan struct{}, 1)}
 	for i := range g.shards {
 		answered, _ := simplelru.NewLRU[uint64, time.Time](maxPartsPerShard, nil) // Fails only for a size below 1.
 		g.shards[i].suspects, g.shards[i].answered = map[uint64]*suspectPart{}, answered
@@ -204,6 +205,19 @@
 		suspect.known = suspect.known || s.answered.Contains(part)
 		suspect.observed, suspect.reportedTo = true, ""
 	})
+	if len(unanswered) == 0 {
+		return
+	}
+	select {
+	case g.crashSeen <- struct{}{}:
+	default: // A signal is waiting already.
+	}
+}
+
+// CrashSeen signals crashes of engines that ran calls with a part that was never answered
+// on this VM. Other VMs should know of them at once.
+func (g *PromptGuard) CrashSeen() <-chan struct{} {
+	return g.crashSeen
 }
 
 // RecordAnswer records that an instance answers a call.
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -49,7 +49,7 @@
 	}
 	var response kumquathitch.ScheduleResponse
 	if self {
-		response = v.globalScheduler.Schedule(&request, now)
+		response = v.schedule(&request, now)
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, scheduleTimeout)
 		defer cancel()
@@ -61,6 +61,8 @@
 	}
 	sendAt := time.Now().Add(response.Wait)
 	switch {
+	case response.Blocked > 0:
+		return kumquathitch.Assignment{}, &kumquathitch.PromptBlockedError{Until: time.Now().Add(response.Blocked)}
 	case response.EnginesFull:
 		return kumquathitch.Assignment{}, &kumquathitch.EnginesFullError{Service: criteria.Service, Model: criteria.Model, AvailableAt: sendAt}
 	case response.Instance == "":
@@ -119,5 +121,14 @@
 // knows the scheduler from the leader, possibly before this one does.
 func (v *VM) handleSchedule(_ context.Context, request kumquathitch.ScheduleRequest) (kumquathitch.ScheduleResponse, error) {
 	v.roleLoad.addSchedule()
-	return v.globalScheduler.Schedule(&request, time.Now()), nil
+	return v.schedule(&request, time.Now()), nil
+}
+
+// schedule chooses the engine of a call. It also blocks calls that crash engines, since a
+// crash is known to the scheduler before it is known to the VM that has the call.
+func (v *VM) schedule(request *kumquathitch.ScheduleRequest, now time.Time) kumquathitch.ScheduleResponse {
+	if until, blocked := v.promptGuard.BlockedUntil(request.Prompt, now); blocked {
+		return kumquathitch.ScheduleResponse{Blocked: until.Sub(now)}
+	}
+	return v.globalScheduler.Schedule(request, now)
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -183,6 +183,7 @@
 		v.runEvery(background, housekeepingInterval, v.keepHouse),
 		v.runEvery(background, pingInterval, v.pingDataCentres),
 		v.runExchanges(background),
+		v.runSuspectReports(background),
 	}
 	select {
 	case <-ctx.Done():
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -24,6 +24,7 @@
 	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/platform"
+	"kumquathitch.example/kumquathitch/retry"
 	"kumquathitch.example/kumquathitch/standin"
 	"kumquathitch.example/kumquathitch/telemetry"
 	"kumquathitch.example/kumquathitch/vm"
@@ -427,6 +428,39 @@
 	}
 }
 
+// TestSchedulerBlocksPromptAfterReports guards against engines that are lost because the VM
+// that has a call does not know yet that its prompt crashes engines.
+func TestSchedulerBlocksPromptAfterReports(t *testing.T) {
+	p := newTestPlatform(t)
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	p.startEngine("m")
+	v := p.startVM("entry-1")
+	p.waitFor("the VM is ready", v.isReady)
+	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
+	must.NoError(t, err)
+	client := peer.NewClient(tracing)
+	t.Cleanup(client.Close)
+	schedule := func(parts ...string) (response kumquathitch.ScheduleResponse) {
+		request := kumquathitch.ScheduleRequest{From: "entry-2", Service: "llm", Model: "m", Tokens: 100}
+		for _, id := range parts {
+			request.Prompt = append(request.Prompt, kumquathitch.PromptPart{ID: id, Tokens: 50})
+		}
+		must.NoError(t, client.Call(t.Context(), v.peers, "fleet.schedule", request, &response))
+		return response
+	}
+	for i := range 3 { // Three VMs that each saw one crash.
+		must.Eq(t, 0, schedule("deadly", "own").Blocked)
+		guard := retry.NewPromptGuard(fmt.Sprint("entry-", i+2))
+		guard.RecordCrash(kumquathitch.PromptParts{{ID: "deadly"}, {ID: "own"}}, &kumquathitch.Instance{ID: fmt.Sprint("i-", i)}, time.Now())
+		<-guard.CrashSeen()
+		var response kumquathitch.PartReport
+		must.NoError(t, client.Call(t.Context(), v.peers, "vm.suspect-parts", guard.TakeReport("entry-1", time.Now()), &response))
+		clock.Pause(t.Context(), 30*time.Millisecond) // Crashes closer to each other count once.
+	}
+	must.Between(t, 0, schedule("deadly", "own").Blocked, time.Second)
+	must.Eq(t, 0, schedule("sound", "own").Blocked)
+}
+
 // largeDeployment returns a configuration of about 200 KB.
 func largeDeployment(version int, key string) []byte {
 	var routes strings.Builder
