Obey pauses that upstreams ask for on the product's own interface, too

kumquathitchd sent requests to an upstream that had just rejected one with 503 and a Retry-After. Change: the upstream gets none from that VM until the end of that time, ten minutes at most, or until a report shows that it has started again; a refusal because all upstreams pause states the first end. The meaning of the header is decided in one place for both interfaces (PauseEnd). An upstream says that it leaves in its load report, which answers carry already.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -103,7 +103,7 @@
 // cannot be relayed.
 func (a *attempt) checkHeader(c *chatCall) error {
 	h := a.response.Header
-	failed := kumquathitch.UpstreamResult{Failed: true}
+	failed := kumquathitch.UpstreamResult{Failed: true, PausedUntil: pauseEnd(a.response, c.server.Clock.Now())}
 	if echo := h.Get(requestIDHeader); echo != "" && echo != a.id {
 		return a.fail(failed, reasonCrossed, fmt.Errorf("the response belongs to request %q", echo))
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -184,7 +184,8 @@
 		return serviceResponse{}, transportFailure(ctx, err), kumquathitch.NewFailure(502, "upstream-failed", "The upstream's response broke off.")
 	}
 	fullResponse := serviceResponse{status: response.StatusCode, contentType: response.Header.Get("Content-Type"), body: body}
-	return fullResponse, kumquathitch.UpstreamResult{FirstByte: s.Clock.Now()}, nil
+	now := s.Clock.Now()
+	return fullResponse, kumquathitch.UpstreamResult{FirstByte: now, PausedUntil: pauseEnd(response, now)}, nil
 }
 
 // serviceError returns the refusal for a failed call. Only a connection that
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -223,6 +223,32 @@
 	must.Eq(t, 1, calls.Load())
 }
 
+// TestEngineThatAsksForPauseGetsNoRequests guards against requests to an engine that rejected
+// one with a Retry-After, until that time.
+func TestEngineThatAsksForPauseGetsNoRequests(t *testing.T) {
+	sound := engine(standin.EngineSettings{TokenInterval: 5 * time.Millisecond}).Handler() // A slow one is not preferred.
+	var rejected atomic.Int64
+	rejecting := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		rejected.Add(1)
+		w.Header().Set("Retry-After", "60.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	g := newGatewayFixture(t, 5000, rejecting, sound)
+	defer g.close()
+	calls := 0
+	chat := func() {
+		calls++ // Engines are preferred for prompts that they have cached.
+		must.Eq(t, http.StatusOK, g.chat(context.Background(), chatBody(fmt.Sprint(calls, " plans."), 3)).status)
+	}
+	for rejected.Load() == 0 && calls < 500 {
+		chat()
+	}
+	for range 20 {
+		chat()
+	}
+	must.Eq(t, 1, rejected.Load())
+}
+
 // A caller that does not read its stream must neither block other callers nor
 // make the gateway buffer the stream in memory.
 func TestSlowCallerDoesNotBlockOthers(t *testing.T) {
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -64,6 +64,15 @@
 	return request, nil
 }
 
+// pauseEnd returns the time until which the upstream that sent a response wants no requests
+// from this VM, or zero.
+func pauseEnd(response *http.Response, now time.Time) time.Time {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return time.Time{}
+	}
+	return kumquathitch.PauseEnd(response.Header.Get("Retry-After"), now)
+}
+
 // forwardLoadReport passes the load report in the header of a response to Reports.
 func (s *Server) forwardLoadReport(upstream string, h http.Header) {
 	text := h.Get(loadReportHeader)
--- a/request.go
+++ b/request.go
@@ -35,7 +35,10 @@
 	Unsent    bool      // The connection could not be opened; no byte of the request was sent.
 	Crashed   bool      // The connection broke while the request ran; the upstream may have crashed.
 	FirstByte time.Time // When the first byte of the response arrived; zero when none did.
-	Stream    bool      // FirstByte is the arrival of the first token, not of a complete response.
+	// PausedUntil is the time until which the upstream wants no requests from this VM, zero
+	// if it did not say so.
+	PausedUntil time.Time
+	Stream      bool // FirstByte is the arrival of the first token, not of a complete response.
 }
 
 // Charge is the reservation of tokens for an admitted request. It must be settled
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"testing"
@@ -286,6 +287,34 @@
 	}
 }
 
+// TestPausedUpstreamGetsNoRequests guards against requests to an upstream that asked for a
+// pause, and against refusals that do not say when it ends.
+func TestPausedUpstreamGetsNoRequests(t *testing.T) {
+	f := newFixture(testConfiguration(2, 1))
+	pause := func(until time.Time) string {
+		choice, err := f.table.Pick(criteriaAt(f.clock.Now(), "crew-a", 1))
+		must.NoError(t, err)
+		f.table.Done(choice, kumquathitch.UpstreamResult{Failed: true, PausedUntil: until})
+		return choice.Upstream.Name
+	}
+	first := pause(start.Add(3 * time.Second))
+	for range 20 {
+		choice, err := f.table.Pick(criteriaAt(f.clock.Now(), "crew-a", 1))
+		must.NoError(t, err)
+		must.NotEq(t, first, choice.Upstream.Name)
+		f.table.Done(choice, kumquathitch.UpstreamResult{})
+	}
+	pause(start.Add(5 * time.Second))
+	_, err := f.table.Pick(criteriaAt(f.clock.Now(), "crew-a", 1))
+	var refusal *kumquathitch.RefusalError
+	must.True(t, errors.As(err, &refusal))
+	must.Eq(t, start.Add(3*time.Second), refusal.RetryAfter)
+	f.clock.Advance(3 * time.Second)
+	choice, err := f.table.Pick(criteriaAt(f.clock.Now(), "crew-a", 1))
+	must.NoError(t, err)
+	must.Eq(t, first, choice.Upstream.Name)
+}
+
 // A request must not be refused while any upstream, here one in another data
 // centre, is usable.
 func TestSearchFindsOnlyUsableUpstream(t *testing.T) {
--- a/route/table.go
+++ b/route/table.go
@@ -101,7 +101,8 @@
 
 // Pick chooses an upstream, or returns a *kumquathitch.RefusalError with status
 // 422 from the quarantine, 429 if the request is shed, or 503 if no upstream is
-// available or the retry budget is spent.
+// available or the retry budget is spent. If upstreams asked for a pause, the refusal
+// states when the first of them takes requests again.
 func (t *Table) Pick(criteria kumquathitch.UpstreamCriteria) (kumquathitch.UpstreamChoice, error) {
 	s := &search{table: t, settings: t.settings.Load(), criteria: &criteria, now: t.Clock.Now()}
 	s.prepare()
@@ -119,7 +120,9 @@
 	if choice, ok := t.chooseBest(s); ok {
 		return choice, nil
 	}
-	return kumquathitch.UpstreamChoice{}, kumquathitch.NewRefusal(503, "no-upstream", "No upstream is available for this request.")
+	refusal := kumquathitch.NewRefusal(503, "no-upstream", "No upstream is available for this request.")
+	refusal.RetryAfter = s.pausedUntil
+	return kumquathitch.UpstreamChoice{}, refusal
 }
 
 // admit checks the quarantine and, for a retry, takes credit from the retry budget.
@@ -237,8 +240,9 @@
 	slack       float64
 	allowedTTFB time.Duration
 
-	candidates [maxCandidates]Candidate
-	count      int
+	candidates  [maxCandidates]Candidate
+	count       int
+	pausedUntil time.Time // First end of a pause of the replicas that were looked at; zero without one.
 }
 
 func (s *search) prepare() {
@@ -303,6 +307,9 @@
 		return
 	}
 	assessment := s.table.Fleet.Assess(r, upstream.Query{Model: s.criteria.Model, Prefix: s.criteria.PrefixHash, Now: s.now})
+	if end := assessment.PausedUntil; !end.IsZero() && (s.pausedUntil.IsZero() || end.Before(s.pausedUntil)) {
+		s.pausedUntil = end
+	}
 	if !assessment.Usable {
 		return
 	}
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -45,6 +45,7 @@
 	PeerLoad          byte          // Newest load from a peer, encoded by EncodeLoad.
 	PeerLoadAt        time.Time     // When PeerLoad arrived.
 	LastResponse      time.Time     // When the upstream last responded to this VM.
+	PausedUntil       time.Time     // Until when the upstream wants no requests from this VM; zero for no pause.
 	ServiceTime       time.Duration // Estimated time to the first token per unit of load.
 	Resident          []string      // Models and adapters that are resident, sorted.
 	Cache             Cache
@@ -202,6 +203,7 @@
 // Assessment describes how well a replica suits a request.
 type Assessment struct {
 	Usable       bool          // It may get new requests.
+	PausedUntil  time.Time     // End of the pause that alone makes it unusable; zero for none.
 	LastResort   bool          // It is leaving: while usable, it is chosen only when there is no other replica.
 	Resident     bool          // The model or adapter is resident, or the upstream is a service.
 	ExpectedTTFB time.Duration // Estimated time to the first token.
@@ -222,17 +224,21 @@
 	a.Resident = resident || q.Model == ""
 	s.Leaving = s.Leaving.Resolve(s.evidence(f.ClockError), q.Now)
 	a.Usable = f.usable(s, q.Now)
+	if q.Now.Before(s.PausedUntil) && f.usable(s, s.PausedUntil) {
+		a.PausedUntil = s.PausedUntil
+	}
 	a.LastResort = !s.Leaving.LearnedAt.IsZero()
 	return a
 }
 
 // usable reports whether an upstream may get new requests. An upstream that is
 // leaving by configuration gets none, since the operator decided it. One that is
-// leaving by a notice may get them until the end of its grace.
+// leaving by a notice may get them until the end of its grace. One that asked this VM for
+// a pause gets none until the end of it.
 func (f *Fleet) usable(s *State, now time.Time) bool {
 	learned := s.Leaving.LearnedAt
 	inGrace := learned.IsZero() || now.Before(learned.Add(f.LeavingGrace))
-	return s.Health.Usable(now) && !s.Leaving.Configured && inGrace
+	return s.Health.Usable(now) && !s.Leaving.Configured && inGrace && !now.Before(s.PausedUntil)
 }
 
 // Begin records that a request is being sent to a replica and returns the upstream.
@@ -262,6 +268,7 @@
 		s.OutstandingTokens = max(0, s.OutstandingTokens-choice.Criteria.Tokens)
 		s.OutstandingChange--
 		s.changes.add(-1, now)
+		s.PausedUntil = later(s.PausedUntil, result.PausedUntil)
 		switch {
 		case result.Crashed:
 			s.Health = s.Health.After(Failure, now)
@@ -311,6 +318,7 @@
 			return false
 		}
 		s.RestartedAt = earlier(now, report.TakenAt) // The report may have been delayed.
+		s.PausedUntil = time.Time{}
 		s.Cache.Reset()
 	}
 	s.Cache.ApplyReported(report.CacheEvent)
