Load overloaded models first on engines that come back empty

Change: an engine without models first gets a model whose replicas carry more than one and a half times an even share of the demand each. Engines hold more than one model, so that the others follow. TestEmptyEnginesGetOverloadedModelFirst fails without the change.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,8 +26,8 @@
 	// idleDemand is the demand, in tokens per second, below which a model or
 	// adapter counts as idle.
 	idleDemand = 1.0
-	// unservedDemandCost is the cost of a model in demand without a replica, per
-	// unit of its share of the demand. A balanced placement costs 1 in total.
+	// unservedDemandCost is the cost of demand that no engine serves, per unit of its
+	// share of the whole. A balanced placement costs 1 in total.
 	unservedDemandCost = 100.0
 	// unplacedCost is the cost of any listed model without a replica, since a call
 	// for it may come at any time. It is unplacedCopyCost when an engine has a copy
@@ -35,6 +35,9 @@
 	// of one engine with an even share of the demand.
 	unplacedCost     = 1.2
 	unplacedCopyCost = 0.24
+	// overloadFactor is the load of an engine, in even shares of the demand, from which its
+	// calls are taken to be refused when an engine without models is filled.
+	overloadFactor = 1.5
 	// singleReplicaCost is the cost of a model with one replica, per unit of its
 	// share of the demand, because the loss of one engine makes it unavailable.
 	singleReplicaCost = 0.4
@@ -105,7 +108,8 @@
 // The cost of a placement is the sum of the squares of the engines' shares of the
 // demand, scaled so that an even distribution costs 1, plus penalties for models
 // with too few replicas. Each model's demand is assumed to be spread evenly over
-// its replicas. A move is made when it lowers the cost by more than its load costs.
+// its replicas. A move is made when it lowers the cost by more than its load costs. An engine
+// without models first gets one whose replicas are overloaded.
 func Plan(spec *kumquathitch.EngineSpec, engines Engines, demand Demand, loads int) []Move {
 	p := newPlanner(spec, engines, demand)
 	var moves []Move
@@ -216,6 +220,7 @@
 			if fromStore {
 				cost = p.engineCost(storeLoadCost)
 			}
+			cost -= p.relief(m.Name, e)
 			for _, victims := range p.victimSets(m, e) {
 				gain := p.gain(m.Name, i, victims) - cost
 				if gain > best.gain {
@@ -369,6 +374,17 @@
 	return gain
 }
 
+// relief returns the cost of the calls that the replicas of a model are taken to refuse, if
+// the engine holds no models: engines that crash come back empty, and what they held is
+// missing most.
+func (p *planner) relief(model string, e *Engine) float64 {
+	held := len(p.holders[model])
+	if len(e.Models) > 0 || held == 0 { // Without a replica, it is part of replicaCost.
+		return 0
+	}
+	return unservedDemandCost * max(0, p.shares[model]/float64(held)-p.engineCost(overloadFactor))
+}
+
 // engineCost converts a cost from the unit of one engine with an even share of the
 // demand to that of the whole placement, where all engines together cost 1.
 func (p *planner) engineCost(engines float64) float64 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -119,6 +119,15 @@
 	must.False(t, actions[0].Unload)
 }
 
+// TestEmptyEnginesGetOverloadedModelFirst guards against engines that come back empty and load
+// rarely used models, while the last replicas of a busy one refuse calls.
+func TestEmptyEnginesGetOverloadedModelFirst(t *testing.T) {
+	engines := placement.Engines{engine("one", "m0", "m1"), engine("two", "m0", "m1"), engine("three"), engine("four"), engine("five"), engine("six")}
+	moves := placement.Plan(testSpec(4), engines, demand(map[string]float64{"m0": 700, "m1": 250, "m2": 30, "m3": 20}), 3)
+	must.Len(t, 3, moves)
+	must.Eq(t, []string{"m0", "m2", "m3"}, []string{moves[0].Load.Model, moves[1].Load.Model, moves[2].Load.Model})
+}
+
 // TestPlanDoesNotWaitForOtherWork guards against a plan that takes seconds on a leader whose
 // other work keeps its processor busy.
 func TestPlanDoesNotWaitForOtherWork(t *testing.T) {
