--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -283,7 +283,7 @@
 		suspect := s.suspect(reported.Part, now)
 		for _, c := range reported.Crashes {
 			at := now.Add(-max(0, c.Age))
-			instances := append([]string{c.Instance}, c.Others...)
+			instances := append([]string{c.Instance}, c.Others[:min(len(c.Others), maxSeriesInstances-1)]...)
 			suspect.addCrash(partCrash{instances: instances, at: at, lastAt: at.Add(max(0, c.Span)), companions: c.Companions}, now)
 		}
 		if reported.Answered {
