--- a/vm/scheduler_test.go
+++ b/vm/scheduler_test.go
@@ -9,9 +9,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
-	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/retry"
-	"kumquathitch.example/kumquathitch/telemetry"
 )
 
 // In a large fleet the leader names another VM as the scheduler, and a third one when that
@@ -30,10 +28,7 @@
 		byAddress[v.peers] = v
 		p.waitFor("the VM is ready", v.isReady)
 	}
-	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
-	must.NoError(t, err)
-	client := peer.NewClient(tracing)
-	t.Cleanup(client.Close)
+	client := newPeerClient(t)
 	named := func() *testVM {
 		for _, v := range byAddress {
 			var response kumquathitch.ExchangeResponse
@@ -68,10 +63,7 @@
 	p.startEngine("m")
 	v := p.startVM("entry-1")
 	p.waitFor("the VM is ready", v.isReady)
-	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
-	must.NoError(t, err)
-	client := peer.NewClient(tracing)
-	t.Cleanup(client.Close)
+	client := newPeerClient(t)
 	schedule := func(parts ...string) (response kumquathitch.ScheduleResponse) {
 		request := kumquathitch.ScheduleRequest{From: "entry-2", Service: "llm", Model: "m", Tokens: 100}
 		for _, id := range parts {
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -118,6 +118,16 @@
 	return instance
 }
 
+// newPeerClient returns a client for the calls between VMs.
+func newPeerClient(t *testing.T) *peer.Client {
+	t.Helper()
+	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
+	must.NoError(t, err)
+	client := peer.NewClient(tracing)
+	t.Cleanup(client.Close)
+	return client
+}
+
 // waitFor polls a condition, and fails the test when it does not hold in time.
 func (p *testPlatform) waitFor(what string, met func() bool) {
 	p.t.Helper()
@@ -384,10 +394,7 @@
 	p.startEngine("m")
 	v := p.startVM("entry-1")
 	p.waitFor("a call is answered", func() bool { status, _ := v.call(t, "k1", "m"); return status == 200 })
-	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
-	must.NoError(t, err)
-	client := peer.NewClient(tracing)
-	t.Cleanup(client.Close)
+	client := newPeerClient(t)
 	// An answered call does not show that the VM leads, and only the leader issues tokens.
 	p.waitFor("the VM leads", func() bool {
 		var response kumquathitch.ExchangeResponse
