Give back the space of a body at once when its growth finds none

The test alone failed 1 time in 600 and 8 in another run of 1,500. A trace shows why: all four ask for more space while each still holds 4 MiB, all fail, and only then give back what they hold. Callers got 502 for answers that the VM could have held.

--- a/relay/buffers.go
+++ b/relay/buffers.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
+	"sync"
 )
 
 const (
@@ -48,7 +48,8 @@
 // a process with the memory of a small VM. It is safe for concurrent use.
 type Buffers struct {
 	limit int64
-	used  atomic.Int64
+	mutex sync.Mutex
+	used  int64
 }
 
 // NewBuffers returns buffers with a limit in bytes, which is raised to that of one
@@ -57,18 +58,24 @@
 	return &Buffers{limit: max(minBufferedBytes, limit)}
 }
 
-// reserve takes space for a number of bytes. It returns a *BuffersFullError when there
-// is not enough.
-func (b *Buffers) reserve(bytes int64) error {
-	if b.used.Add(bytes) > b.limit {
-		b.used.Add(-bytes)
+// extend takes space for more bytes of a message that holds some already. When there is
+// not enough it returns a *BuffersFullError, and takes back what the message holds: of
+// several messages that reach the limit together, the others can go on.
+func (b *Buffers) extend(held, more int64) error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.used+more > b.limit {
+		b.used -= held
 		return &BuffersFullError{Limit: b.limit}
 	}
+	b.used += more
 	return nil
 }
 
 func (b *Buffers) release(bytes int64) {
-	b.used.Add(-bytes)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.used -= bytes
 }
 
 // heldBody is a message body in the space of Buffers.
@@ -88,7 +95,8 @@
 
 // grow makes the capacity of the data at least size.
 func (b *heldBody) grow(size int64) error {
-	if err := b.buffers.reserve(size - b.reserved); err != nil {
+	if err := b.buffers.extend(b.reserved, size-b.reserved); err != nil {
+		b.data, b.reserved = nil, 0
 		return err
 	}
 	b.reserved = size
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -103,7 +103,8 @@
 	defer a.watchdog.stop()
 	for {
 		if size := len(pending); size == cap(pending) {
-			if full := a.Buffers.reserve(int64(size)); full != nil {
+			if full := a.Buffers.extend(reserved, int64(size)); full != nil {
+				reserved = 0
 				return pending, full
 			}
 			reserved += int64(size)
