Count crashes on kept connections against the content of a call

What callers saw: nothing; servers ended one after the other, under a call that was sent again and again.

Cause: a server that crashes before it has written a byte closes the kept connection. The send ends as stale, like one on an idle connection that the server closed, and CrashGuard counted broken sends only.

Change: the guard of contents uses the set of suspects that the guard of prompt parts has, so that answers on any VM clear a content, closings by one start of an instance count once, VMs report a new suspect at once, a content that crashed two instances is not retried, and a block lasts five minutes and longer, not one. A report to a new leader holds all suspects near a block, not only those that the VM saw itself. Of many records the ones with the fewest crashes are dropped first.

The tests of the old guard are rewritten for the new methods and ask as much: the record of two minutes must now still block (it had to be forgotten), and the bound of shared suspects is 64 (128). VMs of the version before do not share crash counts of contents with these while a fleet is updated; prompt parts are shared.

--- a/dispatch.go
+++ b/dispatch.go
@@ -164,15 +164,19 @@
 	Allow(service string, now time.Time) bool
 }
 
-// CrashGuard blocks calls that repeatedly crash instances. Implementations are
-// safe for concurrent use.
+// CrashGuard blocks calls whose content crashes instances. Implementations are safe for
+// concurrent use.
 type CrashGuard interface {
-	// Blocked reports whether a call has crashed too many instances.
-	Blocked(fingerprint uint64, now time.Time) bool
-	// RecordCrash counts an instance whose connection broke while it ran the call.
-	RecordCrash(fingerprint uint64, now time.Time)
-	// RecordSuccess records that an instance completed the call.
-	RecordSuccess(fingerprint uint64)
+	// BlockedUntil returns the time until which calls with the content are blocked, and
+	// false if they are not.
+	BlockedUntil(content uint64, now time.Time) (time.Time, bool)
+	// Suspected reports whether a retry of a call with the content may crash an instance.
+	Suspected(content uint64, now time.Time) bool
+	// RecordCrash records an instance that closed a connection, opened at a time, before
+	// it had answered.
+	RecordCrash(content uint64, instance *Instance, connected, now time.Time)
+	// RecordAnswer records that an instance answered a call with the content.
+	RecordAnswer(content uint64, now time.Time)
 }
 
 // PromptGuard blocks calls with a prompt part that crashes instances. Implementations are
--- a/exchange.go
+++ b/exchange.go
@@ -12,8 +12,7 @@
 	TokensWanted      map[string]float64 `json:"draw,omitempty"`          // By account.
 	TokensUrgent      map[string]float64 `json:"urgent,omitempty"`        // Part of TokensWanted that calls wait for, by account.
 	TokensReturned    map[string]float64 `json:"return,omitempty"`        // By account.
-	Suspects          Suspects           `json:"suspects,omitempty"`      // Crash counts of the sending VM.
-	SuspectParts      PartReport         `json:"suspect-parts,omitzero"`  // Prompt parts that may crash engines, as the sending VM observed.
+	Suspects          SuspectReport      `json:"suspect-parts,omitzero"`  // Prompt parts and contents that may crash upstreams, as the sending VM observed.
 	InFlight          map[string]int     `json:"loads,omitempty"`         // The VM's own calls in flight, by instance.
 	StoreRevision     uint64             `json:"revision"`                // Highest store revision known to the VM.
 	StoreUnavailable  bool               `json:"without-store,omitempty"` // The VM cannot reach the store.
@@ -28,8 +27,7 @@
 	TokensGranted     map[string]float64  `json:"granted,omitempty"`      // By account.
 	BucketLevels      map[string]float64  `json:"levels,omitempty"`       // Tokens left in the leader's buckets, by account.
 	RetryAfterSeconds map[string]float64  `json:"dry,omitempty"`          // Seconds until tokens are available, by account without tokens.
-	Suspects          Suspects            `json:"suspects,omitempty"`
-	SuspectParts      PartReport          `json:"suspect-parts,omitzero"` // As all VMs observed.
+	Suspects          SuspectReport       `json:"suspect-parts,omitzero"` // As all VMs observed.
 	InFlight          map[string]int      `json:"loads,omitempty"`        // Calls of the other VMs in flight, by instance.
 	Unloading         map[string][]string `json:"unloading,omitempty"`    // Models that were ordered to be unloaded, by instance.
 	ChangesComplete   bool                `json:"fed,omitempty"`          // Changes and PackedChanges hold all changes after the requested revision.
@@ -43,40 +41,36 @@
 	StoreRevision     uint64              `json:"revision"`             // Store revision known to the responding VM.
 }
 
-// Suspect is a request whose start was followed by crashes of upstreams.
-type Suspect struct {
-	Fingerprint uint64    `json:"fingerprint"`
-	Crashes     int       `json:"crashes"`
-	Seen        time.Time `json:"seen"`
+// SuspectReport is what VMs observed of prompt parts and contents of calls that may crash
+// upstreams.
+type SuspectReport struct {
+	Parts    Suspects `json:"parts,omitempty"`    // Prompt parts.
+	Contents Suspects `json:"contents,omitempty"` // Contents of calls.
 }
 
-// Suspects is a list of suspect requests.
-type Suspects []Suspect
-
-// PartReport is what VMs observed of prompt parts that may crash engines. Its times are
+// Suspect is a prompt part or a content whose calls were on crashed upstreams. Its times are
 // ages because the clocks of VMs differ.
-type PartReport struct {
-	Parts []SuspectPart `json:"parts,omitempty"`
-}
-
-// SuspectPart is a part of prompts whose calls were on crashed engines.
-type SuspectPart struct {
-	Part        uint64        `json:"part"`             // Hash of the part's ID.
-	Known       bool          `json:"known,omitempty"`  // An engine answered a call with the part, possibly before the crashes.
-	Blocks      int           `json:"blocks,omitempty"` // Times that the part was blocked, with the present block.
-	Crashes     []PartCrash   `json:"crashes,omitempty"`
-	Answered    bool          `json:"answered,omitempty"`     // An engine answered a call with the part.
+type Suspect struct {
+	Hash        uint64        `json:"part"`             // Hash of the part's ID or of the content.
+	Known       bool          `json:"known,omitempty"`  // An upstream answered a call with it, possibly before the crashes.
+	Blocks      int           `json:"blocks,omitempty"` // Times that it was blocked, with the present block.
+	Crashes     []CrashSeries `json:"crashes,omitempty"`
+	Answered    bool          `json:"answered,omitempty"`     // An upstream answered a call with it.
 	SinceAnswer time.Duration `json:"since-answer,omitempty"` // Time since the last such answer.
 	SinceChange time.Duration `json:"since-change"`           // Time since the last observation.
 }
 
-// PartCrash is a series of crashes of engines that had not answered a call with the part.
-type PartCrash struct {
-	Instance   string        `json:"instance"`             // ID and start of one of the engines.
+// Suspects is a list of suspects.
+type Suspects []Suspect
+
+// CrashSeries is a series of crashes, in quick succession, of upstreams that had not
+// answered a call with a suspect.
+type CrashSeries struct {
+	Instance   string        `json:"instance"`             // ID and start of one of the upstreams.
 	Others     []string      `json:"others,omitempty"`     // Those of the others, as far as they are kept.
 	Age        time.Duration `json:"age"`                  // Time since the first crash.
 	Span       time.Duration `json:"span,omitempty"`       // From the first crash to the last one.
-	Companions []uint64      `json:"companions,omitempty"` // Other parts of the calls that had not been answered.
+	Companions []uint64      `json:"companions,omitempty"` // Other prompt parts of the calls that had not been answered.
 }
 
 // AdapterRequest asks the leader to load an adapter that no instance is known to hold.
--- a/relay/call.go
+++ b/relay/call.go
@@ -50,7 +50,7 @@
 	held              heldBody // Holds body.
 	deadline          time.Time
 	chargedTokens     float64 // Tokens taken from the account's rate.
-	fingerprint       uint64
+	content           uint64  // Hash of the method, URI, account, model and body.
 
 	sends    int  // All attempts, including those that reached no instance.
 	runs     int  // Failed attempts that the instance may have run.
@@ -95,8 +95,10 @@
 // crashRefusal returns the refusal of a call that crashes instances, or nil. The call must
 // not have run.
 func (rc *relayedCall) crashRefusal(now time.Time) *kumquathitch.RefusalError {
-	if rc.CrashGuard.Blocked(rc.fingerprint, now) {
-		return kumquathitch.NewRefusal(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
+	if until, blocked := rc.CrashGuard.BlockedUntil(rc.content, now); blocked {
+		refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
+		refusal.RetryAfter = until
+		return refusal
 	}
 	if until, blocked := rc.PromptGuard.BlockedUntil(rc.call.Prompt, now); blocked {
 		return promptRefusal(&kumquathitch.PromptBlockedError{Until: until})
@@ -154,7 +156,7 @@
 	_ = http.NewResponseController(rc.writer).SetWriteDeadline(deadline.Add(writeMargin)) // Fails only on a closed connection.
 }
 
-// prepare sets the deadline of the call, its fingerprint, and its requirements on an instance.
+// prepare sets the deadline of the call, the hash of its content, and its requirements on an instance.
 func (rc *relayedCall) prepare(services kumquathitch.Services) {
 	timeout := rc.route.Timeout
 	if timeout <= 0 {
@@ -185,7 +187,7 @@
 		_, _ = digest.WriteString(part + "\x00")
 	}
 	_, _ = digest.Write(rc.body)
-	rc.fingerprint = digest.Sum64()
+	rc.content = digest.Sum64()
 	rc.stream.lastEventID = rc.call.LastEventID
 }
 
@@ -429,7 +431,7 @@
 		return false
 	}
 	now := rc.Clock.Now()
-	return !rc.CrashGuard.Blocked(rc.fingerprint, now) && !rc.PromptGuard.Suspected(rc.call.Prompt, now)
+	return !rc.CrashGuard.Suspected(rc.content, now) && !rc.PromptGuard.Suspected(rc.call.Prompt, now)
 }
 
 // pauseBeforeResume waits before a stream that has begun is tried at all
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -48,6 +48,7 @@
 	limiter   *headLimiter // Reads from Conn for reader.
 	key       string
 	reader    *bufio.Reader
+	openedAt  time.Time // Start of the dial.
 	idleSince time.Time
 	idleUntil time.Time
 	reused    bool
@@ -82,7 +83,7 @@
 		return nil, err
 	}
 	limiter := &headLimiter{Conn: conn}
-	return &connection{Conn: conn, limiter: limiter, key: key, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
+	return &connection{Conn: conn, limiter: limiter, key: key, openedAt: now, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 func (p *Pool) takeIdle(key string) *connection {
--- a/relay/prompt_guard_test.go
+++ b/relay/prompt_guard_test.go
@@ -76,7 +76,7 @@
 			must.Eq(t, 200, status)
 			vm.callPrompt("crashing", "/stream/draft/1", "aa:100,dd:100,ee:10")
 			recorded := 0
-			for _, part := range guard.TakeReport("leader", time.Now()).Parts {
+			for _, part := range guard.TakeReport("leader", time.Now()) {
 				recorded += len(part.Crashes)
 			}
 			must.Eq(t, 2*crash.crashes, recorded) // One for each part but the last.
@@ -130,7 +130,7 @@
 		t.Run(name, func(t *testing.T) {
 			vm := newTestVM(t)
 			server := vm.startScripted("i-1", func(call *standin.ScriptedCall) bool { call.WriteAnswer(call.ID); return true })
-			vm.handler.CrashGuard = &switchedGuard{CrashGuard: retry.NewCrashGuard()}
+			vm.handler.CrashGuard = &switchedGuard{CrashGuard: retry.NewCrashGuard("vm-1")}
 			vm.handler.Chooser = &hookedChooser{Chooser: vm.fleet, chosen: func() { block(vm) }}
 			status, _ := vm.callPrompt("deadly", "/book/1", "aa:100,dd:100,ee:10")
 			must.Eq(t, 503, status)
@@ -146,8 +146,8 @@
 	blocked atomic.Bool
 }
 
-func (g *switchedGuard) Blocked(uint64, time.Time) bool {
-	return g.blocked.Load()
+func (g *switchedGuard) BlockedUntil(_ uint64, now time.Time) (time.Time, bool) {
+	return now.Add(time.Minute), g.blocked.Load()
 }
 
 // TestCallThatSchedulerBlocksIsRefused guards against a VM that chooses an engine itself for
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -136,7 +136,7 @@
 	fields := []zap.Field{
 		zap.String("call", rc.call.ID), zap.Uint64("version", rc.deploymentVersion), zap.String("service", rc.criteria.Service),
 		zap.String("model", rc.call.Target()), zap.Int("sends", rc.sends), zap.Int("runs", rc.runs),
-		zap.String("content", strconv.FormatUint(rc.fingerprint, 16)),
+		zap.String("content", strconv.FormatUint(rc.content, 16)),
 	}
 	if rc.route != nil {
 		fields = append(fields, zap.String("route", rc.route.Name))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -73,7 +73,7 @@
 	vm.cancelBase = cancel
 	handler := &relay.Handler{
 		Dialect: platform.Dialect{}, Deployments: current, Chooser: vm.fleet, Scheduler: vm, TokenBuckets: quota.NewLocalBuckets(clock.Monotonic{}, true),
-		RetryBudget: retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now()), CrashGuard: retry.NewCrashGuard(), PromptGuard: retry.NewPromptGuard("vm-1"),
+		RetryBudget: retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now()), CrashGuard: retry.NewCrashGuard("vm-1"), PromptGuard: retry.NewPromptGuard("vm-1"),
 		AdapterPlacer: vm, Demand: model.NewDemand(), Clock: clock.Monotonic{}, Logger: zap.NewNop(),
 		Tracer: noop.NewTracerProvider().Tracer("test"), Metrics: relayMetrics, Pool: relay.NewPool(relayMetrics),
 		Buffers: relay.NewBuffers(0), Panics: telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()), Draining: vm.stopping.Load, Stopping: vm.stopping.Load, BaseContext: base,
--- a/relay/send.go
+++ b/relay/send.go
@@ -82,20 +82,19 @@
 	return result, status
 }
 
-// recordForGuards records what the end of a send says about the call's content.
+// recordForGuards records what the end of a send says about the call's content. An instance
+// that crashes before it has written anything looks like one that closes an idle connection.
 func (a *attempt) recordForGuards(outcome kumquathitch.SendOutcome, status sendStatus) {
 	now := a.Clock.Now()
-	broken := outcome == kumquathitch.SendBroken && status.mayHaveRun
-	switch {
-	case broken:
-		a.CrashGuard.RecordCrash(a.fingerprint, now)
-	case outcome == kumquathitch.SendAnswered:
-		a.CrashGuard.RecordSuccess(a.fingerprint)
+	if outcome == kumquathitch.SendAnswered {
+		a.CrashGuard.RecordAnswer(a.content, now)
 		a.PromptGuard.RecordAnswer(a.call.Prompt, now)
 	}
-	// An instance that crashes before it has written anything looks like one that closes
-	// an idle connection.
-	if (broken || (outcome == kumquathitch.SendStale && status.mayHaveRun)) && a.eventWrites < provenEventWrites {
+	if !status.mayHaveRun || (outcome != kumquathitch.SendBroken && outcome != kumquathitch.SendStale) {
+		return
+	}
+	a.CrashGuard.RecordCrash(a.content, &a.choice.Instance, a.connection.openedAt, now)
+	if a.eventWrites < provenEventWrites {
 		a.PromptGuard.RecordCrash(a.call.Prompt, &a.choice.Instance, now)
 	}
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -7,9 +7,9 @@
 //	if budget.Allow("planner-llm", now) {
 //		// Send the call again.
 //	}
-//	guard := retry.NewCrashGuard()
-//	if guard.Blocked(fingerprint, now) {
-//		// Refuse the call.
+//	contents := retry.NewCrashGuard(name)
+//	if until, blocked := contents.BlockedUntil(hash, now); blocked {
+//		// Refuse the call until then.
 //	}
 //	prompts := retry.NewPromptGuard(name)
 //	if until, blocked := prompts.BlockedUntil(call.Prompt, now); blocked {
--- a/retry/prompt_guard_test.go
+++ b/retry/prompt_guard_test.go
@@ -291,9 +291,9 @@
 		now = now.Add(time.Millisecond)
 		guard.RecordCrash(prompt(fmt.Sprint("part-", i), "own"), engine(fmt.Sprint("i-", i)), now)
 	}
-	must.LessEq(t, 64, len(guard.TakeReport("leader", now).Parts))
-	must.Len(t, 0, guard.Suspects(now).Parts)
-	must.Len(t, 0, guard.TakeReport("next-leader", now.Add(time.Hour)).Parts)
+	must.LessEq(t, 64, len(guard.TakeReport("leader", now)))
+	must.Len(t, 0, guard.Suspects(now))
+	must.Len(t, 0, guard.TakeReport("next-leader", now.Add(time.Hour)))
 }
 
 // TestUndeliveredReportIsSentAgain guards against observations that are lost with the
@@ -302,11 +302,11 @@
 	guard := retry.NewPromptGuard("vm-1")
 	guard.RecordCrash(prompt("first", "own"), engine("one"), start)
 	report := guard.TakeReport("leader", start)
-	must.Len(t, 1, report.Parts)
-	must.Len(t, 0, guard.TakeReport("leader", start).Parts)
+	must.Len(t, 1, report)
+	must.Len(t, 0, guard.TakeReport("leader", start))
 	guard.MarkUnreported(report)
-	must.Len(t, 1, guard.TakeReport("leader", start).Parts)
-	must.Len(t, 1, guard.TakeReport("next-leader", start).Parts)
+	must.Len(t, 1, guard.TakeReport("leader", start))
+	must.Len(t, 1, guard.TakeReport("next-leader", start))
 }
 
 // TestDeadlyPartIsReportedBesideManySoundOnes guards against a VM that never hears of a
@@ -334,8 +334,8 @@
 	}
 	reported := map[uint64]bool{}
 	for range 2 {
-		for _, part := range vm.TakeReport("leader", start).Parts {
-			reported[part.Part] = true
+		for _, part := range vm.TakeReport("leader", start) {
+			reported[part.Hash] = true
 		}
 	}
 	must.MapLen(t, 100, reported)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -4,10 +4,8 @@
 	"testing"
 	"time"
 
-	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/retry"
 )
 
@@ -54,82 +52,3 @@
 	}
 	return count
 }
-
-// TestCrashesOfAllVMsAddUp guards against a call that crashes one instance
-// after another because each VM observes only one of the crashes.
-func TestCrashesOfAllVMsAddUp(t *testing.T) {
-	leader, one, two := retry.NewCrashGuard(), retry.NewCrashGuard(), retry.NewCrashGuard()
-	const call, innocent = 77, 78
-	one.RecordCrash(call, start)
-	one.RecordCrash(innocent, start)
-	two.RecordCrash(call, start)
-	leader.RecordCrash(call, start)
-	leader.Merge("one", one.TakeUnreported("leader", start), start)
-	leader.Merge("two", two.TakeUnreported("leader", start), start)
-	one.Merge("", leader.BlockedCounts("one", start), start)
-	must.True(t, leader.Blocked(call, start))
-	must.True(t, one.Blocked(call, start))
-	must.False(t, two.Blocked(call, start))
-	must.False(t, leader.Blocked(innocent, start))
-	must.False(t, leader.Blocked(call, start.Add(2*time.Minute)))
-}
-
-// TestSuccessClearsCrashes guards against blocking a frequent call because several of
-// its responses were lost.
-func TestSuccessClearsCrashes(t *testing.T) {
-	guard := retry.NewCrashGuard()
-	for range 5 {
-		guard.RecordCrash(5, start)
-		guard.RecordSuccess(5)
-		must.False(t, guard.Blocked(5, start))
-	}
-	for range 3 {
-		guard.RecordCrash(5, start)
-	}
-	must.True(t, guard.Blocked(5, start))
-}
-
-// TestUndeliveredCountsAreReportedAgain guards against counts that are lost with the
-// message that carried them.
-func TestUndeliveredCountsAreReportedAgain(t *testing.T) {
-	guard := retry.NewCrashGuard()
-	guard.RecordCrash(5, start)
-	counts := guard.TakeUnreported("leader", start)
-	must.Len(t, 1, counts)
-	must.Len(t, 0, guard.TakeUnreported("leader", start))
-	guard.MarkUnreported(counts)
-	must.Len(t, 1, guard.TakeUnreported("leader", start))
-}
-
-// TestNewLeaderGetsCrashCounts guards against counts that are lost with the leader.
-func TestNewLeaderGetsCrashCounts(t *testing.T) {
-	guard := retry.NewCrashGuard()
-	guard.RecordCrash(5, start)
-	must.Len(t, 1, guard.TakeUnreported("leader", start))
-	must.Len(t, 1, guard.TakeUnreported("next-leader", start))
-	must.Len(t, 0, guard.TakeUnreported("another", start.Add(2*time.Minute)))
-}
-
-// TestCountsOfInnocentCallsAreNotShared guards against messages to all VMs that grow
-// with the number of calls on crashed engines.
-func TestCountsOfInnocentCallsAreNotShared(t *testing.T) {
-	leader := retry.NewCrashGuard()
-	for call := range uint64(400) {
-		leader.Merge("entry-1", kumquathitch.Suspects{{Fingerprint: call, Crashes: 1}}, start)
-	}
-	must.Len(t, 0, leader.BlockedCounts("entry-2", start))
-	for call := range uint64(400) {
-		leader.Merge("entry-3", kumquathitch.Suspects{{Fingerprint: call, Crashes: 2}}, start)
-	}
-	must.LessEq(t, 128, len(leader.BlockedCounts("entry-2", start)))
-	must.Greater(t, 0, len(leader.BlockedCounts("entry-2", start)))
-}
-
-// TestCrashRecordsAreBounded guards against callers that exhaust the memory of a VM.
-func TestCrashRecordsAreBounded(t *testing.T) {
-	guard := retry.NewCrashGuard()
-	for i := range uint64(20_000) {
-		guard.RecordCrash(i, start.Add(time.Duration(i)*time.Millisecond))
-	}
-	must.LessEq(t, 8*512, len(guard.TakeUnreported("leader", start)))
-}
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if !tokensOnly {
-		request.Suspects, request.SuspectParts = v.crashGuard.TakeUnreported(address, now), v.promptGuard.TakeReport(address, now)
+		request.Suspects = v.takeSuspects(address, now)
 	}
 	if snapshot := v.deployments.Snapshot(); snapshot != nil {
 		v.rateLimiter.PrepareExchange(&request, snapshot.Deployment.Tenants, now)
@@ -128,8 +128,7 @@
 		err := v.peers.Call(ctx, address, methodExchange, request, &response)
 		cancel()
 		if err != nil {
-			v.crashGuard.MarkUnreported(request.Suspects)
-			v.promptGuard.MarkUnreported(request.SuspectParts)
+			v.markUnreported(request.Suspects)
 			if !tokensOnly {
 				v.watcher.endFeed()
 			}
@@ -179,8 +178,7 @@
 func (v *VM) applyResponse(response *kumquathitch.ExchangeResponse) {
 	now := time.Now()
 	v.rateLimiter.ApplyResponse(response, now)
-	v.crashGuard.Merge("", response.Suspects, now)
-	v.promptGuard.Merge(response.SuspectParts, now)
+	v.mergeSuspects(response.Suspects, now)
 	if response.Leader {
 		v.schedulerRole.learn(response.SchedulerAddress)
 		v.fleet.SetRemoteLoads(response.InFlight, now)
@@ -228,8 +226,7 @@
 	if request.TokensOnly {
 		return response, nil
 	}
-	v.crashGuard.Merge(request.From, request.Suspects, now)
-	v.promptGuard.Merge(request.SuspectParts, now)
+	v.mergeSuspects(request.Suspects, now)
 	if issuer != nil {
 		response.Unloading = v.placer.Unloading()
 		v.globalScheduler.SetVMLoads(request.From, request.InFlight, now)
@@ -244,8 +241,8 @@
 	if leader, known := v.candidate.Leader(); known {
 		response.LeaderAddress = leader.Address
 	}
-	response.Suspects, response.SuspectParts = v.crashGuard.BlockedCounts(request.From, now), v.promptGuard.Suspects(now)
-	v.roleLoad.addSuspects(len(response.Suspects) + len(response.SuspectParts.Parts))
+	response.Suspects = v.knownSuspects(now)
+	v.roleLoad.addSuspects(len(response.Suspects.Parts) + len(response.Suspects.Contents))
 	document, version := v.deployments.Document()
 	response.DeploymentVersion = version
 	if version > request.DeploymentVersion && !response.SegmentsComplete { // Otherwise the changes include it.
--- a/vm/scheduler_test.go
+++ b/vm/scheduler_test.go
@@ -77,8 +77,9 @@
 		guard := retry.NewPromptGuard(fmt.Sprint("entry-", i+2))
 		guard.RecordCrash(kumquathitch.PromptParts{{ID: "deadly"}, {ID: "own"}}, &kumquathitch.Instance{ID: fmt.Sprint("i-", i)}, time.Now())
 		<-guard.CrashSeen()
-		var response kumquathitch.PartReport
-		must.NoError(t, client.Call(t.Context(), v.peers, "vm.suspect-parts", guard.TakeReport("entry-1", time.Now()), &response))
+		var response kumquathitch.SuspectReport
+		report := kumquathitch.SuspectReport{Parts: guard.TakeReport("entry-1", time.Now())}
+		must.NoError(t, client.Call(t.Context(), v.peers, "vm.suspect-parts", report, &response))
 		clock.Pause(t.Context(), 30*time.Millisecond) // Crashes closer to each other count once.
 	}
 	must.Between(t, 0, schedule("deadly", "own").Blocked, time.Second)
--- a/vm/suspect_reports.go
+++ b/vm/suspect_reports.go
@@ -18,18 +18,20 @@
 	suspectInterval = 50 * time.Millisecond
 )
 
-// runSuspectReports reports prompt parts that may crash engines to the VMs that assign
-// calls to engines, as soon as one has crashed, until ctx ends.
+// runSuspectReports reports prompt parts and contents that may crash upstreams to the VMs
+// that assign calls to engines, as soon as one has crashed, until ctx ends.
 func (v *VM) runSuspectReports(ctx context.Context) <-chan error {
 	end := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
+				continue
 			case <-v.promptGuard.CrashSeen():
-				v.guarded("vm.suspect-parts", func() { v.reportSuspects(ctx) })
-				clock.Pause(ctx, suspectInterval)
+			case <-v.crashGuard.CrashSeen():
 			}
+			v.guarded("vm.suspect-parts", func() { v.reportSuspects(ctx) })
+			clock.Pause(ctx, suspectInterval)
 		}
 		end <- nil
 	}()
@@ -47,26 +49,48 @@
 		if address == "" || address == v.environment.PeerAddress || slices.Contains(addresses[:i], address) {
 			continue
 		}
-		report := v.promptGuard.TakeReport(address, time.Now())
-		if len(report.Parts) == 0 {
+		report := v.takeSuspects(address, time.Now())
+		if len(report.Parts) == 0 && len(report.Contents) == 0 {
 			continue
 		}
-		var response kumquathitch.PartReport
+		var response kumquathitch.SuspectReport
 		call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		err := v.peers.Call(call, address, methodSuspects, report, &response)
 		cancel()
 		if err != nil {
-			v.promptGuard.MarkUnreported(report)
-			v.log.Info("crashes not reported", zap.String("peer", address), zap.Int("parts", len(report.Parts)), zap.Error(err))
+			v.markUnreported(report)
+			v.log.Info("crashes not reported", zap.String("peer", address), zap.Int("parts", len(report.Parts)), zap.Int("contents", len(report.Contents)), zap.Error(err))
 			continue
 		}
-		v.promptGuard.Merge(response, time.Now())
+		v.mergeSuspects(response, time.Now())
 	}
 }
 
 // handleSuspects answers the report of another VM with what all VMs observed.
-func (v *VM) handleSuspects(_ context.Context, report kumquathitch.PartReport) (kumquathitch.PartReport, error) {
+func (v *VM) handleSuspects(_ context.Context, report kumquathitch.SuspectReport) (kumquathitch.SuspectReport, error) {
 	now := time.Now()
-	v.promptGuard.Merge(report, now)
-	return v.promptGuard.Suspects(now), nil
+	v.mergeSuspects(report, now)
+	return v.knownSuspects(now), nil
+}
+
+// takeSuspects returns what this VM has to report to another VM.
+func (v *VM) takeSuspects(address string, now time.Time) kumquathitch.SuspectReport {
+	return kumquathitch.SuspectReport{Parts: v.promptGuard.TakeReport(address, now), Contents: v.crashGuard.TakeReport(address, now)}
+}
+
+// markUnreported marks a report as not sent, after its message failed.
+func (v *VM) markUnreported(report kumquathitch.SuspectReport) {
+	v.promptGuard.MarkUnreported(report.Parts)
+	v.crashGuard.MarkUnreported(report.Contents)
+}
+
+// mergeSuspects adds the observations of other VMs.
+func (v *VM) mergeSuspects(report kumquathitch.SuspectReport, now time.Time) {
+	v.promptGuard.Merge(report.Parts, now)
+	v.crashGuard.Merge(report.Contents, now)
+}
+
+// knownSuspects returns what all VMs observed of suspects near a block.
+func (v *VM) knownSuspects(now time.Time) kumquathitch.SuspectReport {
+	return kumquathitch.SuspectReport{Parts: v.promptGuard.Suspects(now), Contents: v.crashGuard.Suspects(now)}
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -119,7 +119,7 @@
 		fleet:       fleet.NewFleet(environment.Name, environment.DataCentre),
 		rateLimiter: quota.NewLocalBuckets(clock.Monotonic{}, environment.Bootstrap),
 		retryBudget: retry.NewBudget(retry.Limits{Ratio: environment.RetryRatio, Slack: environment.RetrySlack, Window: environment.RetryWindow}, time.Now()),
-		crashGuard:  retry.NewCrashGuard(),
+		crashGuard:  retry.NewCrashGuard(environment.Name),
 		promptGuard: retry.NewPromptGuard(environment.Name),
 		demand:      model.NewDemandWithDecay(placement.DemandTimeConstant),
 		forecast:    placement.NewForecast(),
@@ -257,6 +257,9 @@
 	v.roleLoad.log(v.log, leading, now)
 	v.logSchedules(now)
 	for _, blocked := range v.promptGuard.TakeBlocked(now) {
-		v.log.Warn("prompt part blocked", zap.String("part", strconv.FormatUint(blocked.Part, 16)), zap.Int("crashes", blocked.Crashes), zap.Duration("for", blocked.Until.Sub(now)))
+		v.log.Warn("prompt part blocked", zap.String("part", strconv.FormatUint(blocked.Hash, 16)), zap.Int("crashes", blocked.Crashes), zap.Duration("for", blocked.Until.Sub(now)))
+	}
+	for _, blocked := range v.crashGuard.TakeBlocked(now) {
+		v.log.Warn("content blocked", zap.String("content", strconv.FormatUint(blocked.Hash, 16)), zap.Int("crashes", blocked.Crashes), zap.Duration("for", blocked.Until.Sub(now)))
 	}
 }
