Keep the crashes of a call that a server turned away

What callers saw: nothing; a call that crashes servers went on reaching them when one of them turned it away in between.

Cause: a 429, 408 or 421 without a statement that the call did not run counts as answered towards the health of the server, and the guards took that for an answer to the call. Servers that want fewer calls answer so. A 500 or 503 did not clear crashes before either, and a response from a cache does not exist here.

Change: only a response that the caller gets clears a content or a prompt part.

--- a/relay/crash_guard_test.go
+++ b/relay/crash_guard_test.go
@@ -44,3 +44,31 @@
 		}
 	}
 }
+
+// TestResponseThatRanNothingKeepsCrashes guards against forgetting the crashes of a call
+// because a server turned it away, or left open whether it ran.
+func TestResponseThatRanNothingKeepsCrashes(t *testing.T) {
+	for _, status := range []string{"429 Too Many Requests", "408 Request Timeout", "503 Service Unavailable", "500 Internal Server Error"} {
+		t.Run(status, func(t *testing.T) {
+			vm := newTestVM(t)
+			crashes := &counter{}
+			turnAway := false
+			answer := func(call *standin.ScriptedCall) bool {
+				if turnAway = !turnAway; turnAway {
+					call.WriteHead(status, "Content-Length: 0\r\n")
+					return true
+				}
+				crashes.add()
+				return false
+			}
+			for n := range 8 {
+				vm.startScripted(fmt.Sprint("i-", n), answer)
+			}
+			for n := range 12 {
+				vm.call(fmt.Sprint("deadly-", n), "/book/deadly")
+				clock.Pause(t.Context(), 10*time.Millisecond)
+			}
+			must.LessEq(t, 3, crashes.total())
+		})
+	}
+}
--- a/relay/send.go
+++ b/relay/send.go
@@ -86,7 +86,7 @@
 // that crashes before it has written anything looks like one that closes an idle connection.
 func (a *attempt) recordForGuards(outcome kumquathitch.SendOutcome, status sendStatus) {
 	now := a.Clock.Now()
-	if outcome == kumquathitch.SendAnswered {
+	if outcome == kumquathitch.SendAnswered && status.answered {
 		a.CrashGuard.RecordAnswer(a.content, now)
 		a.PromptGuard.RecordAnswer(a.call.Prompt, now)
 	}
