Recognize a call that its account repeats with another key

What callers saw: nothing; each key of an account, and each model, had crashes of its own.

Cause: the hash of a content held the caller's key and the model. The platform names a repeated call by path, caller and body, and operators add and withdraw keys of an account while traffic runs.

Change: the account takes the place of the key, and the model is left out.

--- a/relay/call.go
+++ b/relay/call.go
@@ -50,7 +50,7 @@
 	held              heldBody // Holds body.
 	deadline          time.Time
 	chargedTokens     float64 // Tokens taken from the account's rate.
-	content           uint64  // Hash of the method, URI, account, model and body.
+	content           uint64  // Hash of the method, host, URI, account and body.
 
 	sends    int  // All attempts, including those that reached no instance.
 	runs     int  // Failed attempts that the instance may have run.
@@ -182,8 +182,12 @@
 	if service := services.Find(rc.criteria.Service); service != nil && service.Engine != nil {
 		rc.modelListed = service.Engine.Models.Find(rc.call.Model) != nil
 	}
+	caller := rc.call.Key
+	if rc.tenant != nil {
+		caller = rc.tenant.Name // An account may have several keys.
+	}
 	digest := xxhash.New()
-	for _, part := range []string{rc.call.Method, rc.call.Host, rc.request.RequestURI, rc.call.Key, rc.call.Model} {
+	for _, part := range []string{rc.call.Method, rc.call.Host, rc.request.RequestURI, caller} {
 		_, _ = digest.WriteString(part + "\x00")
 	}
 	_, _ = digest.Write(rc.body)
--- a/relay/crash_guard_test.go
+++ b/relay/crash_guard_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/standin"
 )
@@ -72,3 +73,23 @@
 		})
 	}
 }
+
+// TestRepeatWithAnotherKeyIsSameCall guards against a call that is not recognized when its
+// account uses another key, or asks for another model.
+func TestRepeatWithAnotherKeyIsSameCall(t *testing.T) {
+	vm := newTestVM(t)
+	keys := []string{"key-1", "key-2", "key-3"}
+	deployment := routes()
+	deployment.Version = 2
+	deployment.Tenants = kumquathitch.Tenants{{Name: "crew", Keys: keys}}
+	vm.handler.Deployments.Apply(deployment, nil)
+	crashes := &counter{}
+	for n := range 4 {
+		vm.startScripted(fmt.Sprint("i-", n), func(*standin.ScriptedCall) bool { crashes.add(); return false })
+	}
+	for n := range 9 {
+		vm.callHeaders(fmt.Sprint("deadly-", n), "/book/deadly", map[string]string{"Api-Key": keys[n%len(keys)]})
+		clock.Pause(t.Context(), 10*time.Millisecond)
+	}
+	must.LessEq(t, 3, crashes.total())
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -129,6 +129,11 @@
 }
 
 func (vm *testVM) callModel(id, path, model string) callResult {
+	vm.t.Helper()
+	return vm.callHeaders(id, path, map[string]string{"Model": model})
+}
+
+func (vm *testVM) callHeaders(id, path string, headers map[string]string) callResult {
 	vm.t.Helper()
 	r, err := http.NewRequestWithContext(vm.t.Context(), http.MethodPost, vm.address+path, strings.NewReader("body"))
 	must.NoError(vm.t, err)
@@ -136,7 +141,9 @@
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Api-Key", apiKey)
 	r.Header.Set("Deadline-Ms", "4000")
-	r.Header.Set("Model", model)
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return callResult{err: err}
