Let the scheduler refuse calls by their content

What callers saw: nothing. The scheduler knows of a crash some tens of milliseconds after it, the other VMs with their next exchange, up to half a second later; it refused calls by prompt part only.

Change: a request to the scheduler carries the hash of the content, and the refusal says which of both blocked the call.

Evidence: TestSchedulerBlocksContentAfterReports fails without the check and passes with it. The test of prompt parts, from which it was copied, accepted a block of length zero and could not fail; both now ask for a positive one.

--- a/dispatch.go
+++ b/dispatch.go
@@ -12,7 +12,8 @@
 	Model             string // Empty for a plain service.
 	Adapter           string
 	Prompt            PromptParts
-	Tokens            int64 // Tokens of the prompt.
+	Content           uint64 // Hash of what identifies the call when it is repeated.
+	Tokens            int64  // Tokens of the prompt.
 	LatencyObjective  time.Duration
 	GapLimit          time.Duration // Longest pause between events of a stream; 0 when there is none.
 	HoldUntil         time.Time     // Until then the call may wait for an instance that is not saturated.
@@ -92,18 +93,23 @@
 type Scheduler interface {
 	// Schedule asks the leader for the engine of a call. It returns an
 	// *EnginesFullError when no engine would start the response in time, and a
-	// *PromptBlockedError when calls with a part of the prompt crash engines. After
+	// *CallBlockedError when such calls crash engines. After
 	// any other error the VM chooses an engine itself.
 	Schedule(ctx context.Context, criteria InstanceCriteria) (Assignment, error)
 }
 
-// PromptBlockedError reports that calls with a part of the prompt crash engines.
-type PromptBlockedError struct {
-	Until time.Time // Time at which such calls are tried again.
+// CallBlockedError reports that calls with the same content, or with a part of the prompt,
+// crash instances.
+type CallBlockedError struct {
+	Until     time.Time // Time at which such calls are tried again.
+	ByContent bool
 }
 
 // Error implements error.
-func (e *PromptBlockedError) Error() string {
+func (e *CallBlockedError) Error() string {
+	if e.ByContent {
+		return "the call has crashed several instances"
+	}
 	return "calls with a part of this prompt have crashed several instances"
 }
 
--- a/exchange.go
+++ b/exchange.go
@@ -94,6 +94,7 @@
 	Model             string         `json:"model"`
 	Adapter           string         `json:"adapter,omitempty"`
 	Prompt            PromptParts    `json:"prompt,omitempty"`
+	Content           uint64         `json:"content,omitempty"`  // Hash of the call's content.
 	Tokens            int64          `json:"tokens"`             // Tokens of the prompt.
 	Priority          int            `json:"priority,omitempty"` // 0 is the most urgent.
 	LatencyObjective  time.Duration  `json:"objective"`
@@ -107,12 +108,13 @@
 
 // ScheduleResponse is the response to a ScheduleRequest.
 type ScheduleResponse struct {
-	Instance      string        `json:"instance,omitempty"` // Empty when no engine is assigned.
-	PrefillTokens int64         `json:"missing"`            // Prompt tokens that are not in the engine's prefix cache.
-	EnginesFull   bool          `json:"full,omitempty"`     // No engine would start the response in time.
-	Wait          time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has capacity again.
-	ExpectedTTFB  time.Duration `json:"expected"`           // From the end of Wait to the first event.
-	Blocked       time.Duration `json:"blocked,omitempty"`  // Time for which calls with a part of the prompt are blocked; 0 if they are not.
+	Instance         string        `json:"instance,omitempty"` // Empty when no engine is assigned.
+	PrefillTokens    int64         `json:"missing"`            // Prompt tokens that are not in the engine's prefix cache.
+	EnginesFull      bool          `json:"full,omitempty"`     // No engine would start the response in time.
+	Wait             time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has capacity again.
+	ExpectedTTFB     time.Duration `json:"expected"`           // From the end of Wait to the first event.
+	Blocked          time.Duration `json:"blocked,omitempty"`  // Time for which calls with the content or a part of the prompt are blocked; 0 if they are not.
+	BlockedByContent bool          `json:"blocked-content,omitempty"`
 }
 
 // Member is the record of an entry VM in the store. It exists as long as its lease.
--- a/relay/call.go
+++ b/relay/call.go
@@ -50,7 +50,6 @@
 	held              heldBody // Holds body.
 	deadline          time.Time
 	chargedTokens     float64 // Tokens taken from the account's rate.
-	content           uint64  // Hash of the method, host, URI, account and body.
 
 	sends    int  // All attempts, including those that reached no instance.
 	runs     int  // Failed attempts that the instance may have run.
@@ -95,13 +94,11 @@
 // crashRefusal returns the refusal of a call that crashes instances, or nil. The call must
 // not have run.
 func (rc *relayedCall) crashRefusal(now time.Time) *kumquathitch.RefusalError {
-	if until, blocked := rc.CrashGuard.BlockedUntil(rc.content, now); blocked {
-		refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "crashes-instances", "the call has crashed several instances")
-		refusal.RetryAfter = until
-		return refusal
+	if until, blocked := rc.CrashGuard.BlockedUntil(rc.criteria.Content, now); blocked {
+		return blockedRefusal(&kumquathitch.CallBlockedError{Until: until, ByContent: true})
 	}
 	if until, blocked := rc.PromptGuard.BlockedUntil(rc.call.Prompt, now); blocked {
-		return promptRefusal(&kumquathitch.PromptBlockedError{Until: until})
+		return blockedRefusal(&kumquathitch.CallBlockedError{Until: until})
 	}
 	return nil
 }
@@ -191,7 +188,7 @@
 		_, _ = digest.WriteString(part + "\x00")
 	}
 	_, _ = digest.Write(rc.body)
-	rc.content = digest.Sum64()
+	rc.criteria.Content = digest.Sum64()
 	rc.stream.lastEventID = rc.call.LastEventID
 }
 
@@ -300,7 +297,7 @@
 func (rc *relayedCall) choose(ctx context.Context) (kumquathitch.InstanceChoice, error) {
 	choice, err := rc.chooseScheduled(ctx)
 	var full *kumquathitch.EnginesFullError
-	var blocked *kumquathitch.PromptBlockedError
+	var blocked *kumquathitch.CallBlockedError
 	if err == nil || errors.As(err, &full) || errors.As(err, &blocked) {
 		return choice, err
 	}
@@ -435,7 +432,7 @@
 		return false
 	}
 	now := rc.Clock.Now()
-	return !rc.CrashGuard.Suspected(rc.content, now) && !rc.PromptGuard.Suspected(rc.call.Prompt, now)
+	return !rc.CrashGuard.Suspected(rc.criteria.Content, now) && !rc.PromptGuard.Suspected(rc.call.Prompt, now)
 }
 
 // pauseBeforeResume waits before a stream that has begun is tried at all
--- a/relay/prompt_guard_test.go
+++ b/relay/prompt_guard_test.go
@@ -155,7 +155,7 @@
 func TestCallThatSchedulerBlocksIsRefused(t *testing.T) {
 	instance := standin.NewInstance("i-1", "llm")
 	vm := newTestVM(t, instance)
-	vm.scheduleError = &kumquathitch.PromptBlockedError{Until: time.Now().Add(2500 * time.Millisecond)}
+	vm.scheduleError = &kumquathitch.CallBlockedError{Until: time.Now().Add(2500 * time.Millisecond)}
 	status, retryAfter := vm.callPrompt("r1", "/stream/draft/1", "aa:100,bb:20", "m")
 	must.Eq(t, http.StatusServiceUnavailable, status)
 	seconds, err := strconv.ParseFloat(retryAfter, 64)
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -35,9 +35,9 @@
 	if errors.As(err, &refused) {
 		return refused
 	}
-	var blocked *kumquathitch.PromptBlockedError
+	var blocked *kumquathitch.CallBlockedError
 	if errors.As(err, &blocked) {
-		return promptRefusal(blocked)
+		return blockedRefusal(blocked)
 	}
 	var full *kumquathitch.EnginesFullError
 	if errors.As(err, &full) {
@@ -69,9 +69,14 @@
 	return refusal
 }
 
-// promptRefusal returns the refusal of a call that is blocked by a part of its prompt.
-func promptRefusal(blocked *kumquathitch.PromptBlockedError) *kumquathitch.RefusalError {
-	refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, "prompt-crashes-instances", blocked.Error())
+// blockedRefusal returns the refusal of a call that is blocked by its content or a part of
+// its prompt.
+func blockedRefusal(blocked *kumquathitch.CallBlockedError) *kumquathitch.RefusalError {
+	code := "prompt-crashes-instances"
+	if blocked.ByContent {
+		code = "crashes-instances"
+	}
+	refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, code, blocked.Error())
 	refusal.RetryAfter = blocked.Until
 	return refusal
 }
@@ -136,7 +141,7 @@
 	fields := []zap.Field{
 		zap.String("call", rc.call.ID), zap.Uint64("version", rc.deploymentVersion), zap.String("service", rc.criteria.Service),
 		zap.String("model", rc.call.Target()), zap.Int("sends", rc.sends), zap.Int("runs", rc.runs),
-		zap.String("content", strconv.FormatUint(rc.content, 16)),
+		zap.String("content", strconv.FormatUint(rc.criteria.Content, 16)),
 	}
 	if rc.route != nil {
 		fields = append(fields, zap.String("route", rc.route.Name))
--- a/relay/send.go
+++ b/relay/send.go
@@ -87,13 +87,13 @@
 func (a *attempt) recordForGuards(outcome kumquathitch.SendOutcome, status sendStatus) {
 	now := a.Clock.Now()
 	if outcome == kumquathitch.SendAnswered && status.answered {
-		a.CrashGuard.RecordAnswer(a.content, now)
+		a.CrashGuard.RecordAnswer(a.criteria.Content, now)
 		a.PromptGuard.RecordAnswer(a.call.Prompt, now)
 	}
 	if !status.mayHaveRun || (outcome != kumquathitch.SendBroken && outcome != kumquathitch.SendStale) {
 		return
 	}
-	a.CrashGuard.RecordCrash(a.content, &a.choice.Instance, a.connection.openedAt, now)
+	a.CrashGuard.RecordCrash(a.criteria.Content, &a.choice.Instance, a.connection.openedAt, now)
 	if a.eventWrites < provenEventWrites {
 		a.PromptGuard.RecordCrash(a.call.Prompt, &a.choice.Instance, now)
 	}
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -44,7 +44,7 @@
 	}
 	request := kumquathitch.ScheduleRequest{
 		From: v.environment.Name, DataCentre: v.environment.DataCentre, Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
-		Prompt: criteria.Prompt, Tokens: criteria.Tokens, Priority: criteria.Priority, LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit,
+		Prompt: criteria.Prompt, Content: criteria.Content, Tokens: criteria.Tokens, Priority: criteria.Priority, LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit,
 		MaxHold: max(0, criteria.HoldUntil.Sub(now)), FirstByteLimit: firstByteLimit(criteria, now), FullEngineRunTime: v.fleet.FullEngineRunTime(criteria.Service), Exclude: v.fleet.AvoidedInstances(criteria, now), InFlight: v.fleet.LocalLoads(),
 	}
 	var response kumquathitch.ScheduleResponse
@@ -62,7 +62,7 @@
 	sendAt := time.Now().Add(response.Wait)
 	switch {
 	case response.Blocked > 0:
-		return kumquathitch.Assignment{}, &kumquathitch.PromptBlockedError{Until: time.Now().Add(response.Blocked)}
+		return kumquathitch.Assignment{}, &kumquathitch.CallBlockedError{Until: time.Now().Add(response.Blocked), ByContent: response.BlockedByContent}
 	case response.EnginesFull:
 		return kumquathitch.Assignment{}, &kumquathitch.EnginesFullError{Service: criteria.Service, Model: criteria.Model, AvailableAt: sendAt}
 	case response.Instance == "":
@@ -127,6 +127,9 @@
 // schedule chooses the engine of a call. It also blocks calls that crash engines, since a
 // crash is known to the scheduler before it is known to the VM that has the call.
 func (v *VM) schedule(request *kumquathitch.ScheduleRequest, now time.Time) kumquathitch.ScheduleResponse {
+	if until, blocked := v.crashGuard.BlockedUntil(request.Content, now); blocked {
+		return kumquathitch.ScheduleResponse{Blocked: until.Sub(now), BlockedByContent: true}
+	}
 	if until, blocked := v.promptGuard.BlockedUntil(request.Prompt, now); blocked {
 		return kumquathitch.ScheduleResponse{Blocked: until.Sub(now)}
 	}
--- a/vm/scheduler_test.go
+++ b/vm/scheduler_test.go
@@ -82,6 +82,34 @@
 		must.NoError(t, client.Call(t.Context(), v.peers, "vm.suspect-parts", report, &response))
 		clock.Pause(t.Context(), 30*time.Millisecond) // Crashes closer to each other count once.
 	}
-	must.Between(t, 0, schedule("deadly", "own").Blocked, time.Second)
+	must.Positive(t, schedule("deadly", "own").Blocked)
 	must.Eq(t, 0, schedule("sound", "own").Blocked)
 }
+
+// TestSchedulerBlocksContentAfterReports guards against engines that are lost because the VM
+// that has a call does not know yet that its content crashes engines.
+func TestSchedulerBlocksContentAfterReports(t *testing.T) {
+	p := newTestPlatform(t)
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	p.startEngine("m")
+	v := p.startVM("entry-1")
+	p.waitFor("the VM is ready", v.isReady)
+	client := newPeerClient(t)
+	const deadly, sound = 77, 78
+	schedule := func(content uint64) (response kumquathitch.ScheduleResponse) {
+		request := kumquathitch.ScheduleRequest{From: "entry-2", Service: "llm", Model: "m", Tokens: 100, Content: content}
+		must.NoError(t, client.Call(t.Context(), v.peers, "fleet.schedule", request, &response))
+		return response
+	}
+	for i := range 3 { // Three VMs that each saw one crash.
+		must.Eq(t, 0, schedule(deadly).Blocked)
+		guard := retry.NewCrashGuard(fmt.Sprint("entry-", i+2))
+		guard.RecordCrash(deadly, &kumquathitch.Instance{ID: fmt.Sprint("i-", i)}, time.Now(), time.Now())
+		<-guard.CrashSeen()
+		var response kumquathitch.SuspectReport
+		report := kumquathitch.SuspectReport{Contents: guard.TakeReport("entry-1", time.Now())}
+		must.NoError(t, client.Call(t.Context(), v.peers, "vm.suspect-parts", report, &response))
+	}
+	must.Positive(t, schedule(deadly).Blocked)
+	must.Eq(t, 0, schedule(sound).Blocked)
+}
