--- a/standin/instance.go
+++ b/standin/instance.go
@@ -25,6 +25,7 @@
 	HangCalls          bool   // Executes calls and never responds.
 	WrongResponseFirst bool   // Sends a response to another call before each response.
 	StallStreamAfter   int    // Sends nothing more on a stream after this many events; 0 for never.
+	Limit              string // Server-Limit of all responses; empty for none.
 	CrashContent       string // Body of calls that crash the instance as soon as it begins to execute them; empty for none.
 }
 
@@ -178,6 +179,9 @@
 	if faults.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if faults.Limit != "" {
+		w.Header().Set("Server-Limit", faults.Limit)
+	}
 	if rejected {
 		w.Header().Set("Not-Executed", "1")
 		if faults.RetryAfter != "" {
