Keep to the limits of calls that instances name

What callers saw: nothing yet; servers in need got up to ten times the calls that they take, over all VMs.

Cause: Server-Limit was read nowhere (hypothesis 1). The class of the fault: a figure for all VMs together, where each VM sees its own sends only. Reading it in each VM would not have been enough (hypothesis 2): the first breaks came from several VMs.

Change: the VM that assigns calls to engines counts them against the limits that VMs report to it. A VM that chooses an instance itself asks for each call to a limited one. A call that no instance admits is refused with the time of the next one, or goes elsewhere. Without a scheduler each VM keeps to an equal share.

--- a/call.go
+++ b/call.go
@@ -80,6 +80,8 @@
 	KeepAliveUntil time.Time // When the upstream closes the idle connection; zero when it does not state it.
 	Received       time.Time // When the head was read.
 	Leaving        bool      // The upstream leaves, and takes no new calls.
+	LimitPerSecond float64   // Calls a second that the upstream takes from all VMs together.
+	HasLimit       bool
 	PausedUntil    time.Time // With a rejection: until when the upstream takes no calls from this VM; zero when it does not state it.
 }
 
--- a/dispatch.go
+++ b/dispatch.go
@@ -29,6 +29,7 @@
 	PrefillTokens int64 // Prompt tokens that the instance is expected not to have in its prefix cache.
 	ExpectedTTFB  time.Duration
 	Probe         bool // The instance has failed before; the call tests whether it works again.
+	Limited       bool // The instance names a limit, and the call is not yet counted against it.
 	Sent          time.Time
 }
 
@@ -71,20 +72,29 @@
 	// have said otherwise since the choice.
 	Accepts(choice InstanceChoice, now time.Time) bool
 	// ResponseStarted records the head of the response, which shows that the instance has
-	// processed the prompt. It reports whether the head says for the first time that the
-	// instance leaves, or extends the time for which it takes no calls from this VM.
-	ResponseStarted(choice InstanceChoice, head ResponseHead) (withdrawn bool)
+	// processed the prompt.
+	ResponseStarted(choice InstanceChoice, head ResponseHead) ResponseNews
+	// Defer records that the limit of the chosen instance admits no call from this VM
+	// before a time.
+	Defer(choice InstanceChoice, until time.Time)
 	// Done ends a choice and records the result of the send.
 	Done(criteria InstanceCriteria, choice InstanceChoice, result SendResult)
 	// CapacityFreed returns a channel that is closed when an instance may have capacity again.
 	CapacityFreed() <-chan struct{}
 }
 
+// ResponseNews states what the head of a response says for the first time.
+type ResponseNews struct {
+	Withdrawn    bool // The instance leaves, or takes no calls from this VM for longer than it had said.
+	LimitChanged bool // It names another limit of calls, or none any more.
+}
+
 // Assignment is the engine that the leader assigned to a call.
 type Assignment struct {
 	InstanceID    string
 	PrefillTokens int64         // Prompt tokens that are not in the engine's prefix cache.
 	ExpectedTTFB  time.Duration // From SendAt to the first event.
+	Limited       bool          // The call was counted against a limit of the engine.
 	SendAt        time.Time     // An earlier send would delay the engine's running streams.
 }
 
@@ -96,6 +106,9 @@
 	// *CallBlockedError when such calls crash engines. After
 	// any other error the VM chooses an engine itself.
 	Schedule(ctx context.Context, criteria InstanceCriteria) (Assignment, error)
+	// Admit counts a call against the limit that an instance names for all VMs together.
+	// It returns false and the earliest time of the next call if the limit is reached.
+	Admit(ctx context.Context, instance *Instance) (until time.Time, admitted bool)
 }
 
 // CallBlockedError reports that calls with the same content, or with a part of the prompt,
--- a/exchange.go
+++ b/exchange.go
@@ -88,22 +88,23 @@
 // ScheduleRequest asks the scheduler for the engine of a call. Its times are durations
 // in nanoseconds because the clocks of VMs differ.
 type ScheduleRequest struct {
-	From              string         `json:"from"`
-	DataCentre        string         `json:"data-centre"`
-	Service           string         `json:"service"`
-	Model             string         `json:"model"`
-	Adapter           string         `json:"adapter,omitempty"`
-	Prompt            PromptParts    `json:"prompt,omitempty"`
-	Content           uint64         `json:"content,omitempty"`  // Hash of the call's content.
-	Tokens            int64          `json:"tokens"`             // Tokens of the prompt.
-	Priority          int            `json:"priority,omitempty"` // 0 is the most urgent.
-	LatencyObjective  time.Duration  `json:"objective"`
-	GapLimit          time.Duration  `json:"gap-limit,omitempty"` // Longest pause between events of a stream; 0 when there is none.
-	MaxHold           time.Duration  `json:"hold,omitempty"`      // Longest wait before the call is sent.
-	FirstByteLimit    time.Duration  `json:"limit,omitempty"`     // Time within which the response must start; 0 to accept the call in any case.
-	FullEngineRunTime time.Duration  `json:"full-run,omitempty"`  // Run time of calls on a full engine, as measured by the VM; 0 without a measurement.
-	Exclude           []string       `json:"avoid,omitempty"`     // Engines that were already tried, or that failed for the VM.
-	InFlight          map[string]int `json:"loads,omitempty"`     // All calls of the VM in flight, by instance.
+	From              string          `json:"from"`
+	DataCentre        string          `json:"data-centre"`
+	Service           string          `json:"service"`
+	Model             string          `json:"model"`
+	Adapter           string          `json:"adapter,omitempty"`
+	Prompt            PromptParts     `json:"prompt,omitempty"`
+	Content           uint64          `json:"content,omitempty"`  // Hash of the call's content.
+	Tokens            int64           `json:"tokens"`             // Tokens of the prompt.
+	Priority          int             `json:"priority,omitempty"` // 0 is the most urgent.
+	LatencyObjective  time.Duration   `json:"objective"`
+	GapLimit          time.Duration   `json:"gap-limit,omitempty"` // Longest pause between events of a stream; 0 when there is none.
+	MaxHold           time.Duration   `json:"hold,omitempty"`      // Longest wait before the call is sent.
+	FirstByteLimit    time.Duration   `json:"limit,omitempty"`     // Time within which the response must start; 0 to accept the call in any case.
+	FullEngineRunTime time.Duration   `json:"full-run,omitempty"`  // Run time of calls on a full engine, as measured by the VM; 0 without a measurement.
+	Exclude           []string        `json:"avoid,omitempty"`     // Engines that were already tried, or that failed for the VM.
+	InFlight          map[string]int  `json:"loads,omitempty"`     // All calls of the VM in flight, by instance.
+	Limits            []InstanceLimit `json:"limits,omitempty"`    // Changes since the last request to this scheduler.
 }
 
 // ScheduleResponse is the response to a ScheduleRequest.
@@ -114,9 +115,33 @@
 	Wait             time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has capacity again.
 	ExpectedTTFB     time.Duration `json:"expected"`           // From the end of Wait to the first event.
 	Blocked          time.Duration `json:"blocked,omitempty"`  // Time for which calls with the content or a part of the prompt are blocked; 0 if they are not.
+	Limited          bool          `json:"limited,omitempty"`  // The call was counted against a limit of the engine.
 	BlockedByContent bool          `json:"blocked-content,omitempty"`
 }
 
+// InstanceLimit is the limit of calls that one start of an instance names in its responses,
+// as one VM last saw it.
+type InstanceLimit struct {
+	ID          string        `json:"id"`
+	Incarnation string        `json:"start"`           // ID and start.
+	Named       bool          `json:"named,omitempty"` // False if its last response named none.
+	PerSecond   float64       `json:"per-second,omitempty"`
+	Age         time.Duration `json:"age"` // Time since that response.
+}
+
+// AdmitRequest asks the scheduler to count a call against the limit of an instance, for a
+// call that the VM sends to an instance of its own choice.
+type AdmitRequest struct {
+	Incarnation string          `json:"start"`
+	Limits      []InstanceLimit `json:"limits"` // That of the instance, and changes of others.
+}
+
+// AdmitResponse is the response to an AdmitRequest.
+type AdmitResponse struct {
+	Admitted bool          `json:"admitted"`
+	Wait     time.Duration `json:"wait,omitempty"` // Until the limit may admit a call.
+}
+
 // Member is the record of an entry VM in the store. It exists as long as its lease.
 type Member struct {
 	Name       string    `json:"name"`
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -85,7 +85,7 @@
 	}
 	best.instance.startSend(chain, best.prefillTokens, best.probe)
 	return kumquathitch.InstanceChoice{
-		Instance: best.instance.snapshot(), PrefillTokens: best.prefillTokens, Probe: best.probe, Sent: now,
+		Instance: best.instance.snapshot(), PrefillTokens: best.prefillTokens, Probe: best.probe, Limited: best.limited, Sent: now,
 		ExpectedTTFB: time.Duration(best.ttfbMS * float64(time.Millisecond)),
 	}, nil
 }
@@ -97,6 +97,9 @@
 	if inst == nil {
 		return kumquathitch.InstanceChoice{}, false
 	}
+	if assignment.Limited {
+		inst.endDeferral()
+	}
 	chain := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt)
 	found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), now)
 	if !usable || found.lastResort || f.isUnreachable(found.dataCentre) {
@@ -104,7 +107,8 @@
 	}
 	inst.startSend(chain, assignment.PrefillTokens, found.probe)
 	return kumquathitch.InstanceChoice{
-		Instance: inst.snapshot(), PrefillTokens: assignment.PrefillTokens, Probe: found.probe, Sent: assignment.SendAt, ExpectedTTFB: assignment.ExpectedTTFB,
+		Instance: inst.snapshot(), PrefillTokens: assignment.PrefillTokens, Probe: found.probe, Limited: found.limited && !assignment.Limited,
+		Sent: assignment.SendAt, ExpectedTTFB: assignment.ExpectedTTFB,
 	}, true
 }
 
@@ -160,12 +164,14 @@
 	return inst != nil && inst.accepts(choice, now)
 }
 
-// ResponseStarted records the head of a response. It reports whether the head is the
-// first to say that the instance leaves, or asks for a longer pause than before.
-func (f *Fleet) ResponseStarted(choice kumquathitch.InstanceChoice, head kumquathitch.ResponseHead) bool {
+// ResponseStarted records the head of a response, and returns what is news in it.
+func (f *Fleet) ResponseStarted(choice kumquathitch.InstanceChoice, head kumquathitch.ResponseHead) kumquathitch.ResponseNews {
 	defer f.notifyCapacity()
 	inst := f.instanceState(choice.Instance.ID)
-	return inst != nil && inst.startResponse(choice, head)
+	if inst == nil {
+		return kumquathitch.ResponseNews{}
+	}
+	return inst.startResponse(choice, head)
 }
 
 // instanceState returns the state of an instance, or nil if it is not in the fleet.
@@ -219,6 +225,7 @@
 	lastResort    bool
 	saturated     bool
 	probe         bool
+	limited       bool
 }
 
 // estimate estimates the cost of a send to the instance. It reports false if the
@@ -232,7 +239,7 @@
 			return found, false
 		}
 	}
-	if !inst.serves(criteria.Model, criteria.Adapter, now) || now.Before(inst.withdrawal.pausedUntil) {
+	if !inst.serves(criteria.Model, criteria.Adapter, now) || now.Before(inst.unavailableUntil()) {
 		return found, false
 	}
 	load, slots := inst.load(now), float64(max(1, inst.description.Slots))
@@ -253,7 +260,7 @@
 	if now.Before(inst.busyUntil) {
 		found.costMS += milliseconds(criteria.LatencyObjective)
 	}
-	found.probe = inst.consecutiveOpens > 0
+	found.probe, found.limited = inst.consecutiveOpens > 0, inst.limit.named
 	found.lastResort = inst.circuitOpen(criteria.NoRetry, now)
 	return found, true
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -218,8 +218,8 @@
 	choice, err := f.Choose(criteriaFor("m1"), start)
 	must.NoError(t, err)
 	must.True(t, f.Accepts(choice, start))
-	must.True(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true}))
-	must.False(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true})) // No news.
+	must.True(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true}).Withdrawn)
+	must.False(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true}).Withdrawn) // No news.
 	refuses := func(when string) {
 		_, err := f.Choose(criteriaFor("m1"), start)
 		must.Error(t, err, must.Sprint(when))
@@ -241,7 +241,7 @@
 	f.Put(restarted, start)
 	_, err = f.Choose(criteriaFor("m1"), start)
 	must.NoError(t, err)
-	must.False(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true})) // Of the start before.
+	must.False(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Leaving: true}).Withdrawn) // Of the start before.
 	_, err = f.Choose(criteriaFor("m1"), start)
 	must.NoError(t, err)
 }
@@ -258,7 +258,7 @@
 			instance, _ := f.Instance(id)
 			choice = kumquathitch.InstanceChoice{Instance: instance}
 		}
-		return f.ResponseStarted(choice, kumquathitch.ResponseHead{PausedUntil: start.Add(time.Duration(seconds) * time.Second)})
+		return f.ResponseStarted(choice, kumquathitch.ResponseHead{PausedUntil: start.Add(time.Duration(seconds) * time.Second)}).Withdrawn
 	}
 	must.True(t, pauseUntil("one", 5))
 	must.False(t, pauseUntil("one", 2))
@@ -328,7 +328,7 @@
 		f.Put(newEngine("one", 1, "m1"), start)
 		choice, err := f.Choose(criteriaFor("m1"), at)
 		must.NoError(t, err)
-		must.True(t, f.ResponseStarted(choice, head))
+		must.True(t, f.ResponseStarted(choice, head).Withdrawn)
 		restarted := newEngine("one", 2, "m1")
 		restarted.Started = start.Add(5 * time.Second)
 		if lapsed {
@@ -339,7 +339,7 @@
 		must.Error(t, err, must.Sprint(name))
 		_, err = f.Choose(criteriaFor("m1"), at.Add(31*time.Second)) // Clocks may differ, so it is tried again.
 		must.NoError(t, err, must.Sprint(name))
-		must.True(t, f.ResponseStarted(choiceOf(restarted), head) || name == "pause")
+		must.True(t, f.ResponseStarted(choiceOf(restarted), head).Withdrawn || name == "pause")
 		restarted.Revision, restarted.Started = 3, at.Add(time.Second)
 		f.Put(restarted, at)
 		_, err = f.Choose(criteriaFor("m1"), at.Add(time.Second))
@@ -358,7 +358,7 @@
 	restarted.Started = start.Add(5 * time.Second)
 	f.Put(restarted, start)
 	at := start.Add(6 * time.Second)
-	must.True(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Received: at, PausedUntil: at.Add(3 * time.Second)}))
+	must.True(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Received: at, PausedUntil: at.Add(3 * time.Second)}).Withdrawn)
 	_, err = f.Choose(criteriaFor("m1"), at.Add(2*time.Second))
 	must.Error(t, err)
 	_, err = f.Choose(criteriaFor("m1"), at.Add(3*time.Second))
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -38,6 +38,7 @@
 	vms      [shardCount]vmShard
 	engines  [shardCount]engineShard
 	runTimes [shardCount]runTimeShard
+	limits   *CallLimits
 	counts   scheduleCounter
 }
 
@@ -75,7 +76,7 @@
 
 // NewGlobalScheduler returns a scheduler over the engines of a fleet.
 func NewGlobalScheduler(f *Fleet) *GlobalScheduler {
-	gs := &GlobalScheduler{fleet: f}
+	gs := &GlobalScheduler{fleet: f, limits: NewCallLimits()}
 	for i := range shardCount {
 		gs.vms[i].loads = map[string]*vmLoads{}
 		gs.engines[i].engines = map[string]*engineState{}
@@ -151,26 +152,73 @@
 	return engine
 }
 
+// Admit counts a call of a VM against the limit of an instance that the VM chose itself.
+func (gs *GlobalScheduler) Admit(request *kumquathitch.AdmitRequest, now time.Time) kumquathitch.AdmitResponse {
+	gs.limits.Learn(request.Limits, now)
+	until, _, admitted := gs.limits.Admit(request.Incarnation, now)
+	return kumquathitch.AdmitResponse{Admitted: admitted, Wait: max(0, until.Sub(now))}
+}
+
 // Schedule assigns a call to the engine with the least cost, which is mainly the
 // expected time to the first event. The result names no instance if none can take
 // the call, and sets EnginesFull if the first event would come later than
-// request.FirstByteLimit.
+// request.FirstByteLimit, or if all engines have reached their limits.
 func (gs *GlobalScheduler) Schedule(request *kumquathitch.ScheduleRequest, now time.Time) kumquathitch.ScheduleResponse {
 	gs.SetVMLoads(request.From, request.InFlight, now)
+	gs.limits.Learn(request.Limits, now)
 	chain := newPromptChain(request.Model+"/"+request.Adapter, request.Prompt)
 	runTimeMS := gs.updateRunTime(request.Service, milliseconds(request.FullEngineRunTime))
-	best := engineOption{costMS: math.Inf(1)}
+	for {
+		best, admittedAt := gs.choose(request, chain, runTimeMS, now)
+		if refusal, refused := gs.refusal(request, &best, admittedAt, now); refused {
+			return refusal
+		}
+		// Another call may have been counted against the limit since the engine was chosen.
+		_, limited, admitted := gs.limits.Admit(best.incarnation, now)
+		if !admitted {
+			continue
+		}
+		gs.counts.add(request.Priority, ScheduleCounts{Assigned: 1})
+		gs.assign(request.From, &best, chain, now)
+		return kumquathitch.ScheduleResponse{
+			Instance: best.instance.id, PrefillTokens: best.prefillTokens, Wait: duration(best.waitMS), ExpectedTTFB: duration(best.ttfbMS), Limited: limited,
+		}
+	}
+}
+
+// choose returns the engine with the least cost of those whose limits admit a call. If
+// there is none, it returns the earliest time at which a limit admits one, or zero.
+func (gs *GlobalScheduler) choose(request *kumquathitch.ScheduleRequest, chain promptChain, runTimeMS float64, now time.Time) (best engineOption, admittedAt time.Time) {
+	best = engineOption{costMS: math.Inf(1)}
 	for _, inst := range gs.fleet.instancesIn(group{service: request.Service, model: request.Model}) {
 		if slices.Contains(request.Exclude, inst.id) {
 			continue
 		}
-		if found, ok := gs.evaluate(inst, request, chain, runTimeMS, now); ok && found.costMS < best.costMS {
-			best = found
+		found, ok := gs.evaluate(inst, request, chain, runTimeMS, now)
+		if !ok || found.costMS >= best.costMS {
+			continue
+		}
+		if at := gs.limits.AdmitsAt(found.incarnation, now); !at.IsZero() {
+			if admittedAt.IsZero() || at.Before(admittedAt) {
+				admittedAt = at
+			}
+			continue
 		}
+		best = found
+	}
+	return best, admittedAt
+}
+
+// refusal returns the response to a call that no engine can take in time. It reports false
+// if the chosen engine can.
+func (gs *GlobalScheduler) refusal(request *kumquathitch.ScheduleRequest, best *engineOption, admittedAt, now time.Time) (kumquathitch.ScheduleResponse, bool) {
+	if best.instance == nil && !admittedAt.IsZero() {
+		gs.counts.add(request.Priority, ScheduleCounts{Limited: 1})
+		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: admittedAt.Sub(now)}, true
 	}
 	if best.instance == nil {
 		gs.counts.add(request.Priority, ScheduleCounts{NoEngine: 1})
-		return kumquathitch.ScheduleResponse{}
+		return kumquathitch.ScheduleResponse{}, true
 	}
 	if late := duration(best.waitMS+best.ttfbMS) - request.FirstByteLimit; request.FirstByteLimit > 0 && late > 0 {
 		if duration(best.slotWaitMS) >= late {
@@ -178,18 +226,15 @@
 		} else {
 			gs.counts.add(request.Priority, ScheduleCounts{FullPrefill: 1})
 		}
-		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: late}
-	}
-	gs.counts.add(request.Priority, ScheduleCounts{Assigned: 1})
-	gs.assign(request.From, &best, chain, now)
-	return kumquathitch.ScheduleResponse{
-		Instance: best.instance.id, PrefillTokens: best.prefillTokens, Wait: duration(best.waitMS), ExpectedTTFB: duration(best.ttfbMS),
+		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: late}, true
 	}
+	return kumquathitch.ScheduleResponse{}, false
 }
 
 // engineOption is an engine that can take a call, with its estimated times.
 type engineOption struct {
 	instance      *instanceState
+	incarnation   string
 	prefillTokens int64
 	prefillMS     float64 // Prefill of prefillTokens.
 	waitMS        float64 // From now until the call may be sent.
@@ -210,7 +255,7 @@
 	if !engine.started.Equal(snapshot.started) {
 		engine.started, engine.prefillUntil, engine.prompts = snapshot.started, time.Time{}, newPrefixCache()
 	}
-	option := engineOption{instance: inst, prefillTokens: max(0, request.Tokens-engine.prompts.cachedTokens(chain))}
+	option := engineOption{instance: inst, incarnation: snapshot.incarnation, prefillTokens: max(0, request.Tokens-engine.prompts.cachedTokens(chain))}
 	option.prefillMS = float64(option.prefillTokens) / max(snapshot.tokensPerMS, minTokensPerMS)
 	backlogMS := prefillShare * max(0, milliseconds(engine.prefillUntil.Sub(now)))
 	gapLimitMS, objectiveMS := milliseconds(request.GapLimit), milliseconds(request.LatencyObjective)
@@ -283,6 +328,7 @@
 	slots       float64
 	tokensPerMS float64
 	started     time.Time
+	incarnation string
 	dataCentre  string
 }
 
@@ -296,6 +342,6 @@
 	}
 	return engineSnapshot{
 		slots: float64(max(1, inst.description.Slots)), tokensPerMS: inst.unqueuedPrefillRate,
-		started: inst.description.Started, dataCentre: inst.description.DataCentre,
+		started: inst.description.Started, incarnation: inst.description.Incarnation(), dataCentre: inst.description.DataCentre,
 	}, true
 }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -109,6 +109,7 @@
 	busyUntil         time.Time
 
 	withdrawal withdrawal
+	limit      instanceLimit
 
 	placedAdapters map[string]time.Time // Expiry of adapters that the description does not list yet, by model/adapter.
 	unloading      []string             // Models that are being unloaded, valid until unloadingUntil.
@@ -128,6 +129,7 @@
 	inst.remoteInFlight, inst.prefillRate, inst.unqueuedPrefillRate, inst.latency, inst.runTime = 0, initialTokensPerMS, initialTokensPerMS, initialLatency, initialRunTime
 	inst.failureRate, inst.consecutiveBreaks, inst.consecutiveOpens = 0, 0, 0
 	inst.openUntil, inst.busyUntil, inst.withdrawal = time.Time{}, time.Time{}, withdrawal{}
+	inst.limit = instanceLimit{}
 	inst.placedAdapters = map[string]time.Time{}
 	inst.prompts = newPrefixCache()
 }
@@ -238,16 +240,18 @@
 }
 
 // startResponse records the head of a response: the prompt has been read, and the
-// instance may leave or ask for a pause. It reports whether the latter is news. The latest
-// end of several pauses applies.
-func (inst *instanceState) startResponse(choice kumquathitch.InstanceChoice, head kumquathitch.ResponseHead) bool {
+// instance may leave, ask for a pause, or name a limit. The latest end of several pauses
+// applies.
+func (inst *instanceState) startResponse(choice kumquathitch.InstanceChoice, head kumquathitch.ResponseHead) kumquathitch.ResponseNews {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
 	inst.pendingPrefill -= choice.PrefillTokens
+	var news kumquathitch.ResponseNews
+	news.LimitChanged = inst.description.SameIncarnation(&choice.Instance) && inst.limit.observe(&head)
 	said := withdrawal{leaving: head.Leaving, pausedUntil: head.PausedUntil, at: head.Received}
 	said = said.carriedTo(&choice.Instance, &inst.description)
 	if said.empty() {
-		return false
+		return news
 	}
 	before := inst.withdrawal
 	inst.withdrawal.at = said.at
@@ -256,7 +260,8 @@
 	if said.pausedUntil.After(before.pausedUntil) {
 		inst.withdrawal.pausedUntil = said.pausedUntil
 	}
-	return inst.withdrawal.leaving != before.leaving || !inst.withdrawal.pausedUntil.Equal(before.pausedUntil)
+	news.Withdrawn = inst.withdrawal.leaving != before.leaving || !inst.withdrawal.pausedUntil.Equal(before.pausedUntil)
+	return news
 }
 
 // accepts reports whether the instance of a choice takes calls from this VM.
@@ -289,10 +294,10 @@
 func (inst *instanceState) pauseEnd(criteria kumquathitch.InstanceCriteria, now time.Time) time.Time {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	if slices.Contains(criteria.Exclude, inst.id) || !inst.serves(criteria.Model, criteria.Adapter, now) || !now.Before(inst.withdrawal.pausedUntil) {
+	if slices.Contains(criteria.Exclude, inst.id) || !inst.serves(criteria.Model, criteria.Adapter, now) || !now.Before(inst.unavailableUntil()) {
 		return time.Time{}
 	}
-	return inst.withdrawal.pausedUntil
+	return inst.unavailableUntil()
 }
 
 // endSend records the result of a send.
--- a/fleet/schedule_counts.go
+++ b/fleet/schedule_counts.go
@@ -10,6 +10,7 @@
 	Assigned    int
 	FullPrefill int // Refused: the prefill that was assigned before would take too long.
 	FullSlots   int // Refused: the wait for a slot would take too long.
+	Limited     int // Refused: all engines have reached the limits that they name.
 	NoEngine    int // No engine holds the model, or all that do are excluded.
 }
 
@@ -41,6 +42,7 @@
 	total.Assigned += counts.Assigned
 	total.FullPrefill += counts.FullPrefill
 	total.FullSlots += counts.FullSlots
+	total.Limited += counts.Limited
 	total.NoEngine += counts.NoEngine
 	c.byPriority[priority] = total
 }
--- a/instance.go
+++ b/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -56,6 +57,11 @@
 	return i.ID == other.ID && i.Started.Equal(other.Started) && i.Address == other.Address
 }
 
+// Incarnation identifies one start of an instance.
+func (i *Instance) Incarnation() string {
+	return i.ID + "@" + strconv.FormatInt(i.Started.UnixMilli(), 10)
+}
+
 // EngineOrder instructs an instance to load or unload a model or an adapter.
 type EngineOrder struct {
 	Instance       string
--- a/relay/call.go
+++ b/relay/call.go
@@ -29,6 +29,9 @@
 	// capacityPollInterval limits one wait for capacity, since the notification may
 	// have been sent just before the wait began.
 	capacityPollInterval = 40 * time.Millisecond
+	// minDeferral is the least time until a VM asks again whether the limit of an instance
+	// admits a call.
+	minDeferral = 20 * time.Millisecond
 	// modelPollInterval is the pause between two checks for a resident model or adapter.
 	modelPollInterval = 60 * time.Millisecond
 )
@@ -305,6 +308,9 @@
 	placed := false
 	for {
 		choice, err := rc.Chooser.Choose(rc.criteria, rc.Clock.Now())
+		if err == nil && !rc.admitByLimit(ctx, choice) {
+			continue
+		}
 		var none *kumquathitch.NoInstanceError
 		if !errors.As(err, &none) {
 			return choice, err
@@ -354,13 +360,31 @@
 		return kumquathitch.InstanceChoice{}, err
 	}
 	choice, ok := rc.Chooser.ChooseAssigned(rc.criteria, assignment, rc.Clock.Now())
-	if !ok {
+	if !ok || !rc.admitByLimit(ctx, choice) {
 		return kumquathitch.InstanceChoice{}, errNotScheduled
 	}
 	clock.Pause(ctx, assignment.SendAt.Sub(rc.Clock.Now())) // If ctx ends meanwhile, the send reports SendCancelled.
 	return choice, nil
 }
 
+// admitByLimit counts the call against the limit of the chosen instance. It ends the choice
+// and reports false if the limit is reached.
+func (rc *relayedCall) admitByLimit(ctx context.Context, choice kumquathitch.InstanceChoice) bool {
+	if !choice.Limited {
+		return true
+	}
+	until, admitted := rc.Scheduler.Admit(ctx, &choice.Instance)
+	if !admitted {
+		now := rc.Clock.Now()
+		if least := now.Add(minDeferral); until.Before(least) {
+			until = least
+		}
+		rc.Chooser.Defer(choice, until)
+		rc.Chooser.Done(rc.criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled, Ended: now})
+	}
+	return admitted
+}
+
 // awaitCapacity waits until an instance may have capacity again. It reports false
 // if the caller disconnected or the deadline was reached.
 func (rc *relayedCall) awaitCapacity(ctx context.Context) bool {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,6 +60,11 @@
 	return kumquathitch.Assignment{}, errors.New("no leader")
 }
 
+// Admit admits all calls.
+func (vm *testVM) Admit(context.Context, *kumquathitch.Instance) (time.Time, bool) {
+	return time.Time{}, true
+}
+
 func newTestVM(t *testing.T, instances ...*standin.Instance) *testVM {
 	t.Helper()
 	vm := &testVM{t: t, fleet: fleet.NewFleet("entry-1", "zone-a"), instances: instances}
--- a/relay/send.go
+++ b/relay/send.go
@@ -141,9 +141,14 @@
 		return a.headFailed(err)
 	}
 	a.headAt = a.Clock.Now()
-	if a.Chooser.ResponseStarted(a.choice, a.head) {
+	news := a.Chooser.ResponseStarted(a.choice, a.head)
+	if news.Withdrawn {
 		a.logWithdrawal()
 	}
+	if news.LimitChanged {
+		a.Logger.Info("limit of instance changed", zap.String("instance", a.choice.Instance.ID), zap.String("call", a.call.ID),
+			zap.Bool("named", a.head.HasLimit), zap.Float64("per-second", a.head.LimitPerSecond))
+	}
 	a.Metrics.FirstByteTime.Update(a.headAt.Sub(a.received).Seconds())
 	if a.head.NotExecuted {
 		a.reusable = drop(a.response.Body) && !a.response.Close
--- a/retry/crash_guard.go
+++ b/retry/crash_guard.go
@@ -41,7 +41,7 @@
 // counts once. One that accepted a connection after a crash has started again, even if
 // its description does not say so yet.
 func (g *CrashGuard) RecordCrash(content uint64, instance *kumquathitch.Instance, connected, now time.Time) {
-	start := incarnation(instance)
+	start := instance.Incarnation()
 	for g.crashedBefore(content, start, connected) {
 		start += "+"
 	}
--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,7 +58,7 @@
 	}
 	for _, part := range parts {
 		companions := slices.DeleteFunc(slices.Clone(unanswered), func(other uint64) bool { return other == part })
-		g.recordCrash(part, incarnation(instance), companions, now)
+		g.recordCrash(part, instance.Incarnation(), companions, now)
 	}
 	if len(unanswered) > 0 {
 		g.signalCrash()
@@ -84,8 +83,3 @@
 	}
 	return hashes
 }
-
-// incarnation identifies one start of an instance.
-func incarnation(instance *kumquathitch.Instance) string {
-	return instance.ID + "@" + strconv.FormatInt(instance.Started.UnixMilli(), 10)
-}
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -330,6 +330,7 @@
 	peer.Handle(server, methodExchange, v.handleExchange)
 	peer.Handle(server, methodAdapter, v.handlePlaceAdapter)
 	peer.Handle(server, methodSchedule, v.handleSchedule)
+	peer.Handle(server, methodAdmit, v.handleAdmit)
 	peer.Handle(server, methodPing, v.handlePing)
 	peer.Handle(server, methodSuspects, v.handleSuspects)
 	return server
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -14,6 +14,7 @@
 
 const (
 	methodSchedule = "fleet.schedule"
+	methodAdmit    = "fleet.admit"
 	// scheduleTimeout bounds the wait for the scheduler, which answers within
 	// milliseconds inside a region. Without an answer the VM chooses an engine itself.
 	scheduleTimeout = 40 * time.Millisecond
@@ -47,6 +48,11 @@
 		Prompt: criteria.Prompt, Content: criteria.Content, Tokens: criteria.Tokens, Priority: criteria.Priority, LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit,
 		MaxHold: max(0, criteria.HoldUntil.Sub(now)), FirstByteLimit: firstByteLimit(criteria, now), FullEngineRunTime: v.fleet.FullEngineRunTime(criteria.Service), Exclude: v.fleet.AvoidedInstances(criteria, now), InFlight: v.fleet.LocalLoads(),
 	}
+	authority := address
+	if self {
+		authority = v.environment.PeerAddress
+	}
+	request.Limits = v.fleet.TakeLimits(authority, now)
 	var response kumquathitch.ScheduleResponse
 	if self {
 		response = v.schedule(&request, now)
@@ -55,6 +61,7 @@
 		defer cancel()
 		if err := v.peers.Call(ctx, address, methodSchedule, request, &response); err != nil {
 			s.skip(address, now)
+			v.fleet.MarkLimitsUnreported(request.Limits)
 			v.log.Info("engine not named", zap.String("scheduler", address), zap.String("model", criteria.Model), zap.Error(err))
 			return kumquathitch.Assignment{}, err
 		}
@@ -68,7 +75,40 @@
 	case response.Instance == "":
 		return kumquathitch.Assignment{}, errNoEngineNamed
 	}
-	return kumquathitch.Assignment{InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, SendAt: sendAt}, nil
+	return kumquathitch.Assignment{InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt}, nil
+}
+
+// Admit counts a call against the limit that an instance names. The scheduler counts the
+// calls of all VMs; while none answers, each VM keeps to an equal share.
+func (s *scheduler) Admit(ctx context.Context, instance *kumquathitch.Instance) (time.Time, bool) {
+	v, now := s.vm, time.Now()
+	address, self := s.target(now)
+	if address == "" && !self {
+		return v.fleet.AdmitByShare(instance, now)
+	}
+	request := kumquathitch.AdmitRequest{Incarnation: instance.Incarnation()}
+	if limit, ok := v.fleet.Limit(instance.ID, now); ok {
+		request.Limits = append(request.Limits, limit)
+	}
+	var response kumquathitch.AdmitResponse
+	if self {
+		response = v.globalScheduler.Admit(&request, now)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, scheduleTimeout)
+		defer cancel()
+		if err := v.peers.Call(ctx, address, methodAdmit, request, &response); err != nil {
+			s.skip(address, now)
+			v.log.Info("call not counted against the limit of an instance", zap.String("scheduler", address), zap.String("instance", instance.ID), zap.Error(err))
+			return v.fleet.AdmitByShare(instance, now)
+		}
+	}
+	return time.Now().Add(response.Wait), response.Admitted
+}
+
+// handleAdmit answers the request of another VM to count a call.
+func (v *VM) handleAdmit(_ context.Context, request kumquathitch.AdmitRequest) (kumquathitch.AdmitResponse, error) {
+	v.roleLoad.addSchedule()
+	return v.globalScheduler.Admit(&request, time.Now()), nil
 }
 
 // firstByteLimit returns the time within which the response must start for the call to be
--- a/vm/scheduler_role.go
+++ b/vm/scheduler_role.go
@@ -66,7 +66,7 @@
 	for _, priority := range slices.Sorted(maps.Keys(counts)) {
 		c := counts[priority]
 		v.log.Info("calls scheduled", zap.Int("priority", priority), zap.Int("assigned", c.Assigned), zap.Int("full-by-prefill", c.FullPrefill),
-			zap.Int("full-by-slots", c.FullSlots), zap.Int("no-engine", c.NoEngine), zap.Int("engines", use.Engines), zap.Int("engines-full", use.Full),
+			zap.Int("full-by-slots", c.FullSlots), zap.Int("limited", c.Limited), zap.Int("no-engine", c.NoEngine), zap.Int("engines", use.Engines), zap.Int("engines-full", use.Full),
 			zap.Int("calls", use.Calls), zap.Duration("prefill-left", use.Backlog), zap.Int("deep-queues", use.DeepQueue))
 	}
 }
--- a/vm/scheduler_test.go
+++ b/vm/scheduler_test.go
@@ -113,3 +113,37 @@
 	must.Positive(t, schedule(deadly).Blocked)
 	must.Eq(t, 0, schedule(sound).Blocked)
 }
+
+// TestLimitIsCountedOverAllVMs guards against VMs that each use the whole limit of an
+// instance, when they choose it themselves or the scheduler does.
+func TestLimitIsCountedOverAllVMs(t *testing.T) {
+	p := newTestPlatform(t)
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	p.startEngine("m")
+	v := p.startVM("entry-1")
+	p.waitFor("the VM is ready", v.isReady)
+	client := newPeerClient(t)
+	engine := kumquathitch.Instance{ID: "i-1", Started: time.UnixMilli(1)}
+	limit := kumquathitch.InstanceLimit{ID: engine.ID, Incarnation: engine.Incarnation(), Named: true, PerSecond: 2}
+	admitted := 0
+	for n := range 40 {
+		if n%2 == 0 {
+			var response kumquathitch.AdmitResponse
+			request := kumquathitch.AdmitRequest{Incarnation: engine.Incarnation(), Limits: []kumquathitch.InstanceLimit{limit}}
+			must.NoError(t, client.Call(t.Context(), v.peers, "fleet.admit", request, &response))
+			if response.Admitted {
+				admitted++
+			}
+		} else {
+			var response kumquathitch.ScheduleResponse
+			request := kumquathitch.ScheduleRequest{From: fmt.Sprint("entry-", n), Service: "llm", Model: "m", Tokens: 10}
+			must.NoError(t, client.Call(t.Context(), v.peers, "fleet.schedule", request, &response))
+			if response.Instance != "" {
+				must.True(t, response.Limited)
+				admitted++
+			}
+		}
+		clock.Pause(t.Context(), 50*time.Millisecond)
+	}
+	must.Between(t, 2, admitted, 8) // Two seconds and more.
+}
