Do not refuse a call as not run after its upstream crashed on a kept connection

What callers saw: on the product's own interface, a GET without a body that crashed its upstream was refused with 503 and "not-run", though it had run; its crash was not counted against it.

Change: a refused connection proves that a request did not run only if no header of it was written before.

Evidence: TestCrashOnKeptConnectionIsReported got 503 and not-run before, 502 and unknown now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -73,7 +73,7 @@
 	if a.skipEvents > 0 {
 		request.Header.Set(resumeHeader, strconv.FormatInt(a.skipEvents, 10))
 	}
-	response, err := s.client.Do(request) //nolint:bodyclose // The method release closes it.
+	response, err := do(s.client, request) //nolint:bodyclose // The method release closes it.
 	if err != nil {
 		result, reason := transportFailure(ctx, err), reasonBroken
 		if executionAfter(err) == kumquathitch.NotExecuted {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 
 	"kumquathitch.example/kumquathitch"
@@ -171,7 +170,7 @@
 	if !info.route.Idempotent {
 		client = s.noReuseClient
 	}
-	response, err := client.Do(request)
+	response, err := do(client, request)
 	if err != nil {
 		return serviceResponse{}, transportFailure(ctx, err), serviceError(err)
 	}
@@ -191,8 +190,7 @@
 // serviceError returns the refusal for a failed call. Only a connection that
 // could not be opened proves that the call did not run.
 func serviceError(err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if executionAfter(err) == kumquathitch.NotExecuted {
 		return kumquathitch.NewRefusal(503, "upstream-unreachable", "The upstream could not be reached.")
 	}
 	return kumquathitch.NewFailure(502, "upstream-failed", "The upstream failed; the call may have run.")
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -35,8 +35,9 @@
 	accounts  *account.Directory
 	store     *standin.Store
 	crashes   *request.CrashTracker
-	refusal   error         // Returned by Pick for retries, as when the retry budget is spent; may be nil.
-	addresses []string      // Upstreams in the order in which they are picked.
+	refusal   error    // Returned by Pick for retries, as when the retry budget is spent; may be nil.
+	addresses []string // Upstreams in the order in which they are picked.
+	listeners []net.Listener
 	unblock   chan struct{} // Calls of /slow wait until it is closed.
 
 	mutex    sync.Mutex
@@ -77,6 +78,11 @@
 	switch {
 	case strings.HasSuffix(r.URL.Path, "/lost"):
 		panic(http.ErrAbortHandler)
+	case strings.HasSuffix(r.URL.Path, "/crash"): // Of all upstreams; they accept no more connections.
+		for _, listener := range f.listeners {
+			_ = listener.Close()
+		}
+		panic(http.ErrAbortHandler)
 	case strings.HasSuffix(r.URL.Path, "/moved"):
 		w.Header().Set("Location", r.URL.Path)
 		w.WriteHeader(http.StatusTemporaryRedirect)
@@ -103,6 +109,7 @@
 		service := httptest.NewServer(f)
 		t.Cleanup(service.Close)
 		f.addresses = append(f.addresses, service.Listener.Addr().String())
+		f.listeners = append(f.listeners, service.Listener)
 	}
 	f.accounts = account.NewDirectory()
 	config := kumquathitch.Configuration{
@@ -114,6 +121,7 @@
 			{Method: "DELETE", Path: "/b/{id}", Service: "s"},
 			{Path: "/strict/{id}", Service: "s", RequireIdempotencyKey: true},
 			{Path: "/again/{id}", Service: "s", Idempotent: true},
+			{Method: "GET", Path: "/again/{id}", Service: "s", Idempotent: true},
 		},
 	}
 	config.SetDefaults()
@@ -298,3 +306,12 @@
 	must.Eq(t, 2, f.executions("POST/again/lostcrash"))
 	f.call("POST", "/again/1", "", "laval", expectation{status: 200})
 }
+
+// TestCrashOnKeptConnectionIsReported guards against a call that ran, and crashed its upstream,
+// but is refused as not run because the connection that net/http opens next is refused.
+func TestCrashOnKeptConnectionIsReported(t *testing.T) {
+	f := newServiceFixture(t, 1)
+	f.call("GET", "/again/1", "", "", expectation{status: 200})
+	f.call("GET", "/again/crash", "", "", expectation{502, "unknown", ""})
+	must.Eq(t, 1, f.executions("GET/again/crash"))
+}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,6 +50,29 @@
 	return t
 }
 
+// resendError reports that a request was written, and that the connection on which net/http
+// sent it again failed. Cause says nothing about the first connection.
+type resendError struct {
+	Cause error
+}
+
+func (e *resendError) Error() string {
+	return "gateway: connection broke after the request, and again: " + e.Cause.Error()
+}
+
+// do sends a request. It returns a *resendError instead of an error that would prove that
+// the request did not run: net/http sends a request without a body again when a reused
+// connection breaks, which an upstream that crashes causes as well.
+func do(client *http.Client, request *http.Request) (*http.Response, error) {
+	var written atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }}
+	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil && written.Load() && executionAfter(err) == kumquathitch.NotExecuted {
+		return nil, &resendError{Cause: err}
+	}
+	return response, err
+}
+
 // upstreamRequest builds a request to an upstream from an allow-list of headers.
 func (s *Server) upstreamRequest(ctx context.Context, method, url string, from http.Header, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
