Keep a limit whose next value cannot be read

What callers saw: nothing. A response with a malformed Server-Limit was taken for one that names none, and ended the limit.

Change: such a response says nothing about the limit.

--- a/call.go
+++ b/call.go
@@ -82,6 +82,7 @@
 	Leaving        bool      // The upstream leaves, and takes no new calls.
 	LimitPerSecond float64   // Calls a second that the upstream takes from all VMs together.
 	HasLimit       bool
+	UnreadLimit    bool      // The upstream names a limit that cannot be read.
 	PausedUntil    time.Time // With a rejection: until when the upstream takes no calls from this VM; zero when it does not state it.
 }
 
--- a/fleet/instance_limit.go
+++ b/fleet/instance_limit.go
@@ -27,9 +27,9 @@
 }
 
 // observe records what a response says of the limit. It reports whether that is news. A
-// rejection that names no limit says nothing: the instance may not have looked at it.
+// rejection that names no limit does not end one, nor does a limit that cannot be read.
 func (l *instanceLimit) observe(head *kumquathitch.ResponseHead) bool {
-	if head.Moved || (!head.HasLimit && !head.Signed) || head.Received.Before(l.at) {
+	if head.Moved || head.UnreadLimit || (!head.HasLimit && !head.Signed) || head.Received.Before(l.at) {
 		return false
 	}
 	l.at = head.Received
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -130,7 +130,7 @@
 	_, ok := f.ChooseAssigned(criteriaFor("m1"), kumquathitch.Assignment{InstanceID: "one", Limited: true}, start)
 	must.True(t, ok)
 
-	for _, silent := range []kumquathitch.ResponseHead{{Received: start, NotExecuted: true}, {Received: start, Moved: true, Signed: true}} {
+	for _, silent := range []kumquathitch.ResponseHead{{Received: start, NotExecuted: true}, {Received: start, Moved: true, Signed: true}, {Received: start, UnreadLimit: true, Signed: true}} {
 		must.False(t, f.ResponseStarted(choice, silent).LimitChanged)
 	}
 	must.True(t, f.ResponseStarted(choice, kumquathitch.ResponseHead{Received: start, Signed: true}).LimitChanged)
