--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -88,6 +88,13 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: standin.NewKeyspace(clock.NewSystem())}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, v := range c.vms {
+				t.Logf("%s:\n%s", v.name, v.log)
+			}
+		}
+	})
 	server := httptest.NewServer(standin.NewKeyspaceHandler(c.store))
 	t.Cleanup(server.Close)
 	for i := range engineCount {
@@ -114,7 +121,7 @@
 		c.vms = append(c.vms, v)
 	}
 	for _, v := range c.vms {
-		c.waitFor(v.name+" to become ready", recoveryLimit, v.isReady)
+		c.waitFor(v.name+" to become ready", v.isReady)
 	}
 	return c
 }
@@ -136,15 +143,15 @@
 	return fmt.Sprintf("key-%d", c.version)
 }
 
-// waitFor polls a condition and fails the test when it does not hold within a limit.
-func (c *cluster) waitFor(what string, limit time.Duration, condition func() bool) {
+// waitFor polls a condition and fails the test when it does not hold within recoveryLimit.
+func (c *cluster) waitFor(what string, condition func() bool) {
 	c.t.Helper()
-	deadline := time.Now().Add(limit)
+	deadline := time.Now().Add(recoveryLimit)
 	ticker := time.NewTicker(30 * time.Millisecond)
 	defer ticker.Stop()
 	for !condition() {
 		if !time.Now().Before(deadline) {
-			c.t.Fatalf("timed out after %s waiting for %s", limit, what)
+			c.t.Fatalf("timed out after %s waiting for %s", recoveryLimit, what)
 		}
 		<-ticker.C
 	}
--- a/soak/limited_engine_test.go
+++ b/soak/limited_engine_test.go
@@ -1,17 +1,13 @@
 package soak_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/shoenig/test/must"
-
 	"kumquathitch.example/kumquathitch/standin"
 )
 
@@ -30,29 +26,12 @@
 // TestSoakLimitedEngine guards against engines that get more calls than the limit that they
 // name, over all VMs.
 func TestSoakLimitedEngine(t *testing.T) {
-	first, last := seedRange(1)
-	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runLimitedEngine(t, seed) })
-	}
+	runSeeds(t, 1, runLimitedEngine)
 }
 
 func runLimitedEngine(t *testing.T, seed uint64) {
 	c := newCluster(t)
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, v := range c.vms {
-				t.Logf("%s:\n%s", v.name, v.log)
-			}
-		}
-	})
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	successes := make(chan int)
-	for _, v := range c.vms {
-		for range callersPerVM {
-			go func() { successes <- c.callRepeatedly(ctx, v) }()
-		}
-	}
+	stop := c.startCallers(callersPerVM)
 	random := rand.New(rand.NewPCG(seed, 3))
 	<-time.After(time.Second)
 	limits := []float64{1 + 3*random.Float64(), 1 + 3*random.Float64()}
@@ -62,16 +41,8 @@
 	limited := time.Now()
 	<-time.After(time.Duration(1000+random.IntN(5000)) * time.Millisecond)
 	v := c.vms[random.IntN(vmCount)]
-	switch random.IntN(4) {
-	case 0:
-		c.restart(v, v.kill)
-	case 1:
-		c.restart(v, v.terminate)
-	case 2:
-		v.signal(syscall.SIGSTOP)
-		<-time.After(time.Second)
-		v.signal(syscall.SIGCONT)
-	default:
+	if kind := random.IntN(disturbanceCount + 1); kind < disturbanceCount {
+		c.disturb(v, kind, random)
 	}
 	<-time.After(time.Until(limited.Add(limitedPeriod)))
 	for at, limit := range limits {
@@ -79,17 +50,11 @@
 		c.engines[at].UpdateFaults(func(f *standin.InstanceFaults) { f.Limit = "" })
 	}
 	for _, v := range c.vms {
-		c.waitFor(v.name+" to serve", recoveryLimit, func() bool {
+		c.waitFor(v.name+" to serve", func() bool {
 			return c.call(t.Context(), http.DefaultClient, v, "common", "/read/").status == http.StatusOK
 		})
 	}
 	stop()
-	successful := 0
-	for range vmCount * callersPerVM {
-		successful += <-successes
-	}
-	t.Logf("%d calls succeeded", successful)
-	must.Positive(t, successful)
 }
 
 // checkLimit counts the calls that reached a limited engine, in each window that begins
--- a/soak/repeated_call_test.go
+++ b/soak/repeated_call_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -38,32 +37,17 @@
 // TestSoakRepeatedCallThatCrashesEngines guards against a call that crashes one engine after
 // the other because callers send it again to any VM.
 func TestSoakRepeatedCallThatCrashesEngines(t *testing.T) {
-	first, last := seedRange(2)
-	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runRepeatedCall(t, seed) })
-	}
+	runSeeds(t, 2, runRepeatedCall)
 }
 
 func runRepeatedCall(t *testing.T, seed uint64) {
 	c := newCluster(t)
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, v := range c.vms {
-				t.Logf("%s:\n%s", v.name, v.log)
-			}
-		}
-	})
 	for at := range c.engines {
 		c.crashOnDeadlyContent(at)
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	successes := make(chan int)
-	for _, v := range c.vms {
-		go func() { successes <- c.callRepeatedly(ctx, v) }()
-	}
+	stop := c.startCallers(1)
 	random := rand.New(rand.NewPCG(seed, 2))
-	faultsEnded := c.injectSparseFaults(random)
+	faultsEnded := c.injectSparseFaults(rand.New(rand.NewPCG(seed, 4)))
 	path := []string{"/book/", "/read/", "/stream/"}[random.IntN(3)]
 	for end := time.Now().Add(deadlyPeriod); time.Now().Before(end); {
 		c.callContent(t.Context(), c.vms[random.IntN(vmCount)], path, deadlyContent)
@@ -72,17 +56,12 @@
 	}
 	<-faultsEnded
 	for _, v := range c.vms {
-		c.waitFor(v.name+" to become ready again", recoveryLimit, v.isReady)
-		c.waitFor(v.name+" to answer the common call", recoveryLimit, func() bool {
+		c.waitFor(v.name+" to become ready again", v.isReady)
+		c.waitFor(v.name+" to answer the common call", func() bool {
 			return c.callContent(t.Context(), v, "/read/", commonContent).status == http.StatusOK
 		})
 	}
 	stop()
-	successful := 0
-	for range vmCount {
-		successful += <-successes
-	}
-	must.Positive(t, successful)
 	c.checkRepeats(path)
 }
 
@@ -141,24 +120,18 @@
 				return
 			}
 			v := c.vms[random.IntN(vmCount)]
-			switch random.IntN(6) {
-			case 0:
-				c.restart(v, v.kill)
-			case 1:
-				c.restart(v, v.terminate)
-			case 2:
-				v.signal(syscall.SIGSTOP)
-				<-time.After(time.Duration(300+random.IntN(1500)) * time.Millisecond)
-				v.signal(syscall.SIGCONT)
-			case 3:
+			switch kind := random.IntN(disturbanceCount + 3); kind {
+			case disturbanceCount:
 				c.engineProxies[random.IntN(engineCount)].resetConnections()
-			case 4:
+			case disturbanceCount + 1:
 				c.storeDisturbances.add()
 				c.store.SetFaults(standin.KeyspaceFaults{Down: true})
 				<-time.After(time.Duration(300+random.IntN(1500)) * time.Millisecond)
 				c.store.SetFaults(standin.KeyspaceFaults{})
 				c.storeDisturbances.add()
+			case disturbanceCount + 2: // Nothing.
 			default:
+				c.disturb(v, kind, random)
 			}
 		}
 	}()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,54 +56,38 @@
 // their routes allow, refused calls are not executed, streams have no gaps, and VMs
 // serve again within the recovery limit after the faults.
 func TestSoak(t *testing.T) {
-	first, last := seedRange(1)
+	runSeeds(t, 1, runSeed)
+}
+
+// runSeeds runs a soak with each seed of seedRange.
+func runSeeds(t *testing.T, seedInCI uint64, run func(t *testing.T, seed uint64)) {
+	t.Helper()
+	first, last := seedRange(seedInCI)
 	if first > last || first == 0 {
 		t.Fatalf("KUMQUATHITCH_SOAK_SEEDS is not a range of seeds above 0: %d-%d", first, last)
 	}
 	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { run(t, seed) })
 	}
 }
 
 func runSeed(t *testing.T, seed uint64) {
 	c := newCluster(t)
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, v := range c.vms {
-				t.Logf("%s:\n%s", v.name, v.log)
-			}
-		}
-	})
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	successes := make(chan int)
-	for _, v := range c.vms {
-		for range callersPerVM {
-			go func() { successes <- c.callRepeatedly(ctx, v) }()
-		}
-	}
+	stop := c.startCallers(callersPerVM)
 	random := rand.New(rand.NewPCG(seed, 0))
 	withdrawn := c.startWithdrawals(rand.New(rand.NewPCG(seed, 1)))
 	c.injectFaults(random)
 	<-withdrawn
 	for _, v := range c.vms {
-		c.waitFor(v.name+" to become ready again", recoveryLimit, v.isReady)
+		c.waitFor(v.name+" to become ready again", v.isReady)
 	}
 	c.writeConfiguration()
 	for _, v := range c.vms {
-		c.waitFor(v.name+" to apply the last configuration", recoveryLimit, func() bool {
+		c.waitFor(v.name+" to apply the last configuration", func() bool {
 			return c.call(t.Context(), http.DefaultClient, v, c.currentKey(), "/book/").status == http.StatusOK
 		})
 	}
 	stop()
-	successful := 0
-	for range vmCount * callersPerVM {
-		successful += <-successes
-	}
-	t.Logf("%d calls succeeded", successful)
-	if successful == 0 {
-		t.Error("no call succeeded")
-	}
 	c.checkWithdrawals()
 	for _, engine := range c.engines {
 		if engine.Crashed() {
@@ -185,6 +169,23 @@
 	v.start()
 }
 
+// disturbanceCount is the number of kinds of disturb.
+const disturbanceCount = 3
+
+// disturb kills, terminates or freezes the process of a VM, and returns when it runs again.
+func (c *cluster) disturb(v *entryVM, kind int, random *rand.Rand) {
+	switch kind {
+	case 0:
+		c.restart(v, v.kill)
+	case 1:
+		c.restart(v, v.terminate)
+	default:
+		v.signal(syscall.SIGSTOP)
+		<-time.After(time.Duration(300+random.IntN(1500)) * time.Millisecond)
+		v.signal(syscall.SIGCONT)
+	}
+}
+
 var lastCallID atomic.Uint64
 
 // callResult is the result of one call as its caller saw it.
@@ -223,6 +224,30 @@
 	return result
 }
 
+// startCallers starts concurrent callers of each VM. The function that it returns ends them
+// and checks that calls succeeded.
+func (c *cluster) startCallers(perVM int) (stop func()) {
+	ctx, cancel := context.WithCancel(c.t.Context())
+	successes := make(chan int, vmCount*perVM)
+	for _, v := range c.vms {
+		for range perVM {
+			go func() { successes <- c.callRepeatedly(ctx, v) }()
+		}
+	}
+	return func() {
+		c.t.Helper()
+		cancel()
+		successful := 0
+		for range vmCount * perVM {
+			successful += <-successes
+		}
+		c.t.Logf("%d calls succeeded", successful)
+		if successful == 0 {
+			c.t.Error("no call succeeded")
+		}
+	}
+}
+
 // callRepeatedly calls a VM over keep-alive connections until ctx ends and checks
 // every result. It returns the number of complete responses with status 200.
 func (c *cluster) callRepeatedly(ctx context.Context, v *entryVM) int {
--- a/vm/scheduler_test.go
+++ b/vm/scheduler_test.go
@@ -9,6 +9,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/retry"
 )
 
@@ -55,15 +56,22 @@
 	}
 }
 
-// TestSchedulerBlocksPromptAfterReports guards against engines that are lost because the VM
-// that has a call does not know yet that its prompt crashes engines.
-func TestSchedulerBlocksPromptAfterReports(t *testing.T) {
+// startScheduler starts a fleet of one VM with an engine, and returns a client for calls
+// of other VMs.
+func startScheduler(t *testing.T) (*testVM, *peer.Client) {
+	t.Helper()
 	p := newTestPlatform(t)
 	p.store.Put("op/config", testDeployment(1, "k1"))
 	p.startEngine("m")
 	v := p.startVM("entry-1")
 	p.waitFor("the VM is ready", v.isReady)
-	client := newPeerClient(t)
+	return v, newPeerClient(t)
+}
+
+// TestSchedulerBlocksPromptAfterReports guards against engines that are lost because the VM
+// that has a call does not know yet that its prompt crashes engines.
+func TestSchedulerBlocksPromptAfterReports(t *testing.T) {
+	v, client := startScheduler(t)
 	schedule := func(parts ...string) (response kumquathitch.ScheduleResponse) {
 		request := kumquathitch.ScheduleRequest{From: "entry-2", Service: "llm", Model: "m", Tokens: 100}
 		for _, id := range parts {
@@ -89,12 +97,7 @@
 // TestSchedulerBlocksContentAfterReports guards against engines that are lost because the VM
 // that has a call does not know yet that its content crashes engines.
 func TestSchedulerBlocksContentAfterReports(t *testing.T) {
-	p := newTestPlatform(t)
-	p.store.Put("op/config", testDeployment(1, "k1"))
-	p.startEngine("m")
-	v := p.startVM("entry-1")
-	p.waitFor("the VM is ready", v.isReady)
-	client := newPeerClient(t)
+	v, client := startScheduler(t)
 	const deadly, sound = 77, 78
 	schedule := func(content uint64) (response kumquathitch.ScheduleResponse) {
 		request := kumquathitch.ScheduleRequest{From: "entry-2", Service: "llm", Model: "m", Tokens: 100, Content: content}
@@ -117,12 +120,7 @@
 // TestLimitIsCountedOverAllVMs guards against VMs that each use the whole limit of an
 // instance, when they choose it themselves or the scheduler does.
 func TestLimitIsCountedOverAllVMs(t *testing.T) {
-	p := newTestPlatform(t)
-	p.store.Put("op/config", testDeployment(1, "k1"))
-	p.startEngine("m")
-	v := p.startVM("entry-1")
-	p.waitFor("the VM is ready", v.isReady)
-	client := newPeerClient(t)
+	v, client := startScheduler(t)
 	engine := kumquathitch.Instance{ID: "i-1", Started: time.UnixMilli(1)}
 	limit := kumquathitch.InstanceLimit{ID: engine.ID, Incarnation: engine.Incarnation(), Named: true, PerSecond: 2}
 	admitted := 0
