Do not block the prompt parts of a call that crashes servers by its content

What callers saw: a call that crashes servers and comes again counts against the shared parts of its prompt as well. A part with few calls was blocked for five minutes with it, and sound calls with the part were refused.

Cause: the guard of prompt parts let a new part of the same calls explain the crashes of a known one, but no content.

Change: a content that was never answered, and is on all crashes of a part, explains them, also for a part that was never answered. Calls that share only the part crash engines under other contents, and the part is then blocked as before.

Evidence: TestPartsOfRepeatedCallAreNotBlocked fails without the change, and asks that the part is blocked under a second content.

--- a/dispatch.go
+++ b/dispatch.go
@@ -206,8 +206,9 @@
 	BlockedUntil(prompt PromptParts, now time.Time) (time.Time, bool)
 	// Suspected reports whether a retry of a call with the prompt may crash an instance.
 	Suspected(prompt PromptParts, now time.Time) bool
-	// RecordCrash records an instance whose connection broke before it answered.
-	RecordCrash(prompt PromptParts, instance *Instance, now time.Time)
+	// RecordCrash records an instance whose connection broke before it answered a call with
+	// a prompt and a content.
+	RecordCrash(prompt PromptParts, content uint64, instance *Instance, now time.Time)
 	// RecordAnswer records that an instance answers a call with the prompt.
 	RecordAnswer(prompt PromptParts, now time.Time)
 }
--- a/relay/prompt_guard_test.go
+++ b/relay/prompt_guard_test.go
@@ -70,7 +70,7 @@
 				}
 				return crash.answer(call)
 			})
-			guard := retry.NewPromptGuard("vm-1")
+			guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 			vm.handler.PromptGuard = guard
 			status, _ := vm.callPrompt("sound", "/book/1", "aa:100,bb:100,cc:10") // Its connection is kept.
 			must.Eq(t, 200, status)
@@ -89,11 +89,11 @@
 func TestPromptThatCrashesInstancesIsRefused(t *testing.T) {
 	vm := newTestVM(t)
 	server := vm.startScripted("i-1", func(call *standin.ScriptedCall) bool { call.WriteAnswer(call.ID); return true })
-	guard := retry.NewPromptGuard("vm-1")
+	guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	vm.handler.PromptGuard = guard
 	for i, id := range []string{"i-7", "i-8", "i-9"} {
 		parts := kumquathitch.PromptParts{{ID: "dd", Tokens: 100}, {ID: "own", Tokens: 10}}
-		guard.RecordCrash(parts, &kumquathitch.Instance{ID: id}, time.Now().Add(time.Duration(i-5)*time.Second))
+		guard.RecordCrash(parts, 0, &kumquathitch.Instance{ID: id}, time.Now().Add(time.Duration(i-5)*time.Second))
 	}
 	status, retryAfter := vm.callPrompt("deadly", "/book/1", "aa:100,dd:100,ee:10")
 	must.Eq(t, 503, status)
@@ -122,7 +122,7 @@
 		"prompt": func(vm *testVM) {
 			for i, id := range []string{"i-7", "i-8", "i-9"} {
 				parts := kumquathitch.PromptParts{{ID: "dd", Tokens: 100}, {ID: "own", Tokens: 10}}
-				vm.handler.PromptGuard.RecordCrash(parts, &kumquathitch.Instance{ID: id}, time.Now().Add(time.Duration(i-5)*time.Second))
+				vm.handler.PromptGuard.RecordCrash(parts, 0, &kumquathitch.Instance{ID: id}, time.Now().Add(time.Duration(i-5)*time.Second))
 			}
 		},
 		"content": func(vm *testVM) { vm.handler.CrashGuard.(*switchedGuard).blocked.Store(true) },
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -76,9 +76,10 @@
 	relayMetrics := relay.NewMetrics(metrics.NewSet())
 	base, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
 	vm.cancelBase = cancel
+	contents := retry.NewCrashGuard("vm-1")
 	handler := &relay.Handler{
 		Dialect: platform.Dialect{}, Deployments: current, Chooser: vm.fleet, Scheduler: vm, TokenBuckets: quota.NewLocalBuckets(clock.Monotonic{}, true),
-		RetryBudget: retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now()), CrashGuard: retry.NewCrashGuard("vm-1"), PromptGuard: retry.NewPromptGuard("vm-1"),
+		RetryBudget: retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now()), CrashGuard: contents, PromptGuard: retry.NewPromptGuard("vm-1", contents),
 		AdapterPlacer: vm, Demand: model.NewDemand(), Clock: clock.Monotonic{}, Logger: zap.NewNop(),
 		Tracer: noop.NewTracerProvider().Tracer("test"), Metrics: relayMetrics, Pool: relay.NewPool(relayMetrics),
 		Buffers: relay.NewBuffers(0), Panics: telemetry.NewPanicGuard(zap.NewNop(), metrics.NewSet()), Draining: vm.stopping.Load, Stopping: vm.stopping.Load, BaseContext: base,
--- a/relay/send.go
+++ b/relay/send.go
@@ -95,7 +95,7 @@
 	}
 	a.CrashGuard.RecordCrash(a.criteria.Content, &a.choice.Instance, a.connection.openedAt, now)
 	if a.eventWrites < provenEventWrites {
-		a.PromptGuard.RecordCrash(a.call.Prompt, &a.choice.Instance, now)
+		a.PromptGuard.RecordCrash(a.call.Prompt, a.criteria.Content, &a.choice.Instance, now)
 	}
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -11,7 +11,7 @@
 //	if until, blocked := contents.BlockedUntil(hash, now); blocked {
 //		// Refuse the call until then.
 //	}
-//	prompts := retry.NewPromptGuard(name)
+//	prompts := retry.NewPromptGuard(name, contents)
 //	if until, blocked := prompts.BlockedUntil(call.Prompt, now); blocked {
 //		// Refuse the call until then.
 //	}
--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -17,16 +17,19 @@
 // engine that crashes takes all of its calls with it, so crashes count only against calls
 // that had no answer yet, and any answer to a call with a part clears the part. A part that
 // was answered before is not blocked while a new part of the same calls explains all of
-// its crashes. The last part of a prompt belongs to its call alone and is not considered.
+// its crashes, nor is any part while one new content does: that is blocked by itself. The last part of a prompt belongs to its call alone and is not considered.
 // It is safe for concurrent use.
 type PromptGuard struct {
 	*suspectSet
+	contents *CrashGuard
 }
 
-// NewPromptGuard returns the guard of a VM, without suspects. The name of the VM must
-// differ from those of the others.
-func NewPromptGuard(vm string) *PromptGuard {
-	return &PromptGuard{suspectSet: newSuspectSet(vm, partSuspicion)}
+// NewPromptGuard returns the guard of a VM, without suspects, beside that of contents. The
+// name of the VM must differ from those of the others.
+func NewPromptGuard(vm string, contents *CrashGuard) *PromptGuard {
+	g := &PromptGuard{suspectSet: newSuspectSet(vm, partSuspicion), contents: contents}
+	g.explainsAll = contents.isNewSuspect
+	return g
 }
 
 // BlockedUntil returns the time until which calls with a prompt are blocked, and false
@@ -47,10 +50,14 @@
 	return slices.ContainsFunc(sharedParts(prompt), func(part uint64) bool { return g.isSuspected(part, now) })
 }
 
-// RecordCrash records an instance whose connection broke before it answered a call.
-func (g *PromptGuard) RecordCrash(prompt kumquathitch.PromptParts, instance *kumquathitch.Instance, now time.Time) {
+// RecordCrash records an instance whose connection broke before it answered a call. A
+// content of 0 is unknown.
+func (g *PromptGuard) RecordCrash(prompt kumquathitch.PromptParts, content uint64, instance *kumquathitch.Instance, now time.Time) {
 	parts := sharedParts(prompt)
 	var unanswered []uint64
+	if content != 0 && !g.contents.wasAnswered(content) {
+		unanswered = append(unanswered, content)
+	}
 	for _, part := range parts {
 		if !g.wasAnswered(part) && len(unanswered) <= maxCompanions {
 			unanswered = append(unanswered, part)
--- a/retry/prompt_guard_test.go
+++ b/retry/prompt_guard_test.go
@@ -33,7 +33,7 @@
 func newGuardFleet(vms int) *guardFleet {
 	f := &guardFleet{}
 	for i := range vms {
-		f.vms = append(f.vms, retry.NewPromptGuard(fmt.Sprint("vm-", i)))
+		f.vms = append(f.vms, retry.NewPromptGuard(fmt.Sprint("vm-", i), retry.NewCrashGuard(fmt.Sprint("vm-", i))))
 	}
 	return f
 }
@@ -120,14 +120,14 @@
 			result.late++
 		}
 		crashed := engine(fmt.Sprintf("i-%d-%d", target, tick))
-		f.vms[vm].RecordCrash(deadly, crashed, now)
+		f.vms[vm].RecordCrash(deadly, 0, crashed, now)
 		var left []pendingCall
 		for _, call := range pending {
 			if call.engine != target {
 				left = append(left, call)
 				continue
 			}
-			f.vms[call.vm].RecordCrash(call.prompt, crashed, now)
+			f.vms[call.vm].RecordCrash(call.prompt, 0, crashed, now)
 		}
 		pending = left
 	}
@@ -167,9 +167,9 @@
 // TestEnginesThatCrashTogetherCountOnce guards against blocking the parts of the calls
 // on engines that lose power at the same moment.
 func TestEnginesThatCrashTogetherCountOnce(t *testing.T) {
-	guard := retry.NewPromptGuard("vm-1")
+	guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	for i := range 6 {
-		guard.RecordCrash(prompt("first", "second", "own"), engine(fmt.Sprint("i-", i)), start.Add(time.Duration(i)*10*time.Millisecond))
+		guard.RecordCrash(prompt("first", "second", "own"), 0, engine(fmt.Sprint("i-", i)), start.Add(time.Duration(i)*10*time.Millisecond))
 	}
 	_, blocked := guard.BlockedUntil(prompt("first", "second", "other"), start.Add(5*time.Second))
 	must.False(t, blocked)
@@ -180,8 +180,8 @@
 func TestLateSightOfCrashCountsOnce(t *testing.T) {
 	f := newGuardFleet(2)
 	for i := range 3 {
-		f.vms[0].RecordCrash(prompt("first", "own"), engine(fmt.Sprint("i-", i)), start)
-		f.vms[1].RecordCrash(prompt("first", "other"), engine(fmt.Sprint("i-", i)), start.Add(time.Duration(60*(i+1))*time.Millisecond))
+		f.vms[0].RecordCrash(prompt("first", "own"), 0, engine(fmt.Sprint("i-", i)), start)
+		f.vms[1].RecordCrash(prompt("first", "other"), 0, engine(fmt.Sprint("i-", i)), start.Add(time.Duration(60*(i+1))*time.Millisecond))
 	}
 	now := start.Add(time.Second)
 	for range 3 {
@@ -195,13 +195,13 @@
 // TestNewDeadlyPartIsHeldAfterThirdCrash guards against engines that crash while a part that
 // no engine ever answered is confirmed, and against refusals of a part that was answered.
 func TestNewDeadlyPartIsHeldAfterThirdCrash(t *testing.T) {
-	guard := retry.NewPromptGuard("vm-1")
+	guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	guard.RecordAnswer(prompt("first", "warm"), start.Add(-time.Second))
 	for i := range 3 {
 		now := start.Add(time.Duration(i) * 30 * time.Millisecond)
 		_, blocked := guard.BlockedUntil(prompt("first", "deadly", "own"), now)
 		must.False(t, blocked)
-		guard.RecordCrash(prompt("first", "deadly", "own"), engine(fmt.Sprint("i-", i)), now)
+		guard.RecordCrash(prompt("first", "deadly", "own"), 0, engine(fmt.Sprint("i-", i)), now)
 	}
 	now := start.Add(70 * time.Millisecond)
 	until, blocked := guard.BlockedUntil(prompt("first", "deadly", "next"), now)
@@ -219,7 +219,7 @@
 	f := newGuardFleet(3)
 	now := start
 	for i := range 5 {
-		f.vms[1].RecordCrash(prompt("first", "own"), engine(fmt.Sprint("i-", i)), now)
+		f.vms[1].RecordCrash(prompt("first", "own"), 0, engine(fmt.Sprint("i-", i)), now)
 		f.exchange(1, now)
 		f.vms[2].RecordAnswer(prompt("first", "other"), now.Add(100*time.Millisecond))
 		now = now.Add(500 * time.Millisecond)
@@ -236,7 +236,7 @@
 // time at which the part is blocked.
 func crashThreeTimes(guard *retry.PromptGuard, now time.Time) time.Time {
 	for i := range 3 {
-		guard.RecordCrash(prompt("deadly", "own"), engine(fmt.Sprint("i-", now.Unix(), i)), now.Add(time.Duration(i)*500*time.Millisecond))
+		guard.RecordCrash(prompt("deadly", "own"), 0, engine(fmt.Sprint("i-", now.Unix(), i)), now.Add(time.Duration(i)*500*time.Millisecond))
 	}
 	return now.Add(2 * time.Second)
 }
@@ -244,7 +244,7 @@
 // TestBlockedPartIsTriedAgain guards against a part that stays blocked for ever, and
 // against three more crashes each time that it is tried again.
 func TestBlockedPartIsTriedAgain(t *testing.T) {
-	guard := retry.NewPromptGuard("vm-1")
+	guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	now := crashThreeTimes(guard, start)
 	until, blocked := guard.BlockedUntil(prompt("deadly", "other"), now)
 	must.True(t, blocked)
@@ -257,7 +257,7 @@
 	now = until.Add(time.Second)
 	_, blocked = guard.BlockedUntil(prompt("deadly", "other"), now)
 	must.False(t, blocked)
-	guard.RecordCrash(prompt("deadly", "other"), engine("next"), now)
+	guard.RecordCrash(prompt("deadly", "other"), 0, engine("next"), now)
 	until, blocked = guard.BlockedUntil(prompt("deadly", "other"), now)
 	must.True(t, blocked)
 	must.Between(t, 10*time.Minute+2*time.Second, until.Sub(now), 20*time.Minute+2*time.Second)
@@ -265,7 +265,7 @@
 	now = until.Add(time.Second)
 	_, blocked = guard.BlockedUntil(prompt("deadly", "other"), now)
 	must.False(t, blocked)
-	guard.RecordCrash(prompt("deadly", "other"), engine("third"), now)
+	guard.RecordCrash(prompt("deadly", "other"), 0, engine("third"), now)
 	guard.RecordAnswer(prompt("deadly", "other"), now.Add(time.Millisecond))
 	_, blocked = guard.BlockedUntil(prompt("deadly", "other"), now.Add(time.Minute))
 	must.False(t, blocked)
@@ -274,10 +274,10 @@
 // TestSuspectedPartIsNotRetried guards against a second crash by the retry of a call
 // whose part has crashed two engines.
 func TestSuspectedPartIsNotRetried(t *testing.T) {
-	guard := retry.NewPromptGuard("vm-1")
-	guard.RecordCrash(prompt("deadly", "own"), engine("one"), start)
+	guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
+	guard.RecordCrash(prompt("deadly", "own"), 0, engine("one"), start)
 	must.False(t, guard.Suspected(prompt("deadly", "own"), start))
-	guard.RecordCrash(prompt("deadly", "own"), engine("two"), start.Add(time.Second))
+	guard.RecordCrash(prompt("deadly", "own"), 0, engine("two"), start.Add(time.Second))
 	must.True(t, guard.Suspected(prompt("deadly", "own"), start.Add(time.Second)))
 	must.False(t, guard.Suspected(prompt("deadly", "own"), start.Add(time.Minute)))
 }
@@ -285,11 +285,11 @@
 // TestSuspectPartsAreBounded guards against callers that exhaust the memory of a VM, or
 // the messages between VMs, with prompts of ever new parts.
 func TestSuspectPartsAreBounded(t *testing.T) {
-	guard := retry.NewPromptGuard("vm-1")
+	guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	now := start
 	for i := range 20_000 {
 		now = now.Add(time.Millisecond)
-		guard.RecordCrash(prompt(fmt.Sprint("part-", i), "own"), engine(fmt.Sprint("i-", i)), now)
+		guard.RecordCrash(prompt(fmt.Sprint("part-", i), "own"), 0, engine(fmt.Sprint("i-", i)), now)
 	}
 	must.LessEq(t, 64, len(guard.TakeReport("leader", now)))
 	must.Len(t, 0, guard.Suspects(now))
@@ -299,8 +299,8 @@
 // TestUndeliveredReportIsSentAgain guards against observations that are lost with the
 // message that carried them, or with the leader.
 func TestUndeliveredReportIsSentAgain(t *testing.T) {
-	guard := retry.NewPromptGuard("vm-1")
-	guard.RecordCrash(prompt("first", "own"), engine("one"), start)
+	guard := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
+	guard.RecordCrash(prompt("first", "own"), 0, engine("one"), start)
 	report := guard.TakeReport("leader", start)
 	must.Len(t, 1, report)
 	must.Len(t, 0, guard.TakeReport("leader", start))
@@ -312,14 +312,14 @@
 // TestDeadlyPartIsReportedBesideManySoundOnes guards against a VM that never hears of a
 // deadly part because a crash of many engines left more suspects than a message holds.
 func TestDeadlyPartIsReportedBesideManySoundOnes(t *testing.T) {
-	leader := retry.NewPromptGuard("vm-1")
+	leader := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	now := crashThreeTimes(leader, start)
 	for i := range 200 {
 		sound := prompt(fmt.Sprint("sound-", i), "own")
-		leader.RecordCrash(sound, engine("i-9"), now)
+		leader.RecordCrash(sound, 0, engine("i-9"), now)
 		leader.RecordAnswer(sound, now.Add(10*time.Millisecond))
 	}
-	vm := retry.NewPromptGuard("vm-1")
+	vm := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	vm.Merge(leader.Suspects(now.Add(time.Second)), now.Add(time.Second))
 	_, blocked := vm.BlockedUntil(prompt("deadly", "other"), now.Add(time.Second))
 	must.True(t, blocked)
@@ -328,9 +328,9 @@
 // TestLongReportIsSentInParts guards against observations that are taken for reported
 // although the message had no room for them.
 func TestLongReportIsSentInParts(t *testing.T) {
-	vm := retry.NewPromptGuard("vm-1")
+	vm := retry.NewPromptGuard("vm-1", retry.NewCrashGuard("vm-1"))
 	for i := range 100 {
-		vm.RecordCrash(prompt(fmt.Sprint("part-", i), "own"), engine("i-9"), start)
+		vm.RecordCrash(prompt(fmt.Sprint("part-", i), "own"), 0, engine("i-9"), start)
 	}
 	reported := map[uint64]bool{}
 	for range 2 {
@@ -364,7 +364,7 @@
 				continue
 			}
 			crashes = append(crashes, now)
-			f.vms[vm].RecordCrash(deadly, engine(fmt.Sprint("i-", tick)), now)
+			f.vms[vm].RecordCrash(deadly, 0, engine(fmt.Sprint("i-", tick)), now)
 		}
 		must.True(t, crashes[len(crashes)-1].Sub(start) > 5*time.Minute, must.Sprintf("seed %d: not tried again", seed))
 		late := 0
@@ -376,3 +376,34 @@
 		must.LessEq(t, 3, late, must.Sprintf("seed %d: %d crashes", seed, len(crashes)))
 	}
 }
+
+// TestPartsOfRepeatedCallAreNotBlocked guards against refusing sound calls that share parts of
+// their prompts with a call that crashes engines by its content.
+func TestPartsOfRepeatedCallAreNotBlocked(t *testing.T) {
+	for name, answered := range map[string]bool{"known parts": true, "new parts": false} {
+		t.Run(name, func(t *testing.T) {
+			const deadly, other = 77, 78
+			contents := retry.NewCrashGuard("vm-1")
+			guard := retry.NewPromptGuard("vm-1", contents)
+			now := start
+			crash := func(content uint64, id string) {
+				now = now.Add(time.Second)
+				contents.RecordCrash(content, engine(id), start, now)
+				guard.RecordCrash(prompt("first", "second", "own"), content, engine(id), now)
+			}
+			if answered {
+				guard.RecordAnswer(prompt("first", "second", "other"), now)
+			}
+			for i := range 5 {
+				crash(deadly, fmt.Sprint("i-", i))
+			}
+			now = now.Add(2 * time.Second)
+			must.True(t, isBlocked(contents, deadly, now))
+			_, blocked := guard.BlockedUntil(prompt("first", "second", "other"), now)
+			must.False(t, blocked)
+			crash(other, "i-9") // The parts crash engines under another content, too.
+			_, blocked = guard.BlockedUntil(prompt("first", "second", "other"), now.Add(2*time.Second))
+			must.True(t, blocked)
+		})
+	}
+}
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -217,9 +217,9 @@
 	return s.blockedTill
 }
 
-// explanations returns the companions that all crashes of a known suspect have in common.
+// explanations returns the companions that all crashes have in common.
 func (s *suspect) explanations() []uint64 {
-	if !s.known || s.blocks > 0 || len(s.crashes) == 0 {
+	if s.blocks > 0 || len(s.crashes) == 0 {
 		return nil
 	}
 	crashes := s.separateCrashes()
--- a/retry/suspect_set.go
+++ b/retry/suspect_set.go
@@ -29,6 +29,10 @@
 	suspicion suspicion
 	crashSeen chan struct{} // Holds at most one signal.
 	shards    [shardCount]suspectShard
+
+	// explainsAll reports whether a companion of all crashes of a hash is the cause, also if
+	// the hash was never answered.
+	explainsAll func(companion uint64) bool
 }
 
 type suspectShard struct {
@@ -39,7 +43,7 @@
 
 // newSuspectSet returns the set of a VM, without suspects.
 func newSuspectSet(vm string, how suspicion) *suspectSet {
-	g := &suspectSet{vm: vm, suspicion: how, crashSeen: make(chan struct{}, 1)}
+	g := &suspectSet{vm: vm, suspicion: how, crashSeen: make(chan struct{}, 1), explainsAll: func(uint64) bool { return false }}
 	for i := range g.shards {
 		answered, _ := simplelru.NewLRU[uint64, time.Time](maxSuspectsPerShard, nil) // Fails only for a size below 1.
 		g.shards[i].suspects, g.shards[i].answered = map[uint64]*suspect{}, answered
@@ -57,9 +61,12 @@
 		s.mutex.Unlock()
 		return time.Time{}
 	}
-	end, due, explanations := found.blockEnd(now), found.blockDue(now), found.explanations()
+	end, due, known, explanations := found.blockEnd(now), found.blockDue(now), found.known, found.explanations()
 	s.mutex.Unlock()
-	if !due || slices.ContainsFunc(explanations, g.isNewSuspect) {
+	if slices.ContainsFunc(explanations, g.explainsAll) {
+		return time.Time{}
+	}
+	if !due || (known && slices.ContainsFunc(explanations, g.isNewSuspect)) {
 		return end
 	}
 	s.mutex.Lock()
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -120,13 +120,13 @@
 		rateLimiter: quota.NewLocalBuckets(clock.Monotonic{}, environment.Bootstrap),
 		retryBudget: retry.NewBudget(retry.Limits{Ratio: environment.RetryRatio, Slack: environment.RetrySlack, Window: environment.RetryWindow}, time.Now()),
 		crashGuard:  retry.NewCrashGuard(environment.Name),
-		promptGuard: retry.NewPromptGuard(environment.Name),
 		demand:      model.NewDemandWithDecay(placement.DemandTimeConstant),
 		forecast:    placement.NewForecast(),
 		peers:       peer.NewClient(tracing),
 		panics:      telemetry.NewPanicGuard(log, set),
 		roleLoad:    newRoleLoad(set),
 	}
+	v.promptGuard = retry.NewPromptGuard(environment.Name, v.crashGuard)
 	v.globalScheduler = fleet.NewGlobalScheduler(v.fleet)
 	member := kumquathitch.Member{Name: environment.Name, Address: environment.PeerAddress, DataCentre: environment.DataCentre, Started: time.Now().Round(0), Capacity: leaderCapacity(environment)}
 	timing := election.Timing{LeaseTTL: leaseTTL, MemberTTL: memberTTL, HandoverDelay: environment.HandoverDelay}
