--- a/exchange.go
+++ b/exchange.go
@@ -70,7 +70,7 @@
 	Others     []string      `json:"others,omitempty"`     // Those of the others, as far as they are kept.
 	Age        time.Duration `json:"age"`                  // Time since the first crash.
 	Span       time.Duration `json:"span,omitempty"`       // From the first crash to the last one.
-	Companions []uint64      `json:"companions,omitempty"` // Other prompt parts of the calls that had not been answered.
+	Companions []uint64      `json:"companions,omitempty"` // Other prompt parts, and the content, of the calls that had not been answered.
 }
 
 // AdapterRequest asks the leader to load an adapter that no instance is known to hold.
@@ -133,7 +133,7 @@
 // call that the VM sends to an instance of its own choice.
 type AdmitRequest struct {
 	Incarnation string          `json:"start"`
-	Limits      []InstanceLimit `json:"limits"` // That of the instance, and changes of others.
+	Limits      []InstanceLimit `json:"limits"` // That of the instance, as the VM knows it.
 }
 
 // AdmitResponse is the response to an AdmitRequest.
--- a/retry/prompt_guard.go
+++ b/retry/prompt_guard.go
@@ -28,7 +28,7 @@
 // name of the VM must differ from those of the others.
 func NewPromptGuard(vm string, contents *CrashGuard) *PromptGuard {
 	g := &PromptGuard{suspectSet: newSuspectSet(vm, partSuspicion), contents: contents}
-	g.explainsAll = contents.isNewSuspect
+	g.isCause = contents.isNewSuspect
 	return g
 }
 
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -36,7 +36,7 @@
 	maxCompanions = 8
 )
 
-// suspicion is how crashes count against one kind of suspect.
+// suspicion holds the rules by which crashes count against one kind of suspect.
 type suspicion struct {
 	newSpacing   time.Duration // crashSpacing for a suspect that was never answered, from the end of one series of crashes to the next.
 	crashTTL     time.Duration // How long a crash counts against a suspect that is not blocked.
@@ -65,7 +65,7 @@
 	at         time.Time // Time of the first crash.
 	lastAt     time.Time
 	own        bool     // Observed by this VM.
-	companions []uint64 // Other prompt parts of the calls, without those that had been answered on the VM.
+	companions []uint64 // Other prompt parts of the calls, and their content, without those that had been answered on the VM.
 }
 
 // addCrash adds a series of crashes, unless it began before the last answer. It extends a
--- a/retry/suspect_set.go
+++ b/retry/suspect_set.go
@@ -30,9 +30,9 @@
 	crashSeen chan struct{} // Holds at most one signal.
 	shards    [shardCount]suspectShard
 
-	// explainsAll reports whether a companion of all crashes of a hash is the cause, also if
-	// the hash was never answered.
-	explainsAll func(companion uint64) bool
+	// isCause reports whether a companion that all crashes of a hash have in common is their
+	// cause, also if the hash was never answered.
+	isCause func(companion uint64) bool
 }
 
 type suspectShard struct {
@@ -42,8 +42,8 @@
 }
 
 // newSuspectSet returns the set of a VM, without suspects.
-func newSuspectSet(vm string, how suspicion) *suspectSet {
-	g := &suspectSet{vm: vm, suspicion: how, crashSeen: make(chan struct{}, 1), explainsAll: func(uint64) bool { return false }}
+func newSuspectSet(vm string, rules suspicion) *suspectSet {
+	g := &suspectSet{vm: vm, suspicion: rules, crashSeen: make(chan struct{}, 1), isCause: func(uint64) bool { return false }}
 	for i := range g.shards {
 		answered, _ := simplelru.NewLRU[uint64, time.Time](maxSuspectsPerShard, nil) // Fails only for a size below 1.
 		g.shards[i].suspects, g.shards[i].answered = map[uint64]*suspect{}, answered
@@ -63,7 +63,7 @@
 	}
 	end, due, known, explanations := found.blockEnd(now), found.blockDue(now), found.known, found.explanations()
 	s.mutex.Unlock()
-	if slices.ContainsFunc(explanations, g.explainsAll) {
+	if slices.ContainsFunc(explanations, g.isCause) {
 		return time.Time{}
 	}
 	if !due || (known && slices.ContainsFunc(explanations, g.isNewSuspect)) {
@@ -329,7 +329,7 @@
 	found := s.suspects[hash]
 	if found == nil {
 		if len(s.suspects) >= maxSuspectsPerShard {
-			s.dropOldest(now)
+			s.dropLeastImportant(now)
 		}
 		found = &suspect{suspicion: g.suspicion, lastChanged: now}
 		s.suspects[hash] = found
@@ -337,14 +337,14 @@
 	return found
 }
 
-// dropOldest drops the suspect that changed least recently, of those with the fewest
-// crashes: the crash of a busy upstream leaves one with each call on it.
-func (s *suspectShard) dropOldest(now time.Time) {
+// dropLeastImportant drops the suspect with the fewest crashes: the crash of a busy upstream
+// leaves a suspect with one crash for each call on it.
+func (s *suspectShard) dropLeastImportant(now time.Time) {
 	var dropped uint64
-	var oldest *suspect
+	var least *suspect
 	for hash, found := range s.suspects {
-		if oldest == nil || found.lessImportant(oldest, now) {
-			dropped, oldest = hash, found
+		if least == nil || found.lessImportant(least, now) {
+			dropped, least = hash, found
 		}
 	}
 	delete(s.suspects, dropped)
