--- a/relay/crash_guard_test.go
+++ b/relay/crash_guard_test.go
@@ -52,10 +52,9 @@
 	for _, status := range []string{"429 Too Many Requests", "408 Request Timeout", "503 Service Unavailable", "500 Internal Server Error"} {
 		t.Run(status, func(t *testing.T) {
 			vm := newTestVM(t)
-			crashes := &counter{}
-			turnAway := false
+			calls, crashes := &counter{}, &counter{}
 			answer := func(call *standin.ScriptedCall) bool {
-				if turnAway = !turnAway; turnAway {
+				if calls.add()%2 == 1 {
 					call.WriteHead(status, "Content-Length: 0\r\n")
 					return true
 				}
