--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -118,13 +120,17 @@
 }
 
 // crashAfterStart: a part of prompts crashes each engine that has begun to write an answer
-// on it. The engine has written two events then.
+// on it. The engine has written two events then, or as many as EVENTS in the environment
+// states, for comparison.
 func crashAfterStart(p *play) (bool, error) {
 	const (
-		eventsBeforeCrash = 2
-		maxLate           = 3 // Of the rule.
-		period            = 50 * time.Second
+		maxLate = 3 // Of the rule.
+		period  = 50 * time.Second
 	)
+	eventsBeforeCrash := 2
+	if number, err := strconv.Atoi(os.Getenv("EVENTS")); err == nil {
+		eventsBeforeCrash = number
+	}
 	servers := engines()
 	for _, s := range servers {
 		s.diskModel = true
