Elect a leader after the store has lost its history

Cause: a VM learns of the removal of the leader's record from a watch.

Change: a scan that lists no record of a leader ends the term that the VM knows of.

--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -203,8 +203,8 @@
 			w.remove(key)
 		}
 	}
-	if _, hasLeader := w.vm.candidate.Leader(); !hasLeader {
-		w.vm.candidate.ObserveLeader(kumquathitch.KeyItem{})
+	if !slices.ContainsFunc(all.Items, func(item kumquathitch.KeyItem) bool { return election.IsLeaderKey(item.Key) }) {
+		w.vm.candidate.ObserveLeader(kumquathitch.KeyItem{}) // Its removal may be in the history that is lost.
 	}
 	w.setRevision(all.Revision)
 	return nil
