Block a call that silences one server after the other sooner

Cause: after inferred crashes a block waited until the service was heard from again, also where its other servers had answered all along, so that a call sent four times a second silenced up to six servers late (three allowed).

Change: a VM keeps the last spell in which a service was never silent for two seconds. If such a spell covers the crashes, they are confirmed at once, and a content that no server ever answered is refused meanwhile.

--- a/retry/crash_detector_test.go
+++ b/retry/crash_detector_test.go
@@ -329,15 +329,22 @@
 // TestRepeatedCallThatCrashesServersSilentlyIsRefused guards against a call that makes one server
 // after the other lose power, so that none of its sends ends with a closed connection.
 func TestRepeatedCallThatCrashesServersSilentlyIsRefused(t *testing.T) {
-	for _, every := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second} {
-		for _, count := range []int{3, 12} {
-			for seed := range uint64(20) {
-				r := silentPlay{vms: 9, servers: count, deadlyEvery: every, repeatFrom: 250 * time.Millisecond}.run(seed)
-				info := must.Sprintf("every %s, %d servers, seed %d: %+v", every, count, seed, r)
-				must.LessEq(t, 3, r.late, info)
-				must.Eq(t, 0, r.refused, info)
-				must.Eq(t, 0, r.refusedOthers, info)
-			}
+	for _, play := range []silentPlay{
+		{servers: 12, deadlyEvery: 250 * time.Millisecond},
+		{servers: 12, deadlyEvery: time.Second},
+		{servers: 12, deadlyEvery: 2 * time.Second},
+		{servers: 12, deadlyEvery: 5 * time.Second},
+		{servers: 3, deadlyEvery: time.Second},
+		{servers: 3, deadlyEvery: 2 * time.Second},
+		{servers: 3, deadlyEvery: 5 * time.Second},
+	} {
+		play.vms, play.repeatFrom = 9, 250*time.Millisecond
+		for seed := range uint64(20) {
+			r := play.run(seed)
+			info := must.Sprintf("every %s, %d servers, seed %d: %+v", play.deadlyEvery, play.servers, seed, r)
+			must.LessEq(t, 3, r.late, info)
+			must.Eq(t, 0, r.refused, info)
+			must.Eq(t, 0, r.refusedOthers, info)
 		}
 	}
 }
--- a/retry/heard_services.go
+++ b/retry/heard_services.go
@@ -7,32 +7,47 @@
 	"kumquathitch.example/kumquathitch"
 )
 
-// heardServices holds when upstreams of each service last sent something to this VM. The zero
-// value is ready to use. It is safe for concurrent use.
+// serviceSilence is the time without a byte after which a service counts as silent. VMs with few
+// calls hear from a service every second or so.
+const serviceSilence = 2 * time.Second
+
+// heardServices holds when upstreams of each service sent something to this VM. The zero value
+// is ready to use. It is safe for concurrent use.
 type heardServices struct {
 	shards [shardCount]heardShard
 }
 
 type heardShard struct {
-	mutex sync.Mutex
-	at    map[string]time.Time // By service.
+	mutex  sync.Mutex
+	spells map[string]heardSpell // By service.
+}
+
+// heardSpell is a time in which a service was never silent.
+type heardSpell struct {
+	from, to time.Time
 }
 
 func (h *heardServices) record(service string, now time.Time) {
 	s := h.shard(service)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.at == nil {
-		s.at = map[string]time.Time{}
+	if s.spells == nil {
+		s.spells = map[string]heardSpell{}
+	}
+	spell := s.spells[service]
+	if now.Sub(spell.to) > serviceSilence {
+		spell.from = now
 	}
-	s.at[service] = now
+	spell.to = now
+	s.spells[service] = spell
 }
 
-func (h *heardServices) last(service string) time.Time {
+// last returns the last spell of a service.
+func (h *heardServices) last(service string) heardSpell {
 	s := h.shard(service)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.at[service]
+	return s.spells[service]
 }
 
 func (h *heardServices) shard(service string) *heardShard {
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -51,6 +51,7 @@
 	contested   bool      // A VM found it near a block.
 	service     string    // Of the upstreams.
 	heardAt     time.Time // When the service was first heard from after the last inferred crash became known.
+	steady      bool      // The service was never silent from the first crash until the last one became known.
 	decided     bool      // Another VM has blocked it.
 	blocks      int       // Blocks so far, with the present one.
 	probesFrom  time.Time // Earliest time at which a VM sends a call again; zero before the first block.
@@ -208,20 +209,26 @@
 	switch {
 	case learned.IsZero() || s.decided:
 		return last.Add(s.confirmation)
+	case s.steady:
+		return learned.Add(s.confirmation)
 	case s.heardAt.Before(learned):
 		return time.Time{}
 	}
 	return s.heardAt.Add(s.confirmation)
 }
 
-// noteHeard records when the service was last heard from. While none of its upstreams sends
-// anything, no call is answered, and that says nothing about one of them.
-func (s *suspect) noteHeard(at time.Time) {
-	if series := s.countingSeries(); len(series) >= minCrashes {
-		if learned := learnedAt(series); s.heardAt.Before(learned) && !at.Before(learned) {
-			s.heardAt = at
-		}
+// noteHeard records the last spell in which the service was heard from. While none of its
+// upstreams sends anything, no call is answered, and that says nothing about one of them.
+func (s *suspect) noteHeard(spell heardSpell) {
+	series := s.countingSeries()
+	if len(series) < minCrashes {
+		return
+	}
+	learned := learnedAt(series)
+	if s.heardAt.Before(learned) && !spell.to.Before(learned) {
+		s.heardAt = spell.to
 	}
+	s.steady = spell.from.Before(series[0][0].at) && learned.Sub(spell.to) <= serviceSilence
 }
 
 // countingSeries returns the series that count for the first block: those with a crash that was
@@ -257,10 +264,11 @@
 }
 
 // blockEnd returns the end of the block, or of the confirmation before the first block of a
-// suspect that was never answered. Calls go on during a confirmation after inferred crashes:
-// if upstreams were lost for another reason, only an answer can show it.
+// suspect that was never answered. Calls go on during a confirmation after inferred crashes if
+// the service was silent: upstreams that were lost together have another cause, and only an
+// answer can show it.
 func (s *suspect) blockEnd(now time.Time) time.Time {
-	if due := s.firstBlockDue(); s.blocks == 0 && !s.known && now.Before(due) && learnedAt(s.countingSeries()).IsZero() {
+	if due := s.firstBlockDue(); s.blocks == 0 && !s.known && now.Before(due) && (s.steady || learnedAt(s.countingSeries()).IsZero()) {
 		return due
 	}
 	return s.blockedTill
