Pass the list of members on once for each batch of changes

Cause: each record of a member in a scan or a batch of changes passed the whole list on, work that grows with the square of the fleet when it starts.

Change: the watcher passes it on after the batch.

--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -65,6 +65,7 @@
 	outageEnd    time.Time                       // End of the last outage.
 	scanned      bool                            // The store has answered at least once.
 	failing      bool                            // The last call to the store failed.
+	newMembers   bool                            // The list of members has changed since it was last passed on.
 	fedUntil     time.Time                       // The leader's feed replaces the watch until then.
 }
 
@@ -153,6 +154,7 @@
 			}
 		})
 	}
+	w.vm.guarded("vm.change", w.passMembersOn)
 	w.vm.feed.add(fresh)
 	w.setRevision(revision)
 }
@@ -206,6 +208,7 @@
 	if !slices.ContainsFunc(all.Items, func(item kumquathitch.KeyItem) bool { return election.IsLeaderKey(item.Key) }) {
 		w.vm.candidate.ObserveLeader(kumquathitch.KeyItem{}) // Its removal may be in the history that is lost.
 	}
+	w.vm.guarded("vm.change", w.passMembersOn)
 	w.setRevision(all.Revision)
 	return nil
 }
@@ -269,9 +272,20 @@
 		return
 	}
 	w.mutex.Lock()
-	w.members[m.Name] = m
+	w.members[m.Name], w.newMembers = m, true
 	w.mutex.Unlock()
-	w.vm.setMembers(w.memberList())
+}
+
+// passMembersOn passes a changed list of members on. It is called once for all changes that
+// are applied together: at the start of a fleet there is one for each VM.
+func (w *storeWatcher) passMembersOn() {
+	w.mutex.Lock()
+	changed := w.newMembers
+	w.newMembers = false
+	w.mutex.Unlock()
+	if changed {
+		w.vm.setMembers(w.memberList())
+	}
 }
 
 // remove applies the removal of one key. An instance whose entry expired around
@@ -293,8 +307,8 @@
 	case strings.HasPrefix(key, election.MemberPrefix):
 		w.mutex.Lock()
 		delete(w.members, strings.TrimPrefix(key, election.MemberPrefix))
+		w.newMembers = true
 		w.mutex.Unlock()
-		w.vm.setMembers(w.memberList())
 	}
 }
 
