--- a/call.go
+++ b/call.go
@@ -86,11 +86,13 @@
 	PausedUntil    time.Time // With a rejection: until when the upstream takes no calls from this VM; zero when it does not state it.
 }
 
-// LoadCount is the number of calls at an upstream, as counted by the upstream.
+// LoadCount is the load of an upstream, as stated by the upstream.
 type LoadCount struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running  int // Calls.
+	Waiting  int // Calls.
+	Slots    int
+	Slowness float64   // How long work takes, as a multiple of the usual time; 0 when the upstream does not state it.
+	StatedAt time.Time // When the response with the load was read.
 }
 
 // Dialect translates between HTTP messages and calls. Implementations are safe
