Weigh engines by the speed that they state in placement

Cause: engines of one service state a usual slowness from 0.6 to 1.6, which placement took for equal. The choice among plain servers falls back to the usual slowness of each instead of 1. Engines that state none count as before.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -248,7 +248,10 @@
 	defer inst.mutex.Unlock()
 	inst.pendingPrefill -= choice.PrefillTokens
 	var news kumquathitch.ResponseNews
-	news.LimitChanged = inst.description.SameIncarnation(&choice.Instance) && inst.limit.observe(&head)
+	if inst.description.SameIncarnation(&choice.Instance) {
+		news.LimitChanged = inst.limit.observe(&head)
+		inst.slowness.observe(&head.Load)
+	}
 	said := withdrawal{leaving: head.Leaving, pausedUntil: head.PausedUntil, at: head.Received}
 	said = said.carriedTo(&choice.Instance, &inst.description)
 	if said.empty() {
@@ -301,7 +304,6 @@
 	if !inst.description.SameIncarnation(&choice.Instance) {
 		return
 	}
-	inst.slowness.observe(&result.Load)
 	inst.updateCircuit(choice, result, serviceFailureRate)
 	if result.Outcome == kumquathitch.SendAnswered {
 		inst.updateAverages(choice, result, isEngine)
--- a/fleet/plain_load_test.go
+++ b/fleet/plain_load_test.go
@@ -180,6 +180,7 @@
 		d.after(plainOneWay, func() {
 			load.StatedAt = d.now
 			result := kumquathitch.SendResult{Outcome: outcome, FirstByte: d.now, Ended: d.now, Load: load, HasLoad: true}
+			d.vms[vm].ResponseStarted(choice, kumquathitch.ResponseHead{Load: load, HasLoad: true, Received: d.now})
 			d.vms[vm].Done(criteria, choice, result)
 			d.finish(vm, criteria, choice, result, arrived)
 		})
@@ -262,11 +263,13 @@
 // and against avoiding it for longer than it is likely to be so.
 func TestSlownessDecays(t *testing.T) {
 	criteria := kumquathitch.InstanceCriteria{Service: "desk", LatencyObjective: plainObjective}
+	const work = 20 * time.Millisecond // As initially assumed.
 	f := fleet.NewFleet("entry-1", "a")
 	chooses := func(now time.Time, slowness float64) string {
 		choice, err := f.Choose(criteria, now)
 		must.NoError(t, err)
-		load := kumquathitch.LoadCount{Running: 1, Slots: plainSlots, Slowness: slowness, StatedAt: now.Add(plainWork)}
+		load := kumquathitch.LoadCount{Running: 1, Slots: plainSlots, Slowness: slowness, StatedAt: now.Add(work)}
+		f.ResponseStarted(choice, kumquathitch.ResponseHead{Load: load, HasLoad: true, Received: load.StatedAt})
 		f.Done(criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendAnswered, FirstByte: load.StatedAt, Ended: load.StatedAt, Load: load, HasLoad: true})
 		return choice.Instance.ID
 	}
@@ -274,11 +277,12 @@
 		f.Put(kumquathitch.Instance{ID: id, Service: "desk", Address: id, DataCentre: "a", Slots: plainSlots, Revision: 1, Started: start}, start)
 	}
 	must.False(t, f.Scheduled(criteria, start))
-	slow := chooses(start, 4)
+	usual := chooses(start, 1)
 	must.True(t, f.Scheduled(criteria, start.Add(time.Second)))
-	other := chooses(start.Add(plainWork), 1)
-	must.NotEq(t, slow, other)
-	must.Eq(t, other, chooses(start.Add(2*plainWork), 1))
-	must.Eq(t, slow, chooses(start.Add(5*time.Second), 1))
+	must.Eq(t, usual, chooses(start.Add(time.Second), 4))
+	other := chooses(start.Add(time.Second+work), 1)
+	must.NotEq(t, usual, other)
+	must.Eq(t, other, chooses(start.Add(time.Second+2*work), 1))
+	must.Eq(t, usual, chooses(start.Add(4*time.Second), 1))
 	must.False(t, f.Scheduled(criteria, start.Add(2*time.Minute)))
 }
--- a/fleet/slowness.go
+++ b/fleet/slowness.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// slownessHalfLife discounts the slowness that an instance stated by its age. It
-	// changes several times a second, so older values say little.
-	slownessHalfLife = 150 * time.Millisecond
+	// slownessHalfLife discounts the difference between the slowness that an instance stated
+	// and its usual one. It changes several times a second, so older values say little.
+	slownessHalfLife = 250 * time.Millisecond
+	// usualSlownessWeight is the weight of one statement in the usual slowness of an instance.
+	usualSlownessWeight = 0.05
 	// slownessTTL is how long the calls of a plain service are scheduled after one of its
 	// instances last stated its slowness.
 	slownessTTL = time.Minute
@@ -19,26 +21,38 @@
 )
 
 // slowness is how long work takes on an instance that shares its machine with others, as
-// a multiple of the usual time.
+// a multiple of the usual time. Zero values mean that the instance has not stated it.
 type slowness struct {
-	factor   float64
-	statedAt time.Time // Zero before the instance has stated it.
+	stated   float64 // Last.
+	statedAt time.Time
+	usual    float64 // Moving average.
 }
 
 // observe records the slowness that a response states.
 func (s *slowness) observe(load *kumquathitch.LoadCount) {
-	if load.Slowness > 0 && !load.StatedAt.Before(s.statedAt) {
-		s.factor, s.statedAt = load.Slowness, load.StatedAt
+	if load.Slowness <= 0 {
+		return
+	}
+	s.addToUsual(load.Slowness)
+	if !load.StatedAt.Before(s.statedAt) {
+		s.stated, s.statedAt = load.Slowness, load.StatedAt
+	}
+}
+
+func (s *slowness) addToUsual(stated float64) {
+	if s.usual == 0 {
+		s.usual = stated
 	}
+	s.usual += usualSlownessWeight * (stated - s.usual)
 }
 
-// at returns the expected factor: the stated one, which approaches the usual as it gets older.
+// at returns the expected slowness: the stated one, which approaches the usual as it gets older.
 func (s *slowness) at(now time.Time) float64 {
 	if s.statedAt.IsZero() {
 		return 1
 	}
 	halfLives := max(0, now.Sub(s.statedAt).Seconds()) / slownessHalfLife.Seconds()
-	return 1 + (s.factor-1)*math.Exp2(-halfLives)
+	return s.usual + (s.stated-s.usual)*math.Exp2(-halfLives)
 }
 
 // withoutSlowness returns the time that a call would have taken at the usual speed.
@@ -79,3 +93,54 @@
 	}
 	s.fullRunTime += time.Duration(workTimeWeight * float64(took-s.fullRunTime))
 }
+
+// StatedSlowness returns the slowness that instances stated to this VM after a time, by ID.
+func (f *Fleet) StatedSlowness(after time.Time) map[string]float64 {
+	var stated map[string]float64
+	f.eachInstance(func(inst *instanceState) {
+		if inst.slowness.statedAt.After(after) {
+			if stated == nil {
+				stated = map[string]float64{}
+			}
+			stated[inst.id] = inst.slowness.stated
+		}
+	})
+	return stated
+}
+
+// AddStatedSlowness adds the slowness that instances stated to another VM to what is usual
+// for them. It is too old to be the present one.
+func (f *Fleet) AddStatedSlowness(stated map[string]float64) {
+	for id, factor := range stated {
+		if inst := f.instanceState(id); inst != nil && factor > 0 {
+			inst.mutex.Lock()
+			inst.slowness.addToUsual(factor)
+			inst.mutex.Unlock()
+		}
+	}
+}
+
+// UsualSlowness returns the usual slowness of the instances that have stated it, by ID.
+func (f *Fleet) UsualSlowness() map[string]float64 {
+	usual := map[string]float64{}
+	f.eachInstance(func(inst *instanceState) {
+		if inst.slowness.usual > 0 {
+			usual[inst.id] = inst.slowness.usual
+		}
+	})
+	return usual
+}
+
+// eachInstance calls a function for each instance, under the lock of the instance.
+func (f *Fleet) eachInstance(use func(inst *instanceState)) {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mutex.RLock()
+		for _, inst := range s.instances {
+			inst.mutex.Lock()
+			use(inst)
+			inst.mutex.Unlock()
+		}
+		s.mutex.RUnlock()
+	}
+}
