Compute the gain of a move in constant time, and bound the work of a plan

Cause: the gain of each candidate was a loop over all engines of its models.

Change: sums of capacity and load by model, and the shared capacity of pairs of models, give the same gain in constant time. Above 512 engines each move weighs every n-th engine and the empty ones, and a plan makes at most 24 moves. Up to 288 engines the moves are the same as before.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -8,17 +8,21 @@
 	"kumquathitch.example/kumquathitch/placement"
 )
 
-// BenchmarkPlan measures one plan for a service with 144 engines and 242 models.
+// BenchmarkPlan measures one plan for a service with 242 models by the number of engines.
 // The leader makes four plans a second while it answers other VMs.
 func BenchmarkPlan(b *testing.B) {
-	spec, engines, demand := largePlan()
-	for b.Loop() {
-		placement.Plan(spec, engines, demand, 5)
+	for _, count := range []int{144, 860, 2600} {
+		b.Run(fmt.Sprint(count, "-engines"), func(b *testing.B) {
+			spec, engines, demand := largePlan(count)
+			for b.Loop() {
+				placement.Plan(spec, engines, demand, count/30)
+			}
+		})
 	}
 }
 
-// largePlan returns a service with 144 engines of three models each, and a skewed demand for 242 models.
-func largePlan() (*kumquathitch.EngineSpec, placement.Engines, placement.Demand) {
+// largePlan returns a service with engines of three models each, and a skewed demand for 242 models.
+func largePlan(count int) (*kumquathitch.EngineSpec, placement.Engines, placement.Demand) {
 	spec := &kumquathitch.EngineSpec{Slots: 12, MemoryMB: 200_000, AdapterSlots: 8, LoadsPerSecond: 20}
 	demand := placement.Demand{Models: map[string]float64{}, Adapters: map[string]float64{}}
 	for i := range 242 {
@@ -27,7 +31,7 @@
 		demand.Models[name] = 500_000 / float64(3+i)
 	}
 	var engines placement.Engines
-	for i := range 144 {
+	for i := range count {
 		e := placement.Engine{Instance: kumquathitch.Instance{ID: fmt.Sprintf("i-%d", i)}}
 		for k := range 3 {
 			m := spec.Models[(i*3+k*50)%len(spec.Models)]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -52,9 +52,14 @@
 	copyLoadTime  = 1500 * time.Millisecond
 	usualLoadTime = 6 * time.Second
 	// One plan makes at most movesPerPlan moves, or one for each enginesPerMove
-	// engines if that is more.
-	movesPerPlan   = 3
-	enginesPerMove = 12
+	// engines if that is more, but no more than maxMovesPerPlan. Plans are made several
+	// times a second.
+	movesPerPlan    = 3
+	enginesPerMove  = 12
+	maxMovesPerPlan = 24
+	// maxSampledEngines is the number of engines above which only some are weighed for each
+	// move, others each time: with 2,600 engines a plan took 0.27 s.
+	maxSampledEngines = 512
 	// Staging loads a model only to leave a copy of its weights on an engine's disk.
 	// It happens while less than stagingBusyFraction of the engines are busy, and
 	// may raise the cost of the placement by at most maxStagingLoss, in the cost of
@@ -118,7 +123,7 @@
 func Plan(spec *kumquathitch.EngineSpec, engines Engines, demand Demand, loads int) []Move {
 	p := newPlanner(spec, engines, demand)
 	var moves []Move
-	for range max(movesPerPlan, len(engines)/enginesPerMove) {
+	for range min(maxMovesPerPlan, max(movesPerPlan, len(engines)/enginesPerMove)) {
 		best, ok := p.bestMove(loads > 0)
 		if !ok {
 			break
@@ -147,6 +152,7 @@
 	capacities  []float64          // Work that an engine does in some time, by engine; the mean is 1.
 	reserveMB   float64            // Memory for adapters on each engine.
 	sizesMB     map[string]float64 // Memory, by model.
+	sums        loadSums           // Of the present holders and loads.
 }
 
 // candidate is a possible move.
@@ -195,6 +201,7 @@
 	for model, held := range p.holders {
 		p.addLoads(p.shares[model], held)
 	}
+	p.updateSums()
 	return p
 }
 
@@ -248,8 +255,9 @@
 // engines with a copy of the weights are considered.
 func (p *planner) bestMove(allowStore bool) (candidate, bool) {
 	var best candidate
+	sample := p.sampleEngines()
 	for _, m := range p.candidateModels() {
-		for i := range p.engines {
+		for _, i := range sample {
 			e := &p.engines[i]
 			fromStore := !slices.Contains(e.Instance.CachedModels, m.Name)
 			if e.Busy || e.Models.Holds(m.Name, "") || (fromStore && !allowStore) {
@@ -267,6 +275,26 @@
 	return best, best.model != nil
 }
 
+// sampleEngines returns the indices of the engines that are weighed for the next move: all
+// of a small fleet, and of a large one every n-th and those without models.
+func (p *planner) sampleEngines() []int {
+	step := 1 + len(p.engines)/(maxSampledEngines+1)
+	busy := 0
+	for i := range p.engines {
+		if p.engines[i].Busy {
+			busy++
+		}
+	}
+	sample := make([]int, 0, min(len(p.engines), maxSampledEngines))
+	for i := range p.engines {
+		e := &p.engines[i]
+		if !e.Busy && (i%step == busy%step || len(e.Models) == 0) { // Each move makes one more engine busy.
+			sample = append(sample, i)
+		}
+	}
+	return sample
+}
+
 // copiesOn returns the models whose weights an engine has in memory or on disk.
 func copiesOn(e *Engine) []string {
 	names := slices.Clone(e.Instance.CachedModels)
@@ -295,12 +323,13 @@
 	copiesPerEngine := int(p.spec.DiskMB / size)
 	enough := copiesPerEngine * len(p.engines) / max(1, len(p.spec.Models))
 	var best candidate
+	sample := p.sampleEngines()
 	for i := range p.spec.Models {
 		m := &p.spec.Models[i]
 		if p.copies[m.Name] >= enough || (best.model != nil && p.copies[m.Name] >= p.copies[best.model.Name]) {
 			continue
 		}
-		if found, ok := p.stageOnBest(m, copiesPerEngine); ok {
+		if found, ok := p.stageOnBest(m, sample, copiesPerEngine); ok {
 			best = found
 		}
 	}
@@ -308,12 +337,12 @@
 }
 
 // stageOnBest returns the staging load of a model on the engine where it costs least.
-func (p *planner) stageOnBest(m *kumquathitch.ModelSpec, copiesPerEngine int) (candidate, bool) {
+func (p *planner) stageOnBest(m *kumquathitch.ModelSpec, sample []int, copiesPerEngine int) (candidate, bool) {
 	var best candidate
-	for i := range p.engines {
+	for _, i := range sample {
 		e := &p.engines[i]
 		copies := copiesOn(e)
-		if e.Busy || slices.Contains(copies, m.Name) || len(copies) >= copiesPerEngine {
+		if slices.Contains(copies, m.Name) || len(copies) >= copiesPerEngine {
 			continue
 		}
 		for _, victims := range p.victimSets(m, e) {
@@ -380,36 +409,6 @@
 	return sets
 }
 
-// gain returns the decrease of the cost of the placement by a move.
-func (p *planner) gain(model string, engine int, victims []string) float64 {
-	change := map[int]float64{}
-	gain := 0.0
-	shift := func(name string, add int) {
-		held := p.holders[name]
-		share, before := p.shares[name], p.capacity(held)
-		after := before + float64(add)*p.capacities[engine]
-		gain += p.replicaCost(name, len(held)) - p.replicaCost(name, len(held)+add)
-		for _, i := range held {
-			change[i] -= share * p.capacities[i] / before
-			if add > 0 || i != engine {
-				change[i] += share * p.capacities[i] / after
-			}
-		}
-		if add > 0 {
-			change[engine] += share * p.capacities[engine] / after
-		}
-	}
-	shift(model, 1)
-	for _, victim := range victims {
-		shift(victim, -1)
-	}
-	for i, d := range change {
-		before, after := p.engineLoads[i], p.engineLoads[i]+d
-		gain += float64(len(p.engines)) * (before*before - after*after) / p.capacities[i]
-	}
-	return gain
-}
-
 // relief returns the cost of the calls that the replicas of a model are taken to refuse, if
 // the engine holds no models: engines that crash come back empty, and what they held is
 // missing most.
@@ -466,6 +465,7 @@
 		p.setHolders(victim, slices.DeleteFunc(slices.Clone(p.holders[victim]), func(i int) bool { return i == c.engine }))
 	}
 	p.setHolders(c.model.Name, append(slices.Clone(p.holders[c.model.Name]), c.engine))
+	p.updateSums()
 	e.Busy = true
 	return move
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -144,7 +144,7 @@
 		}
 	}()
 	runtime.Gosched()
-	spec, engines, demand := largePlan()
+	spec, engines, demand := largePlan(144)
 	before := turns.Load()
 	moves := placement.Plan(spec, engines, demand, 5)
 	during := turns.Load() - before
