--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"kumquathitch.example/kumquathitch"
 )
@@ -41,16 +42,24 @@
 	// singleReplicaCost is the cost of a model with one replica, per unit of its
 	// share of the demand, because the loss of one engine makes it unavailable.
 	singleReplicaCost = 0.4
-	// storeLoadCost is the cost of a load from the weight store, and copyLoadCost
-	// that of a load from an engine's own copy; a move must gain more than its load
-	// costs. The unit is the cost of one engine with an even share of the demand.
-	// A load takes seconds, and an unload drops the engine's prefix cache.
-	storeLoadCost = 0.72
-	copyLoadCost  = 0.36
+	// A load costs moveCost, since an unload drops the engine's prefix cache, and
+	// loadCostPerSecond for the time that it takes; a move must gain more than that. The
+	// unit is the cost of one engine with an even share of the demand.
+	moveCost          = 0.24
+	loadCostPerSecond = 0.08
+	// copyLoadTime is the time of a load from an engine's own copy, and usualLoadTime that
+	// of a load from the weight store for a model whose load time is not configured.
+	copyLoadTime  = 1500 * time.Millisecond
+	usualLoadTime = 6 * time.Second
 	// One plan makes at most movesPerPlan moves, or one for each enginesPerMove
-	// engines if that is more.
-	movesPerPlan   = 3
-	enginesPerMove = 12
+	// engines if that is more, but no more than maxMovesPerPlan. Plans are made several
+	// times a second.
+	movesPerPlan    = 3
+	enginesPerMove  = 12
+	maxMovesPerPlan = 24
+	// maxSampledEngines is the number of engines above which only some are weighed for each
+	// move, others each time: with 2,600 engines a plan took 0.27 s.
+	maxSampledEngines = 512
 	// Staging loads a model only to leave a copy of its weights on an engine's disk.
 	// It happens while less than stagingBusyFraction of the engines are busy, and
 	// may raise the cost of the placement by at most maxStagingLoss, in the cost of
@@ -70,6 +79,7 @@
 	Models           kumquathitch.ResidentModels // Resident, loading, or to be loaded by an open order.
 	Loading          string                      // The model that is being loaded, or is about to be; empty for none.
 	UsedMB           float64                     // Memory of all Models.
+	Slowness         float64                     // How long work takes, as a multiple of the usual time; 0 if unknown.
 	Busy             bool                        // No model order can be sent now.
 	UsedAdapterSlots int                         // Slots of the adapters in Models, and of those added by a plan.
 	AdaptersInFlight int                         // Adapter orders in flight.
@@ -107,13 +117,13 @@
 //
 // The cost of a placement is the sum of the squares of the engines' shares of the
 // demand, scaled so that an even distribution costs 1, plus penalties for models
-// with too few replicas. Each model's demand is assumed to be spread evenly over
-// its replicas. A move is made when it lowers the cost by more than its load costs. An engine
+// with too few replicas. Each model's demand is assumed to be spread over its replicas, and
+// the whole demand over all engines, in proportion to their speed. A move is made when it lowers the cost by more than its load costs. An engine
 // without models first gets one whose replicas are overloaded.
 func Plan(spec *kumquathitch.EngineSpec, engines Engines, demand Demand, loads int) []Move {
 	p := newPlanner(spec, engines, demand)
 	var moves []Move
-	for range max(movesPerPlan, len(engines)/enginesPerMove) {
+	for range min(maxMovesPerPlan, max(movesPerPlan, len(engines)/enginesPerMove)) {
 		best, ok := p.bestMove(loads > 0)
 		if !ok {
 			break
@@ -139,8 +149,10 @@
 	holders     map[string][]int   // Indices of the engines that hold a model.
 	copies      map[string]int     // Number of engines with a copy of the weights, by model.
 	engineLoads []float64          // Share of the demand, by engine.
+	capacities  []float64          // Work that an engine does in some time, by engine; the mean is 1.
 	reserveMB   float64            // Memory for adapters on each engine.
 	sizesMB     map[string]float64 // Memory, by model.
+	sums        loadSums           // Of the present holders and loads.
 }
 
 // candidate is a possible move.
@@ -156,7 +168,7 @@
 	p := &planner{
 		spec: spec, engines: slices.Clone(engines), shares: map[string]float64{}, minReplicas: map[string]int{},
 		holders: map[string][]int{}, copies: map[string]int{}, engineLoads: make([]float64, len(engines)), reserveMB: adapterReserveMB(spec),
-		sizesMB: make(map[string]float64, len(spec.Models)),
+		sizesMB: make(map[string]float64, len(spec.Models)), capacities: capacitiesOf(engines),
 	}
 	total := 0.0
 	for _, m := range spec.Models {
@@ -187,13 +199,47 @@
 		}
 	}
 	for model, held := range p.holders {
-		for _, i := range held {
-			p.engineLoads[i] += p.shares[model] / float64(len(held))
-		}
+		p.addLoads(p.shares[model], held)
 	}
+	p.updateSums()
 	return p
 }
 
+// capacitiesOf returns the speeds of engines, relative to their mean. The speed of an engine
+// that has not stated its slowness is the usual one.
+func capacitiesOf(engines Engines) []float64 {
+	capacities := make([]float64, len(engines))
+	total := 0.0
+	for i := range engines {
+		capacities[i] = 1
+		if factor := engines[i].Slowness; factor > 0 {
+			capacities[i] = 1 / factor
+		}
+		total += capacities[i]
+	}
+	for i := range capacities {
+		capacities[i] *= float64(len(engines)) / total
+	}
+	return capacities
+}
+
+// capacity returns the capacity of several engines together.
+func (p *planner) capacity(engines []int) float64 {
+	total := 0.0
+	for _, i := range engines {
+		total += p.capacities[i]
+	}
+	return total
+}
+
+// addLoads adds a share of the demand to the engines that hold its model.
+func (p *planner) addLoads(share float64, held []int) {
+	total := p.capacity(held)
+	for _, i := range held {
+		p.engineLoads[i] += share * p.capacities[i] / total
+	}
+}
+
 // adapterReserveMB returns the memory that is reserved for adapters on each engine, in MB.
 func adapterReserveMB(spec *kumquathitch.EngineSpec) float64 {
 	largest := 0.0
@@ -209,18 +255,15 @@
 // engines with a copy of the weights are considered.
 func (p *planner) bestMove(allowStore bool) (candidate, bool) {
 	var best candidate
+	sample := p.sampleEngines()
 	for _, m := range p.candidateModels() {
-		for i := range p.engines {
+		for _, i := range sample {
 			e := &p.engines[i]
 			fromStore := !slices.Contains(e.Instance.CachedModels, m.Name)
 			if e.Busy || e.Models.Holds(m.Name, "") || (fromStore && !allowStore) {
 				continue
 			}
-			cost := p.engineCost(copyLoadCost)
-			if fromStore {
-				cost = p.engineCost(storeLoadCost)
-			}
-			cost -= p.relief(m.Name, e)
+			cost := p.loadCost(m, fromStore) - p.relief(m.Name, e)
 			for _, victims := range p.victimSets(m, e) {
 				gain := p.gain(m.Name, i, victims) - cost
 				if gain > best.gain {
@@ -232,6 +275,26 @@
 	return best, best.model != nil
 }
 
+// sampleEngines returns the indices of the engines that are weighed for the next move: all
+// of a small fleet, and of a large one every n-th and those without models.
+func (p *planner) sampleEngines() []int {
+	step := 1 + len(p.engines)/(maxSampledEngines+1)
+	busy := 0
+	for i := range p.engines {
+		if p.engines[i].Busy {
+			busy++
+		}
+	}
+	sample := make([]int, 0, min(len(p.engines), maxSampledEngines))
+	for i := range p.engines {
+		e := &p.engines[i]
+		if !e.Busy && (i%step == busy%step || len(e.Models) == 0) { // Each move makes one more engine busy.
+			sample = append(sample, i)
+		}
+	}
+	return sample
+}
+
 // copiesOn returns the models whose weights an engine has in memory or on disk.
 func copiesOn(e *Engine) []string {
 	names := slices.Clone(e.Instance.CachedModels)
@@ -260,12 +323,13 @@
 	copiesPerEngine := int(p.spec.DiskMB / size)
 	enough := copiesPerEngine * len(p.engines) / max(1, len(p.spec.Models))
 	var best candidate
+	sample := p.sampleEngines()
 	for i := range p.spec.Models {
 		m := &p.spec.Models[i]
 		if p.copies[m.Name] >= enough || (best.model != nil && p.copies[m.Name] >= p.copies[best.model.Name]) {
 			continue
 		}
-		if found, ok := p.stageOnBest(m, copiesPerEngine); ok {
+		if found, ok := p.stageOnBest(m, sample, copiesPerEngine); ok {
 			best = found
 		}
 	}
@@ -273,12 +337,12 @@
 }
 
 // stageOnBest returns the staging load of a model on the engine where it costs least.
-func (p *planner) stageOnBest(m *kumquathitch.ModelSpec, copiesPerEngine int) (candidate, bool) {
+func (p *planner) stageOnBest(m *kumquathitch.ModelSpec, sample []int, copiesPerEngine int) (candidate, bool) {
 	var best candidate
-	for i := range p.engines {
+	for _, i := range sample {
 		e := &p.engines[i]
 		copies := copiesOn(e)
-		if e.Busy || slices.Contains(copies, m.Name) || len(copies) >= copiesPerEngine {
+		if slices.Contains(copies, m.Name) || len(copies) >= copiesPerEngine {
 			continue
 		}
 		for _, victims := range p.victimSets(m, e) {
@@ -298,7 +362,8 @@
 		held, share := len(p.holders[m.Name]), p.shares[m.Name]
 		gain := p.replicaCost(m.Name, held) - p.replicaCost(m.Name, held+1)
 		if held > 0 {
-			gain += float64(len(p.engines)) * share * share / float64(held*(held+1))
+			capacity := p.capacity(p.holders[m.Name])
+			gain += float64(len(p.engines)) * share * share / (capacity * (capacity + 1))
 		}
 		return gain
 	}
@@ -344,36 +409,6 @@
 	return sets
 }
 
-// gain returns the decrease of the cost of the placement by a move.
-func (p *planner) gain(model string, engine int, victims []string) float64 {
-	change := map[int]float64{}
-	gain := 0.0
-	shift := func(name string, add int) {
-		held := p.holders[name]
-		share, before := p.shares[name], float64(len(held))
-		after := before + float64(add)
-		gain += p.replicaCost(name, len(held)) - p.replicaCost(name, len(held)+add)
-		for _, i := range held {
-			change[i] -= share / before
-			if after > 0 && (add > 0 || i != engine) {
-				change[i] += share / after
-			}
-		}
-		if add > 0 {
-			change[engine] += share / after
-		}
-	}
-	shift(model, 1)
-	for _, victim := range victims {
-		shift(victim, -1)
-	}
-	for i, d := range change {
-		before, after := p.engineLoads[i], p.engineLoads[i]+d
-		gain += float64(len(p.engines)) * (before*before - after*after)
-	}
-	return gain
-}
-
 // relief returns the cost of the calls that the replicas of a model are taken to refuse, if
 // the engine holds no models: engines that crash come back empty, and what they held is
 // missing most.
@@ -382,7 +417,19 @@
 	if len(e.Models) > 0 || held == 0 { // Without a replica, it is part of replicaCost.
 		return 0
 	}
-	return unservedDemandCost * max(0, p.shares[model]/float64(held)-p.engineCost(overloadFactor))
+	return unservedDemandCost * max(0, p.shares[model]/p.capacity(p.holders[model])-p.engineCost(overloadFactor))
+}
+
+// loadCost returns the cost of a load by the time that it takes.
+func (p *planner) loadCost(m *kumquathitch.ModelSpec, fromStore bool) float64 {
+	takes := m.LoadTime
+	if takes <= 0 {
+		takes = usualLoadTime
+	}
+	if !fromStore {
+		takes = min(takes, copyLoadTime)
+	}
+	return p.engineCost(moveCost + loadCostPerSecond*takes.Seconds())
 }
 
 // engineCost converts a cost from the unit of one engine with an even share of the
@@ -418,6 +465,7 @@
 		p.setHolders(victim, slices.DeleteFunc(slices.Clone(p.holders[victim]), func(i int) bool { return i == c.engine }))
 	}
 	p.setHolders(c.model.Name, append(slices.Clone(p.holders[c.model.Name]), c.engine))
+	p.updateSums()
 	e.Busy = true
 	return move
 }
@@ -425,12 +473,8 @@
 // setHolders replaces the holders of a model and updates the engines' loads.
 func (p *planner) setHolders(model string, holders []int) {
 	share := p.shares[model]
-	for _, i := range p.holders[model] {
-		p.engineLoads[i] -= share / float64(len(p.holders[model]))
-	}
-	for _, i := range holders {
-		p.engineLoads[i] += share / float64(len(holders))
-	}
+	p.addLoads(-share, p.holders[model])
+	p.addLoads(share, holders)
 	p.holders[model] = holders
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -143,7 +144,7 @@
 		}
 	}()
 	runtime.Gosched()
-	spec, engines, demand := largePlan()
+	spec, engines, demand := largePlan(144)
 	before := turns.Load()
 	moves := placement.Plan(spec, engines, demand, 5)
 	during := turns.Load() - before
@@ -152,3 +153,50 @@
 	must.SliceNotEmpty(t, moves)
 	must.Less(t, 20, during) // The runtime itself interrupts a long plan every 10 ms.
 }
+
+// TestReplicasFollowSpeed guards against models in demand on full engines beside engines that
+// are half empty: engines that are slow by a factor of 2.7 serve that much less.
+func TestReplicasFollowSpeed(t *testing.T) {
+	engines := placement.Engines{
+		engine("slow-1", "m0"), engine("slow-2", "m0"), engine("fast-1", "m1"), engine("fast-2", "m1"), engine("spare", "m2"),
+	}
+	demanded := demand(map[string]float64{"m0": 500, "m1": 500})
+	for i, slowness := range []float64{1.6, 1.6, 0.6, 0.6, 0} {
+		engines[i].Slowness = slowness
+		engines[i].UsedMB = 180
+	}
+	moves := placement.Plan(testSpec(3), engines, demanded, 1)
+	must.Len(t, 1, moves)
+	must.Eq(t, "m0", moves[0].Load.Model)
+	must.Eq(t, "spare", moves[0].Load.Instance.ID)
+}
+
+// TestFastEngineGetsBusyModel guards against a replica on an engine that hardly adds capacity.
+func TestFastEngineGetsBusyModel(t *testing.T) {
+	for fast := range 2 {
+		engines := placement.Engines{engine("a", "m1"), engine("b", "m1"), engine("c", "m0")}
+		for i, slowness := range []float64{1.6, 1.6, 1} {
+			engines[i].Slowness = slowness
+		}
+		engines[fast].Slowness = 0.6
+		moves := placement.Plan(testSpec(2), engines, demand(map[string]float64{"m0": 5000, "m1": 1}), 3)
+		must.SliceNotEmpty(t, moves)
+		must.Eq(t, "m0", moves[0].Load.Model)
+		must.Eq(t, engines[fast].Instance.ID, moves[0].Load.Instance.ID)
+	}
+}
+
+// TestMoveWeighsLoadTime guards against moves that are over after the demand has changed
+// again, and against sparing loads that take a second.
+func TestMoveWeighsLoadTime(t *testing.T) {
+	var engines placement.Engines
+	for i := range 10 {
+		models := []string{"m1", "m0"}
+		engines = append(engines, engine(strconv.Itoa(i), models[:1+(11-i)/10]...))
+	}
+	for loadTime, moves := range map[time.Duration]int{1400 * time.Millisecond: 1, 8600 * time.Millisecond: 0, 0: 0} {
+		spec := testSpec(2)
+		spec.Models[0].LoadTime = loadTime
+		must.Len(t, moves, placement.Plan(spec, engines, demand(map[string]float64{"m0": 173, "m1": 827}), 1), must.Sprint(loadTime))
+	}
+}
