Send no calls to data centres that are being evacuated

The new aggregate evacuation records the requests in the order of the store's revisions. The watcher passes changes on, also in the leader's feed; a VM without the store gets the list in the exchange. The fleet leaves the instances out of every choice, and the placement treats their engines as absent.

--- a/dispatch.go
+++ b/dispatch.go
@@ -21,6 +21,7 @@
 	Priority          int           // 0 is the most urgent.
 	NoRetry           bool          // The call runs at most once; it is not used to probe an instance that has failed.
 	Exclude           []string      // Instances that were already tried.
+	Homes             Homes         // Regions whose instances may get the call.
 }
 
 // InstanceChoice is the instance chosen for one send of a call.
@@ -151,6 +152,12 @@
 	// Saturated is set when the call would delay the streams of every instance and
 	// can still wait.
 	Saturated bool
+	// Evacuated is set when instances that could serve the call are in data centres that
+	// are being evacuated.
+	Evacuated bool
+	// OutsideHomes is set when the service has instances, and all of them are outside the
+	// regions that the call is bound to.
+	OutsideHomes bool
 	// PausedUntil is the earliest time at which an instance takes calls again, when all
 	// that could take the call have asked this VM for a pause. Otherwise it is zero.
 	PausedUntil time.Time
@@ -161,6 +168,12 @@
 		return "all instances of service " + e.Service + " that hold model " + e.Model + " adapter " + e.Adapter +
 			" want no calls from this VM, the first of them until " + e.PausedUntil.UTC().Format(time.RFC3339Nano)
 	}
+	if e.OutsideHomes {
+		return "service " + e.Service + " has no instance in the regions that the call is bound to"
+	}
+	if e.Evacuated {
+		return "instances of service " + e.Service + " for model " + e.Model + " adapter " + e.Adapter + " are in data centres that are being evacuated, and no other one can take the call"
+	}
 	return "no instance of service " + e.Service + " can take a call for model " + e.Model + " adapter " + e.Adapter
 }
 
--- a/environment.go
+++ b/environment.go
@@ -7,7 +7,8 @@
 type Environment struct {
 	Name       string // Name of this VM.
 	DataCentre string
-	Bootstrap  bool // Set when the whole system starts for the first time.
+	Regions    map[string]string // Region of each data centre.
+	Bootstrap  bool              // Set when the whole system starts for the first time.
 
 	CallerAddress  string   // Listener for the requests of callers.
 	ReadyAddress   string   // Listener for readiness checks.
@@ -20,6 +21,7 @@
 	LinkMbps      float64       // Bandwidth of the VM's network link.
 	ShutdownGrace time.Duration // From the shutdown signal until the process is killed.
 	DrainLag      time.Duration // Time after which a leaving instance must get no more calls.
+	EvacuationLag time.Duration // Time after which the instances of an evacuated data centre must get no more calls.
 
 	// HandoverDelay is how long a new leader waits, after the lease of the previous
 	// one has ended, before it gives orders to instances.
@@ -43,6 +45,9 @@
 	DeploymentKey() string
 	// InstancePrefix returns the prefix of the store keys of instances.
 	InstancePrefix() string
+	// EvacuatedDataCentre returns the data centre whose evacuation a store key asks for. It
+	// returns false for other keys.
+	EvacuatedDataCentre(key string) (dataCentre string, ok bool)
 	// DecodeDeployment decodes a configuration. Its error names the invalid field.
 	DecodeDeployment(document []byte) (*Deployment, error)
 	// DecodeInstance decodes the description of an instance. It returns an error
--- /dev/null
+++ b/evacuation/evacuation_test.go
@@ -0,0 +1,152 @@
+package evacuation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/evacuation"
+)
+
+var start = time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestClosesAfterLag guards against calls after the time that VMs have, and against a data
+// centre that is closed while its models are still being loaded elsewhere.
+func TestClosesAfterLag(t *testing.T) {
+	s := evacuation.NewSet()
+	must.NotNil(t, s.Begin("a", 10, at(3), at(0)))
+	must.True(t, s.Standing("a"))
+	must.False(t, s.Closed("a", at(2.9)))
+	must.True(t, s.Closed("a", at(3)))
+	must.False(t, s.Closed("b", at(3)))
+}
+
+// TestRepeatedRequestPostponesNothing guards against a data centre that stays open because
+// its evacuation is asked for again and again.
+func TestRepeatedRequestPostponesNothing(t *testing.T) {
+	s := evacuation.NewSet()
+	must.NotNil(t, s.Begin("a", 10, at(3), at(0)))
+	must.Nil(t, s.Begin("a", 11, at(5), at(2)))
+	must.True(t, s.Closed("a", at(3)))
+	must.Eq(t, 4*time.Second, s.List(at(4)).Evacuations[0].Age)
+	must.NotNil(t, s.End("a", 12, at(4)))
+	must.Nil(t, s.End("a", 13, at(5)))
+	must.False(t, s.Any())
+}
+
+// TestOverlappingEvacuations guards against the end of one evacuation that ends another.
+func TestOverlappingEvacuations(t *testing.T) {
+	s := evacuation.NewSet()
+	must.NotNil(t, s.Begin("a", 10, at(3), at(0)))
+	must.NotNil(t, s.Begin("b", 11, at(4), at(1)))
+	must.NotNil(t, s.End("a", 12, at(6)))
+	must.False(t, s.Closed("a", at(6)))
+	must.True(t, s.Closed("b", at(6)))
+	must.Eq(t, 1, s.Count())
+}
+
+// TestListOfOlderState guards against a VM that goes back to an older state, from a VM that
+// has not heard of a change yet.
+func TestListOfOlderState(t *testing.T) {
+	s := evacuation.NewSet()
+	s.Begin("a", 10, at(0), at(0))
+	s.Advance(12)
+	must.SliceEmpty(t, s.Replace(kumquathitch.EvacuationList{Revision: 9}, at(1)))
+	must.True(t, s.Closed("a", at(1)))
+	s.End("a", 13, at(2))
+	s.Advance(14)
+	old := kumquathitch.EvacuationList{Revision: 12, Evacuations: []kumquathitch.Evacuation{{DataCentre: "a", Revision: 10}, {DataCentre: "b", Revision: 11}}}
+	must.SliceEmpty(t, s.Replace(old, at(3)))
+	must.False(t, s.Any())
+}
+
+// TestListClosesAtOnce guards against a VM that learns late of an evacuation, from a scan or
+// another VM, and takes it for a new one.
+func TestListClosesAtOnce(t *testing.T) {
+	s := evacuation.NewSet()
+	list := kumquathitch.EvacuationList{Revision: 20, Evacuations: []kumquathitch.Evacuation{{DataCentre: "a", Revision: 10, Age: time.Minute}}}
+	must.Len(t, 1, s.Replace(list, at(0)))
+	must.True(t, s.Closed("a", at(0)))
+	must.Eq(t, time.Minute, s.List(at(0)).Evacuations[0].Age)
+	must.Nil(t, s.Begin("a", 10, at(9), at(1))) // The change itself, from a feed that starts earlier.
+	must.True(t, s.Closed("a", at(1)))
+	must.Len(t, 1, s.Replace(kumquathitch.EvacuationList{Revision: 21}, at(2)))
+	must.False(t, s.Any())
+}
+
+// TestEntryOlderThanEnd guards against taking an entry from before the end of an evacuation
+// for one that tells what the evacuation has left of an instance's caches.
+func TestEntryOlderThanEnd(t *testing.T) {
+	s := evacuation.NewSet()
+	must.False(t, s.JustReopened("a", 5))
+	s.Begin("a", 10, at(0), at(0))
+	must.False(t, s.JustReopened("a", 11))
+	s.End("a", 12, at(5))
+	must.True(t, s.JustReopened("a", 11))
+	must.False(t, s.JustReopened("a", 13))
+	ended, ok := s.EndedAt("a")
+	must.True(t, ok)
+	must.Eq(t, at(5), ended)
+}
+
+// TestOrderOfArrival guards against a state that depends on the order in which changes and
+// lists arrive. The model is the history of the store; of the two sources, one may be behind.
+func TestOrderOfArrival(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b"}
+		history := []map[string]uint64{{}} // Evacuations that stand, by revision of the store.
+		for revision := uint64(1); revision < 12; revision++ {
+			next := map[string]uint64{}
+			for name, since := range history[revision-1] {
+				next[name] = since
+			}
+			if name := rapid.SampledFrom(names).Draw(t, "name"); rapid.Bool().Draw(t, "evacuate") {
+				next[name] = revision
+			} else {
+				delete(next, name)
+			}
+			history = append(history, next)
+		}
+		s := evacuation.NewSet()
+		known, followed := 0, 0
+		for known < len(history)-1 {
+			if rapid.Bool().Draw(t, "list") {
+				revision := rapid.IntRange(1, len(history)-1).Draw(t, "revision")
+				list := kumquathitch.EvacuationList{Revision: uint64(revision)} //nolint:gosec // Small and positive.
+				for name, since := range history[revision] {
+					list.Evacuations = append(list.Evacuations, kumquathitch.Evacuation{DataCentre: name, Revision: since})
+				}
+				s.Replace(list, start)
+				known = max(known, revision)
+			} else if followed < len(history)-1 {
+				followed++
+				revision := uint64(followed) //nolint:gosec // Small and positive.
+				for _, name := range names {
+					_, before := history[followed-1][name]
+					since, after := history[followed][name]
+					switch {
+					case after && since == revision:
+						s.Begin(name, revision, start, start)
+					case before && !after:
+						s.End(name, revision, start)
+					}
+				}
+				s.Advance(revision)
+				known = max(known, followed)
+			}
+			for _, name := range names {
+				_, standing := history[known][name]
+				if s.Standing(name) != standing {
+					t.Fatalf("at revision %d, %s: standing %v", known, name, s.Standing(name))
+				}
+			}
+		}
+	})
+}
--- a/exchange.go
+++ b/exchange.go
@@ -39,6 +39,7 @@
 	Deployment        []byte              `json:"deployment,omitempty"` // Document as in the store, compressed.
 	Instances         []KeyItem           `json:"instances,omitempty"`  // Descriptions as in the store, for a VM that cannot reach it.
 	StoreRevision     uint64              `json:"revision"`             // Store revision known to the responding VM.
+	Evacuations       EvacuationList      `json:"evacuations,omitzero"` // Known to the responding VM, unless the changes include them.
 }
 
 // SuspectReport is what VMs observed of prompt parts and contents of calls that may crash
@@ -76,6 +77,7 @@
 	Service string `json:"service"`
 	Model   string `json:"model"`
 	Adapter string `json:"adapter"`
+	Homes   Homes  `json:"homes,omitzero"`
 }
 
 // AdapterResponse is the response to an AdapterRequest.
@@ -103,6 +105,7 @@
 	Exclude           []string        `json:"avoid,omitempty"`     // Engines that were already tried, or that failed for the VM.
 	InFlight          map[string]int  `json:"loads,omitempty"`     // All calls of the VM in flight, by instance.
 	Limits            []InstanceLimit `json:"limits,omitempty"`    // Changes since the last request to this scheduler.
+	Homes             Homes           `json:"homes,omitzero"`
 }
 
 // ScheduleResponse is the response to a ScheduleRequest.
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -40,7 +40,7 @@
 // Choose returns the instance with the least cost, which is mainly the expected
 // time to the response. It returns a *NoInstanceError if no instance can take the call.
 func (f *Fleet) Choose(criteria kumquathitch.InstanceCriteria, now time.Time) (kumquathitch.InstanceChoice, error) {
-	candidates := f.instancesIn(group{service: criteria.Service, model: criteria.Model})
+	candidates := f.restrictions.allowed(f.instancesIn(group{service: criteria.Service, model: criteria.Model}), criteria.Homes, now)
 	chain := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt)
 	prefillBudgetMS := f.prefillBudget(criteria, len(candidates))
 	best := candidate{costMS: math.Inf(1)}
@@ -102,7 +102,7 @@
 	}
 	chain := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt)
 	found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), now)
-	if !usable || found.lastResort || f.isUnreachable(found.dataCentre) {
+	if !usable || found.lastResort || f.isUnreachable(found.dataCentre) || !f.restrictions.allow(found.dataCentre, criteria.Homes, now) {
 		return kumquathitch.InstanceChoice{}, false
 	}
 	inst.startSend(chain, assignment.PrefillTokens, found.probe)
@@ -128,7 +128,7 @@
 // HasAlternative reports whether an instance other than the chosen one could take the call now.
 func (f *Fleet) HasAlternative(criteria kumquathitch.InstanceCriteria, choice kumquathitch.InstanceChoice, now time.Time) bool {
 	chain := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt)
-	for _, inst := range f.instancesIn(group{service: criteria.Service, model: criteria.Model}) {
+	for _, inst := range f.restrictions.allowed(f.instancesIn(group{service: criteria.Service, model: criteria.Model}), criteria.Homes, now) {
 		if inst.id == choice.Instance.ID {
 			continue
 		}
@@ -161,7 +161,7 @@
 // Accepts reports whether the chosen instance still takes calls from this VM.
 func (f *Fleet) Accepts(choice kumquathitch.InstanceChoice, now time.Time) bool {
 	inst := f.instanceState(choice.Instance.ID)
-	return inst != nil && inst.accepts(choice, now)
+	return inst != nil && inst.accepts(choice, now) && !f.restrictions.closed(choice.Instance.DataCentre, now)
 }
 
 // ResponseStarted records the head of a response, and returns what is news in it.
@@ -206,10 +206,17 @@
 			holders++
 		}
 	}
+	all := f.instancesIn(group{service: criteria.Service})
+	evacuated, outsideHomes := f.restrictions.exclusion(all, criteria.Homes, now)
+	if evacuated && criteria.Model != "" {
+		holding, _ := f.restrictions.exclusion(f.instancesIn(group{service: criteria.Service, model: criteria.Model}), criteria.Homes, now)
+		evacuated = holding || len(f.restrictions.allowed(all, criteria.Homes, now)) == 0
+	}
 	return &kumquathitch.NoInstanceError{
+		Evacuated: evacuated, OutsideHomes: outsideHomes,
 		Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
 		AdapterNotResident: criteria.Adapter != "" && holders > 0 && len(criteria.Exclude) == 0,
-		ModelNotResident:   criteria.Model != "" && holders == 0 && len(f.instancesIn(group{service: criteria.Service})) > 0,
+		ModelNotResident:   criteria.Model != "" && holders == 0 && len(f.restrictions.allowed(all, criteria.Homes, now)) > 0,
 		PausedUntil:        pausedUntil,
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,15 +38,16 @@
 
 // Fleet is the set of instances known to a VM. It is safe for concurrent use.
 type Fleet struct {
-	vm          string
-	dataCentre  string
-	memberCount atomic.Int64 // Number of VMs that send calls to the same instances.
-	unsettled   atomic.Bool  // VMs may be missing from memberCount.
-	unreachable unreachableSet
-	capacity    capacityNotifier
-	shards      [shardCount]instanceShard // By ID.
-	groups      [shardCount]groupShard
-	services    [shardCount]serviceShard
+	vm           string
+	dataCentre   string
+	memberCount  atomic.Int64 // Number of VMs that send calls to the same instances.
+	unsettled    atomic.Bool  // VMs may be missing from memberCount.
+	unreachable  unreachableSet
+	restrictions restrictions // Set before the first choice.
+	capacity     capacityNotifier
+	shards       [shardCount]instanceShard // By ID.
+	groups       [shardCount]groupShard
+	services     [shardCount]serviceShard
 }
 
 type instanceShard struct {
@@ -265,10 +266,10 @@
 	return all
 }
 
-// Holders returns the descriptions of the instances of a service that list a model, in
-// no particular order.
-func (f *Fleet) Holders(service, model string) kumquathitch.Instances {
-	listed := f.instancesIn(group{service: service, model: model})
+// Holders returns the descriptions of the instances of a service that list a model and may
+// get calls with these homes, in no particular order.
+func (f *Fleet) Holders(service, model string, homes kumquathitch.Homes, now time.Time) kumquathitch.Instances {
+	listed := f.restrictions.allowed(f.instancesIn(group{service: service, model: model}), homes, now)
 	holders := make(kumquathitch.Instances, 0, len(listed))
 	for _, inst := range listed {
 		holders = append(holders, inst.snapshot())
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -245,7 +245,7 @@
 
 func (gs *GlobalScheduler) evaluate(inst *instanceState, request *kumquathitch.ScheduleRequest, chain promptChain, runTimeMS float64, now time.Time) (engineOption, bool) {
 	snapshot, ok := inst.engineSnapshot(request.Model, request.Adapter, now)
-	if !ok {
+	if !ok || !gs.fleet.restrictions.allow(snapshot.dataCentre, request.Homes, now) {
 		return engineOption{}, false
 	}
 	s := gs.shard(inst.id)
--- a/placement/adapter_requests.go
+++ b/placement/adapter_requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -58,7 +59,7 @@
 // joinAdapterCall returns the open or recent call to place an adapter, or a new one and
 // true.
 func (c *Controller) joinAdapterCall(request kumquathitch.AdapterRequest) (*adapterCall, bool) {
-	key := request.Service + "/" + request.Model + "/" + request.Adapter
+	key := strings.Join(append([]string{request.Service, request.Model, request.Adapter}, request.Homes.Regions...), "/")
 	s := &c.shards[kumquathitch.ShardOf(key, shardCount)]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -49,6 +49,7 @@
 	listedFence  atomic.Uint64 // Fencing token of the last term in which all instances were listed.
 	shards       [shardCount]stateShard
 	limiter      loadLimiter
+	evacuations  kumquathitch.Evacuations // Nil without evacuations.
 }
 
 type stateShard struct {
@@ -72,6 +73,17 @@
 	return c
 }
 
+// UseEvacuations sets the source of evacuations. It must be called before the first plan.
+func (c *Controller) UseEvacuations(evacuations kumquathitch.Evacuations) {
+	c.evacuations = evacuations
+}
+
+// takesOrders reports whether an instance takes part in the placement. The models of one
+// that leaves, or whose data centre is being evacuated, are to be placed elsewhere.
+func (c *Controller) takesOrders(instance *kumquathitch.Instance) bool {
+	return !instance.Leaving && (c.evacuations == nil || !c.evacuations.Standing(instance.DataCentre))
+}
+
 // Reconcile plans for the engines of all services and sends the orders. The keys
 // of demand, in tokens per second, are "service/model" for calls without an
 // adapter and "service/model/adapter" for calls with one.
@@ -158,7 +170,7 @@
 	var next []Action
 	now := c.clock.Now()
 	for _, instance := range instances {
-		if instance.Service != s.Name || instance.Leaving {
+		if instance.Service != s.Name || !c.takesOrders(&instance) {
 			continue
 		}
 		c.withState(instance.ID, func(st *instanceState) {
@@ -175,7 +187,7 @@
 	now := c.clock.Now()
 	var due kumquathitch.Instances
 	for _, instance := range instances {
-		if instance.Service == s.Name && !instance.Leaving {
+		if instance.Service == s.Name && c.takesOrders(&instance) {
 			c.withState(instance.ID, func(st *instanceState) {
 				if st.needsReport(now) {
 					due = append(due, instance)
@@ -208,7 +220,7 @@
 func (c *Controller) reservedLoads(s *kumquathitch.Service, instances kumquathitch.Instances) int {
 	loads := 0
 	for _, instance := range instances {
-		if instance.Service != s.Name {
+		if instance.Service != s.Name || !c.takesOrders(&instance) {
 			continue
 		}
 		c.withState(instance.ID, func(st *instanceState) {
@@ -259,7 +271,7 @@
 	var again []Action
 	now := c.clock.Now()
 	for _, instance := range instances {
-		if instance.Service != s.Name || instance.Leaving {
+		if instance.Service != s.Name || !c.takesOrders(&instance) {
 			continue
 		}
 		c.withState(instance.ID, func(st *instanceState) {
@@ -307,7 +319,7 @@
 func (c *Controller) engines(s *kumquathitch.Service, instances kumquathitch.Instances, now time.Time) Engines {
 	var engines Engines
 	for _, instance := range instances {
-		if instance.Service == s.Name && !instance.Leaving {
+		if instance.Service == s.Name && c.takesOrders(&instance) {
 			c.withState(instance.ID, func(st *instanceState) { engines = append(engines, st.engine(s.Engine, now)) })
 		}
 	}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -21,8 +21,8 @@
 	// minEngineRetryAfter is the shortest Retry-After while no engine with the model
 	// accepts calls. Another replica loads in seconds.
 	minEngineRetryAfter = 2 * time.Second
-	// modelRetryAfter is the Retry-After for a model that is not resident anywhere.
-	// A model loads in seconds.
+	// modelRetryAfter is the Retry-After for a model that is not resident where the call
+	// may go. A model loads in seconds, and no evacuation is known to end earlier.
 	modelRetryAfter = 4 * time.Second
 )
 
@@ -54,14 +54,11 @@
 		refusal.RetryAfter = none.PausedUntil
 		return refusal
 	}
-	code := "no-instance"
-	if errors.As(err, &none) && (none.ModelNotResident || none.AdapterNotResident) {
-		code = "model-not-resident"
-	}
+	code := noInstanceCode(none)
 	refusal := kumquathitch.NewRefusal(http.StatusServiceUnavailable, code, err.Error())
 	refusal.RetryAfter = rc.Clock.Now().Add(busyRetryAfter)
 	switch {
-	case code == "model-not-resident":
+	case code != "no-instance":
 		refusal.RetryAfter = rc.Clock.Now().Add(modelRetryAfter)
 	case rc.criteria.Model != "":
 		refusal.RetryAfter = rc.Clock.Now().Add(minEngineRetryAfter)
@@ -69,6 +66,22 @@
 	return refusal
 }
 
+// noInstanceCode returns the code of a refusal because no instance can take the call. The
+// error is nil if the reason is not known.
+func noInstanceCode(none *kumquathitch.NoInstanceError) string {
+	switch {
+	case none == nil:
+		return "no-instance"
+	case none.OutsideHomes:
+		return "no-instance-in-homes"
+	case none.Evacuated:
+		return "evacuated"
+	case none.ModelNotResident, none.AdapterNotResident:
+		return "model-not-resident"
+	}
+	return "no-instance"
+}
+
 // blockedRefusal returns the refusal of a call that is blocked by its content or a part of
 // its prompt.
 func blockedRefusal(blocked *kumquathitch.CallBlockedError) *kumquathitch.RefusalError {
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -207,6 +207,7 @@
 		}
 		v.applyDeployment(document, "peer")
 	}
+	v.replaceEvacuations(response.Evacuations, "peer") // Before instances that it may concern.
 	if len(response.Instances) > 0 {
 		v.watcher.adoptInstances(response.Instances, response.StoreRevision)
 	}
@@ -249,6 +250,9 @@
 	if version > request.DeploymentVersion && !response.SegmentsComplete { // Otherwise the changes include it.
 		response.Deployment = v.compressed.forVersion(document, version)
 	}
+	if !response.SegmentsComplete { // Also while the store answers neither VM: the later state applies.
+		response.Evacuations = v.evacuations.List(now)
+	}
 	if request.StoreUnavailable && !response.SegmentsComplete && !v.watcher.storeDown(now) {
 		response.Instances, response.StoreRevision = v.watcher.instanceItems(), v.watcher.currentRevision()
 	}
@@ -316,7 +320,9 @@
 	if service == nil || service.Engine == nil {
 		return kumquathitch.AdapterResponse{}, nil
 	}
-	holders := func() kumquathitch.Instances { return v.fleet.Holders(request.Service, request.Model) }
+	holders := func() kumquathitch.Instances {
+		return v.fleet.Holders(request.Service, request.Model, request.Homes, time.Now())
+	}
 	return kumquathitch.AdapterResponse{Instances: v.placer.PlaceAdapter(ctx, service, request, holders)}, nil
 }
 
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -47,6 +47,7 @@
 		From: v.environment.Name, DataCentre: v.environment.DataCentre, Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
 		Prompt: criteria.Prompt, Content: criteria.Content, Tokens: criteria.Tokens, Priority: criteria.Priority, LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit,
 		MaxHold: max(0, criteria.HoldUntil.Sub(now)), FirstByteLimit: firstByteLimit(criteria, now), FullEngineRunTime: v.fleet.FullEngineRunTime(criteria.Service), Exclude: v.fleet.AvoidedInstances(criteria, now), InFlight: v.fleet.LocalLoads(),
+		Homes: criteria.Homes,
 	}
 	authority := address
 	if self {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -35,6 +35,7 @@
 	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/deployment"
 	"kumquathitch.example/kumquathitch/election"
+	"kumquathitch.example/kumquathitch/evacuation"
 	"kumquathitch.example/kumquathitch/fleet"
 	"kumquathitch.example/kumquathitch/model"
 	"kumquathitch.example/kumquathitch/peer"
@@ -83,6 +84,7 @@
 	tracing     *telemetry.Tracing
 
 	deployments     *deployment.Current
+	evacuations     *evacuation.Set
 	fleet           *fleet.Fleet
 	globalScheduler *fleet.GlobalScheduler
 	roster          *quota.Roster
@@ -119,6 +121,7 @@
 	v := &VM{
 		environment: environment, log: log, set: set, tracing: tracing,
 		deployments: deployment.NewCurrent(),
+		evacuations: evacuation.NewSet(),
 		fleet:       fleet.NewFleet(environment.Name, environment.DataCentre),
 		roster:      quota.NewRoster(),
 		rateLimiter: quota.NewLocalBuckets(clock.Monotonic{}, environment.Bootstrap),
@@ -132,6 +135,7 @@
 	}
 	v.promptGuard = retry.NewPromptGuard(environment.Name, v.crashGuard)
 	v.crashDetector = retry.NewCrashDetector(v.crashGuard, v.promptGuard)
+	v.fleet.Restrict(v.evacuations, environment.Regions)
 	v.globalScheduler = fleet.NewGlobalScheduler(v.fleet)
 	v.updateMemberCount(time.Now())
 	v.self = kumquathitch.Member{Name: environment.Name, Address: environment.PeerAddress, DataCentre: environment.DataCentre, Started: time.Now().Round(0), Capacity: leaderCapacity(environment)}
@@ -141,6 +145,8 @@
 	}
 	v.candidate = election.NewCandidate(environment.Store, clock.NewBoot(), v.self, timing, log)
 	v.placer = placement.NewController(environment.Control, environment.Name, v.orderFence, clock.Monotonic{}, log, v.set, v.panics)
+	v.placer.UseEvacuations(v.evacuations)
+	v.set.NewGauge("kumquathitch_evacuated_data_centres", func() float64 { return float64(v.evacuations.Count()) })
 	v.watcher = newStoreWatcher(v)
 	var callContext context.Context
 	callContext, v.cancelCalls = context.WithCancel(context.Background())
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -57,6 +57,7 @@
 	vms     []*testVM
 	stores  map[string]*refusingStore // By name of the VM.
 	codec   kumquathitch.PlatformCodec
+	seeds   []string // Of the VMs that are started from now on.
 }
 
 type testVM struct {
@@ -64,6 +65,7 @@
 	callers string // Address for callers.
 	ready   string // Address of the readiness check.
 	peers   string // Address for other VMs.
+	set     *metrics.Set
 	stop    context.CancelFunc
 	end     chan error
 }
@@ -94,7 +96,7 @@
 	environment := kumquathitch.Environment{
 		Name: name, DataCentre: "zone-a", Bootstrap: true, CallerAddress: v.callers, ReadyAddress: v.ready, PeerAddress: v.peers,
 		ShutdownGrace: 2 * time.Second, DrainLag: 300 * time.Millisecond, HandoverDelay: 300 * time.Millisecond, ChecksFencing: true,
-		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Seeds: p.seeds,
 		Store: p.stores[name], Control: platform.NewEngineControl(time.Second),
 		Dialect: platform.Dialect{}, Codec: p.codec,
 	}
@@ -102,8 +104,8 @@
 	must.NoError(p.t, err)
 	ctx, stop := context.WithCancel(context.WithoutCancel(p.t.Context()))
 	v.stop = stop
-	set := metrics.NewSet()
-	go func() { v.end <- vm.New(environment, zap.NewNop(), set, tracing).Run(ctx) }()
+	v.set = metrics.NewSet()
+	go func() { v.end <- vm.New(environment, zap.NewNop(), v.set, tracing).Run(ctx) }()
 	p.t.Cleanup(func() {
 		stop()
 		select {
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -121,8 +121,9 @@
 	if err != nil {
 		return err
 	}
+	lastKnown := w.lastResponseTime()
 	w.recordResponse(time.Now())
-	w.applyChanges(changes.Changes, changes.Revision)
+	w.applyChanges(changes.Changes, changes.Revision, lastKnown)
 	if len(changes.Changes) > 0 {
 		pause := w.vm.environment.DrainLag / drainLagParts
 		if leading || w.vm.candidate.IsFavourite() { // A favourite without the leader's feed may soon have to lead.
@@ -134,8 +135,8 @@
 }
 
 // applyChanges applies changes in order and skips those that were applied before,
-// from the store or from the leader.
-func (w *storeWatcher) applyChanges(changes []kumquathitch.KeyChange, revision uint64) {
+// from the store or from the leader. They came after the response at lastKnown.
+func (w *storeWatcher) applyChanges(changes []kumquathitch.KeyChange, revision uint64, lastKnown time.Time) {
 	w.applyMutex.Lock()
 	defer w.applyMutex.Unlock()
 	known := w.currentRevision()
@@ -146,13 +147,20 @@
 		}
 		fresh = append(fresh, change)
 		w.vm.guarded("vm.change", func() { // One entry that cannot be handled must not hold up the others.
-			if change.Removed {
+			evacuated, concerns := w.vm.environment.Codec.EvacuatedDataCentre(change.Key)
+			switch {
+			case concerns && change.Removed:
+				w.removeEvacuation(evacuated, change.Revision)
+			case concerns:
+				w.putEvacuation(evacuated, change.Revision, lastKnown)
+			case change.Removed:
 				w.remove(change.Key)
-			} else {
+			default:
 				w.putItem(change.KeyItem)
 			}
 		})
 	}
+	w.vm.evacuations.Advance(revision)
 	w.vm.feed.add(fresh)
 	w.setRevision(revision)
 }
@@ -162,7 +170,7 @@
 	if w.currentRevision() == 0 {
 		return // The VM scans the store first.
 	}
-	w.applyChanges(changes, revision)
+	w.applyChanges(changes, revision, w.lastResponseTime())
 	now := time.Now()
 	w.recordResponse(now)
 	w.mutex.Lock()
@@ -193,6 +201,7 @@
 	w.applyMutex.Lock()
 	defer w.applyMutex.Unlock()
 	w.vm.feed.reset(all.Revision)
+	w.vm.replaceEvacuations(w.listEvacuations(all), "scan") // Before instances that it may concern.
 	listed := make(map[string]bool, len(all.Items))
 	for _, item := range all.Items {
 		listed[item.Key] = true
@@ -349,6 +358,13 @@
 	w.lastResponse, w.scanned, w.failing = now, true, false
 }
 
+// lastResponseTime returns when the store or the leader's feed last answered.
+func (w *storeWatcher) lastResponseTime() time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.lastResponse
+}
+
 func (w *storeWatcher) setFailing() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
