Bind calls to the regions of their route and account

The fleet now leaves instances of other regions out of every choice, the scheduler and adapters on demand included; where both are bound, both bind. Deployments without the field see no difference.

--- a/deployment.go
+++ b/deployment.go
@@ -30,6 +30,7 @@
 	LatencyObjective time.Duration // Time to the response, or to the first event of a stream, that meets the objective.
 	GapLimit         time.Duration // Longest pause between events that meets the objective; 0 when not stated.
 	Priority         int           // 0 is the highest.
+	Homes            Homes         // Regions whose instances may get the calls.
 }
 
 // DeploymentRoutes is a list of routes of a deployment.
@@ -86,6 +87,7 @@
 	Burst         float64 // Tokens.
 	DefaultTokens int64   // Cost of a call without token counts.
 	RateLimited   bool    // Rate and Burst apply.
+	Homes         Homes   // Regions whose instances may get the calls.
 }
 
 // Tenants is a list of client accounts of a deployment.
--- a/relay/call.go
+++ b/relay/call.go
@@ -178,6 +178,7 @@
 		NoRetry:           rc.route.RetryMode == kumquathitch.RetryNever,
 		HoldUntil:         rc.received.Add(time.Duration(holdFraction * float64(objective))),
 		FirstByteDeadline: rc.received.Add(objective),
+		Homes:             rc.homes(),
 	}
 	if service := services.Find(rc.criteria.Service); service != nil && service.Engine != nil {
 		rc.modelListed = service.Engine.Models.Find(rc.call.Model) != nil
@@ -195,6 +196,14 @@
 	rc.stream.lastEventID = rc.call.LastEventID
 }
 
+// homes returns the regions that both the route and the account of the call allow.
+func (rc *relayedCall) homes() kumquathitch.Homes {
+	if rc.tenant == nil {
+		return rc.route.Homes
+	}
+	return rc.route.Homes.And(rc.tenant.Homes)
+}
+
 // pickService picks one of the route's services by weight. The choice depends
 // only on the ID of the call.
 func (rc *relayedCall) pickService() string {
@@ -328,7 +337,7 @@
 				return choice, err
 			}
 		case none.AdapterNotResident:
-			adapterRequest := kumquathitch.AdapterRequest{Service: rc.criteria.Service, Model: rc.criteria.Model, Adapter: rc.criteria.Adapter}
+			adapterRequest := kumquathitch.AdapterRequest{Service: rc.criteria.Service, Model: rc.criteria.Model, Adapter: rc.criteria.Adapter, Homes: rc.criteria.Homes}
 			// The leader may name an instance that this VM cannot use, so it is not
 			// asked twice without a pause.
 			if placed = !placed && rc.AdapterPlacer.PlaceAdapter(ctx, adapterRequest); !placed && !rc.pauseForModel(ctx, until) {
