--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -119,7 +119,7 @@
 		for known < len(history)-1 {
 			if rapid.Bool().Draw(t, "list") {
 				revision := rapid.IntRange(1, len(history)-1).Draw(t, "revision")
-				list := kumquathitch.EvacuationList{Revision: uint64(revision)} //nolint:gosec // Small and positive.
+				list := kumquathitch.EvacuationList{Revision: uint64(revision)}
 				for name, since := range history[revision] {
 					list.Evacuations = append(list.Evacuations, kumquathitch.Evacuation{DataCentre: name, Revision: since})
 				}
@@ -127,7 +127,7 @@
 				known = max(known, revision)
 			} else if followed < len(history)-1 {
 				followed++
-				revision := uint64(followed) //nolint:gosec // Small and positive.
+				revision := uint64(followed)
 				for _, name := range names {
 					_, before := history[followed-1][name]
 					since, after := history[followed][name]
--- a/fleet/restrictions_test.go
+++ b/fleet/restrictions_test.go
@@ -18,7 +18,7 @@
 	f, set := fleet.NewFleet("entry-1", "a"), evacuation.NewSet()
 	f.Restrict(set, map[string]string{"a": "north", "b": "north", "c": "south"})
 	for i, name := range []string{"a", "b", "c"} {
-		engine := newEngine(name, uint64(i)+1, "m1") //nolint:gosec // Small and positive.
+		engine := newEngine(name, uint64(i)+1, "m1")
 		engine.DataCentre = name
 		f.Put(engine, start)
 	}
