Add the operators' command for evacuations

kumquathitch evacuation begin, end and list change the configuration of the product's own interface, and status shows since when and what still runs there. An evacuated data centre's upstreams are drained like those that the operator marks one by one, which stay drained after the end.

--- a/cmd/kumquathitch/main.go
+++ b/cmd/kumquathitch/main.go
@@ -46,6 +46,7 @@
 	Model         *modelCommand         `arg:"subcommand:model" help:"models and adapters"`
 	Route         *routeCommand         `arg:"subcommand:route" help:"routes"`
 	Upstream      *upstreamCommand      `arg:"subcommand:upstream" help:"upstreams"`
+	Evacuation    *evacuationCommand    `arg:"subcommand:evacuation" help:"evacuate data centres"`
 	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"generate a configuration from answers"`
 	Status        *statusCommand        `arg:"subcommand:status" help:"show the state of a VM and advice"`
 	Explain       *explainCommand       `arg:"subcommand:explain" help:"reconstruct one call from logs"`
@@ -56,7 +57,7 @@
 // Epilogue implements arg.Epilogued: it returns the usage of all subcommands.
 func (args) Epilogue() string {
 	return demoUsage + questionnaireUsage + configUsage + accountUsage + keyUsage + rateUsage + modelUsage + routeUsage +
-		upstreamUsage + vmUsage + statusUsage + explainUsage + replayUsage
+		upstreamUsage + evacuationUsage + vmUsage + statusUsage + explainUsage + replayUsage
 }
 
 func main() {
--- a/cmd/kumquathitch/status.go
+++ b/cmd/kumquathitch/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"kumquathitch.example/kumquathitch/daemon"
@@ -13,8 +14,9 @@
 )
 
 const statusUsage = `
-status --vm ADDR     state as known to one VM: other VMs, upstreams that are not live,
-                     models without a replica, accounts near their rate, and advice
+status --vm ADDR     state as known to one VM: other VMs, upstreams that are not live, data
+                     centres that are evacuated and what still runs there, models without a
+                     replica, accounts near their rate, and advice
 
 Example:
   kumquathitch status --vm 10.0.0.5:7100
@@ -57,6 +59,10 @@
 	for _, u := range s.UpstreamsNotLive {
 		rows = append(rows, []string{"  " + u.Name, u.Phase})
 	}
+	for _, e := range s.Evacuations {
+		rows = append(rows, []string{"evacuated " + e.DataCentre, fmt.Sprintf("since %s, %d requests still run on %d upstreams %s",
+			e.Since.Format(time.RFC3339), e.Running, len(e.Busy), strings.Join(e.Busy, ","))})
+	}
 	if err := printTable(out, rows); err != nil {
 		return err
 	}
--- a/configuration.go
+++ b/configuration.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Values of Configuration.PrimaryMeasure. It breaks ties when load is shed.
@@ -36,11 +37,30 @@
 type DataCentre struct {
 	Name   string `json:"name"`
 	Region string `json:"region"`
+	// EvacuatedSince is set while the operator evacuates the data centre: its upstreams get
+	// no new requests. Its entry VMs go on serving callers.
+	EvacuatedSince time.Time `json:"evacuated-since,omitzero"`
 }
 
 // DataCentres is a list of data centres.
 type DataCentres []DataCentre
 
+// Find returns the data centre with a name, or nil. The pointer aliases the list.
+func (d DataCentres) Find(name string) *DataCentre {
+	for i := range d {
+		if d[i].Name == name {
+			return &d[i]
+		}
+	}
+	return nil
+}
+
+// Evacuated reports whether the operator evacuates a data centre.
+func (d DataCentres) Evacuated(name string) bool {
+	found := d.Find(name)
+	return found != nil && !found.EvacuatedSince.IsZero()
+}
+
 // WeightStore holds the limits of the store that engines load weights from. They
 // apply to the whole fleet.
 type WeightStore struct {
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -22,16 +22,17 @@
 
 // Status is one VM's view of the system, for operators.
 type Status struct {
-	VM                   string           `json:"vm"`
-	DataCentre           string           `json:"data-centre"`
-	Generation           uint64           `json:"generation"`
-	RateShare            float64          `json:"rate-share"` // Fraction of every account's rate that the VM holds, without loans.
-	Members              []MemberStatus   `json:"members"`
-	UpstreamsNotLive     []UpstreamStatus `json:"upstreams-not-live"`
-	ModelsWithoutReplica []string         `json:"models-without-replica"`
-	AccountsNearRate     []string         `json:"accounts-near-rate"`
-	Advice               []string         `json:"advice"`
-	UpstreamCount        int              `json:"upstreams"`
+	VM                   string             `json:"vm"`
+	DataCentre           string             `json:"data-centre"`
+	Generation           uint64             `json:"generation"`
+	RateShare            float64            `json:"rate-share"` // Fraction of every account's rate that the VM holds, without loans.
+	Members              []MemberStatus     `json:"members"`
+	UpstreamsNotLive     []UpstreamStatus   `json:"upstreams-not-live"`
+	Evacuations          []EvacuationStatus `json:"evacuations"`
+	ModelsWithoutReplica []string           `json:"models-without-replica"`
+	AccountsNearRate     []string           `json:"accounts-near-rate"`
+	Advice               []string           `json:"advice"`
+	UpstreamCount        int                `json:"upstreams"`
 }
 
 // MemberStatus is another VM as the queried VM sees it.
@@ -48,6 +49,14 @@
 	Phase string `json:"phase"`
 }
 
+// EvacuationStatus is a data centre that the operator evacuates.
+type EvacuationStatus struct {
+	DataCentre string    `json:"data-centre"`
+	Since      time.Time `json:"since"`
+	Busy       []string  `json:"busy"`    // Upstreams there that still run requests.
+	Running    int       `json:"running"` // Requests there, by the newest load reports and this VM's own.
+}
+
 // addStatus registers the handler of StatusMethod.
 func (d *Daemon) addStatus() {
 	peer.Handle(d.PeerServer, StatusMethod, func(context.Context, StatusRequest) (Status, error) {
@@ -70,6 +79,7 @@
 			s.UpstreamsNotLive = append(s.UpstreamsNotLive, UpstreamStatus{Name: u.Name, Phase: state.Phase().String()})
 		}
 	}
+	s.Evacuations = d.evacuations(&config)
 	for _, m := range config.Models {
 		if replicas := d.Upstreams.Replicas(upstream.ReplicasKey{Model: m.Name}); replicas == nil || len(replicas.List) == 0 {
 			s.ModelsWithoutReplica = append(s.ModelsWithoutReplica, m.Name)
@@ -84,6 +94,28 @@
 	return s
 }
 
+// evacuations returns the data centres that the operator evacuates, with what still runs there.
+func (d *Daemon) evacuations(config *kumquathitch.Configuration) []EvacuationStatus {
+	var list []EvacuationStatus
+	for _, dataCentre := range config.DataCentres {
+		if dataCentre.EvacuatedSince.IsZero() {
+			continue
+		}
+		found := EvacuationStatus{DataCentre: dataCentre.Name, Since: dataCentre.EvacuatedSince}
+		for _, u := range config.Upstreams {
+			state, known := d.Upstreams.State(u.Name)
+			if !known || u.DataCentre != dataCentre.Name {
+				continue
+			}
+			if running := max(state.Outstanding, state.Report.Running+state.Report.Queued+state.OutstandingChange); running > 0 {
+				found.Busy, found.Running = append(found.Busy, u.Name), found.Running+running
+			}
+		}
+		list = append(list, found)
+	}
+	return list
+}
+
 // addAdvice adds a line for each degraded part of the system and what to do about it.
 func (s *Status) addAdvice(config kumquathitch.Configuration) {
 	add := func(format string, values ...any) { s.Advice = append(s.Advice, fmt.Sprintf(format, values...)) }
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -67,6 +67,32 @@
 	must.StrContains(t, out, "bytes above 0")
 }
 
+// TestEvacuationByCommand guards against an evacuation that does not reach running entry VMs,
+// is not shown with what still runs there, or is not taken back.
+func TestEvacuationByCommand(t *testing.T) {
+	c := startCluster(t, 1)
+	waitFor(t, "a chat to be answered", func() bool { return c.chat(t, 0, c.key, chatBody).status == http.StatusOK })
+	out, code := c.runCommand(t, "evacuation", "begin", "montreal-1")
+	must.Eq(t, 0, code, must.Sprint(out))
+	waitFor(t, "the entry VM to refuse chats", func() bool { return c.chat(t, 0, c.key, chatBody).status == http.StatusServiceUnavailable })
+	out, code = c.runCommand(t, "status", "--vm", c.peerAddresses[0])
+	must.Eq(t, 0, code)
+	must.StrContains(t, out, "evacuated montreal-1")
+	must.StrContains(t, out, "0 requests still run on 0 upstreams")
+	out, _ = c.runCommand(t, "evacuation", "begin", "montreal-1")
+	must.StrNotContains(t, out, "changed settings") // The first request keeps its time.
+	out, _ = c.runCommand(t, "evacuation", "list")
+	must.StrContains(t, out, "montreal-1")
+	out, code = c.runCommand(t, "evacuation", "end", "montreal-1")
+	must.Eq(t, 0, code, must.Sprint(out))
+	waitFor(t, "a chat to be answered again", func() bool { return c.chat(t, 0, c.key, chatBody).status == http.StatusOK })
+	out, _ = c.runCommand(t, "evacuation", "list")
+	must.StrNotContains(t, out, "montreal-1")
+	out, code = c.runCommand(t, "evacuation", "begin", "montreal-9")
+	must.Eq(t, 2, code)
+	must.StrContains(t, out, `data-centre: invalid value "montreal-9"`)
+}
+
 // TestUsageErrorGoesToStandardError checks that scripts can tell a usage error by
 // its exit code and do not find it in the standard output.
 func TestUsageErrorGoesToStandardError(t *testing.T) {
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -56,7 +56,7 @@
 
 // Phase returns the phase of the upstream. Leaving takes precedence over its health.
 func (s *State) Phase() Phase {
-	if !s.Leaving.LearnedAt.IsZero() {
+	if s.Leaving.Configured || !s.Leaving.LearnedAt.IsZero() {
 		return Leaving
 	}
 	return s.Health.Phase
@@ -111,7 +111,7 @@
 	listed := map[string]bool{}
 	for _, u := range config.Upstreams {
 		listed[u.Name] = true
-		f.applyUpstream(u)
+		f.applyUpstream(u, config.DataCentres.Evacuated(u.DataCentre))
 	}
 	for i := range f.shards {
 		s := &f.shards[i]
@@ -126,7 +126,7 @@
 	}
 }
 
-func (f *Fleet) applyUpstream(u kumquathitch.Upstream) {
+func (f *Fleet) applyUpstream(u kumquathitch.Upstream, evacuated bool) {
 	s := f.shard(u.Name)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -144,7 +144,7 @@
 	}
 	added := state.Upstream.Name == ""
 	state.Upstream = u
-	state.Leaving.Configured = u.Leaving
+	state.Leaving.Configured = u.Leaving || evacuated
 	if added || state.Report.Resident == nil {
 		f.updateListings(state, replicasKeysOf(&u, sorted(u.Models)))
 		state.Resident = sorted(u.Models)
--- a/upstream/leaving.go
+++ b/upstream/leaving.go
@@ -39,7 +39,7 @@
 // leaving. Only newer evidence of the same kind, or a restart of the engine, makes
 // a notice void.
 type LeavingState struct {
-	Configured      bool      // Upstream.Leaving in the active configuration.
+	Configured      bool      // The active configuration drains the upstream or evacuates its data centre.
 	PlatformSince   time.Time // Notice.Since of the newest FromPlatform notice; zero for none.
 	EngineSince     time.Time // Notice.Since of the newest FromEngine notice; zero for none.
 	ListedLiveSince time.Time // Start of the period in which every list showed the upstream as live; zero while it is listed as leaving.
