Keep to what cold instances take

Cause: no line of the product knew of a cold server. An engine that came back cold was the one with the shortest queue, and got the calls of all VMs at once.

Change: the buckets that count calls against named limits also count those to cold instances, at the lower of both rates. Who is cold is known from the entry, from a response, or from a start that states nothing; the newest applies. An instance that could not be reached may be cold when it answers again: its calls are counted. Only services with a cold rate are affected.

The calls in limit_test.go have two more arguments; their checks are the same.

--- a/call.go
+++ b/call.go
@@ -83,6 +83,8 @@
 	LimitPerSecond float64   // Calls a second that the upstream takes from all VMs together.
 	HasLimit       bool
 	UnreadLimit    bool      // The upstream names a limit that cannot be read.
+	ColdUntil      time.Time // Until when the upstream takes few calls; zero when it is not cold.
+	ColdStated     bool      // The upstream states whether it is cold.
 	PausedUntil    time.Time // With a rejection: until when the upstream takes no calls from this VM; zero when it does not state it.
 }
 
--- a/deployment.go
+++ b/deployment.go
@@ -47,8 +47,10 @@
 // Service is a group of instances that run the same program.
 type Service struct {
 	Name           string
-	MaxConnections int         // Connections that one instance accepts, from all VMs together.
-	Engine         *EngineSpec // Nil for a plain service.
+	MaxConnections int           // Connections that one instance accepts, from all VMs together.
+	ColdTime       time.Duration // How long an instance is cold after its start; 0 when it never is.
+	ColdPerSecond  float64       // Calls a second that a cold instance takes from all VMs together.
+	Engine         *EngineSpec   // Nil for a plain service.
 }
 
 // Services is a list of services.
--- a/dispatch.go
+++ b/dispatch.go
@@ -28,8 +28,9 @@
 	Instance      Instance
 	PrefillTokens int64 // Prompt tokens that the instance is expected not to have in its prefix cache.
 	ExpectedTTFB  time.Duration
-	Probe         bool // The instance has failed before; the call tests whether it works again.
-	Limited       bool // The instance names a limit, and the call is not yet counted against it.
+	Probe         bool      // The instance has failed before; the call tests whether it works again.
+	Limited       bool      // The instance names a limit, and the call is not yet counted against it.
+	SendBy        time.Time // When the call no longer counts as admitted by the limit of the instance; zero for no bound.
 	Sent          time.Time
 }
 
@@ -68,8 +69,8 @@
 	ChooseAssigned(criteria InstanceCriteria, assignment Assignment, now time.Time) (InstanceChoice, bool)
 	// HasAlternative reports whether another instance could take the call now.
 	HasAlternative(criteria InstanceCriteria, choice InstanceChoice, now time.Time) bool
-	// Accepts reports whether the chosen instance still takes calls from this VM. It may
-	// have said otherwise since the choice.
+	// Accepts reports whether the chosen instance still takes the call from this VM. It may
+	// have said otherwise since the choice, and the call may have passed SendBy.
 	Accepts(choice InstanceChoice, now time.Time) bool
 	// ResponseStarted records the head of the response, which shows that the instance has
 	// processed the prompt.
@@ -95,6 +96,7 @@
 	PrefillTokens int64         // Prompt tokens that are not in the engine's prefix cache.
 	ExpectedTTFB  time.Duration // From SendAt to the first event.
 	Limited       bool          // The call was counted against a limit of the engine.
+	SendBy        time.Time     // When the call is no longer counted; zero for no bound.
 	SendAt        time.Time     // An earlier send would delay the engine's running streams.
 }
 
--- a/environment.go
+++ b/environment.go
@@ -30,6 +30,11 @@
 	RetrySlack  float64 // Retries allowed in addition, per window.
 	RetryWindow time.Duration
 
+	// A cold instance must get no more than ColdOverage times the calls of a second that its
+	// service states, and ColdSlack calls beyond them, over all VMs.
+	ColdOverage float64
+	ColdSlack   float64
+
 	Store   Keyspace
 	Dialect Dialect
 	Control EngineControl
--- a/exchange.go
+++ b/exchange.go
@@ -114,6 +114,7 @@
 	ExpectedTTFB     time.Duration `json:"expected"`           // From the end of Wait to the first event.
 	Blocked          time.Duration `json:"blocked,omitempty"`  // Time for which calls with the content or a part of the prompt are blocked; 0 if they are not.
 	Limited          bool          `json:"limited,omitempty"`  // The call was counted against a limit of the engine.
+	SendWithin       time.Duration `json:"within,omitempty"`   // Time from the end of Wait after which the call is no longer counted; 0 for no bound.
 	BlockedByContent bool          `json:"blocked-content,omitempty"`
 }
 
@@ -124,14 +125,20 @@
 	Incarnation string        `json:"start"`           // ID and start.
 	Named       bool          `json:"named,omitempty"` // False if its last response named none.
 	PerSecond   float64       `json:"per-second,omitempty"`
-	Age         time.Duration `json:"age"` // Time since that response.
+	Age         time.Duration `json:"age"`                   // Time since that response.
+	ColdStated  bool          `json:"cold-stated,omitempty"` // A response stated whether the instance is cold.
+	ColdFor     time.Duration `json:"cold-for,omitempty"`    // How much longer it is cold.
+	ColdAge     time.Duration `json:"cold-age,omitempty"`    // Time since that response.
 }
 
 // AdmitRequest asks the scheduler to count a call against the limit of an instance, for a
 // call that the VM sends to an instance of its own choice.
 type AdmitRequest struct {
+	ID          string          `json:"id,omitempty"` // Empty from an older VM, as is Service.
+	Service     string          `json:"service,omitempty"`
 	Incarnation string          `json:"start"`
-	Limits      []InstanceLimit `json:"limits"` // That of the instance, as the VM knows it.
+	Cold        bool            `json:"cold,omitempty"` // The instance is cold as the VM knows or suspects.
+	Limits      []InstanceLimit `json:"limits"`         // That of the instance, as the VM knows it.
 }
 
 // AdmitResponse is the response to an AdmitRequest.
--- a/fleet/call_limits.go
+++ b/fleet/call_limits.go
@@ -19,7 +19,8 @@
 	callLimitTTL = 10 * time.Minute
 )
 
-// CallLimits counts the calls of all VMs against the limits that instances name. Only that
+// CallLimits counts the calls of all VMs against the limits that instances name, and against
+// what cold ones take. Only that
 // of the VM with the role of the scheduler is used. It is safe for concurrent use.
 type CallLimits struct {
 	shards [shardCount]callLimitShard
@@ -83,7 +84,9 @@
 			s.limits[report.Incarnation] = limit
 		}
 		if at := now.Add(-max(0, report.Age)); at.After(limit.observedAt) {
-			limit.refill(now)
+			if limit.named && report.PerSecond != limit.perSecond {
+				limit.refill(0, now)
+			}
 			if report.Named && !limit.named {
 				limit.tokens = tokens{refilledAt: now}
 			}
@@ -93,42 +96,74 @@
 	}
 }
 
-// Admit counts a call against the limit of an instance, if it has one. It returns false
-// and the time at which it may admit a call if the limit is reached.
-func (l *CallLimits) Admit(instance string, now time.Time) (until time.Time, limited, admitted bool) {
+// Admit counts a call against the limit of an instance that takes coldPerSecond calls if it
+// is cold, which is 0 otherwise. The lower of this rate and that which it names applies. If
+// the limit is reached, it counts a call that a cold instance takes within the time hold, and
+// returns when it may be sent. Otherwise it returns false and the time at which a call may be
+// admitted.
+func (l *CallLimits) Admit(instance string, coldPerSecond float64, hold time.Duration, now time.Time) (at time.Time, limited, admitted bool) {
 	s := l.shard(instance)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	limit := s.limits[instance]
-	if limit == nil || !limit.named {
+	limit := s.limit(instance, coldPerSecond, now)
+	if limit == nil {
 		return time.Time{}, false, true
 	}
-	limit.refill(now)
+	perSecond := limit.refill(coldPerSecond, now)
 	limit.usedAt = now
-	until, admitted = limit.tokens.take(limit.perSecond, now)
-	return until, true, admitted
+	at, admitted = limit.tokens.take(perSecond, now)
+	if !admitted && coldPerSecond > 0 && at.Sub(now) <= hold {
+		limit.tokens.count--
+		admitted = true
+	}
+	return at, true, admitted
 }
 
 // AdmitsAt returns the time from which the limit of an instance admits a call. It is zero
 // if a call is admitted now.
-func (l *CallLimits) AdmitsAt(instance string, now time.Time) time.Time {
+func (l *CallLimits) AdmitsAt(instance string, coldPerSecond float64, now time.Time) time.Time {
 	s := l.shard(instance)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	limit := s.limits[instance]
-	if limit == nil || !limit.named {
+	limit := s.limit(instance, coldPerSecond, now)
+	if limit == nil {
 		return time.Time{}
 	}
-	limit.refill(now)
+	perSecond := limit.refill(coldPerSecond, now)
 	if limit.tokens.count >= 1 {
 		return time.Time{}
 	}
-	until, _ := limit.tokens.take(limit.perSecond, now)
+	until, _ := limit.tokens.take(perSecond, now)
 	return until
 }
 
-func (c *callLimit) refill(now time.Time) {
-	c.tokens.refill(c.perSecond, limitBurst+c.perSecond*limitBurstTime.Seconds(), now)
+// limit returns the limit that applies to an instance, or nil if none does. A cold instance
+// without one gets an empty bucket: another VM may have admitted calls to it just before. The
+// caller holds the lock.
+func (s *callLimitShard) limit(instance string, coldPerSecond float64, now time.Time) *callLimit {
+	limit := s.limits[instance]
+	switch {
+	case limit == nil && coldPerSecond > 0:
+		s.expire(now)
+		limit = &callLimit{usedAt: now, tokens: tokens{refilledAt: now}}
+		s.limits[instance] = limit
+	case limit != nil && !limit.named && coldPerSecond <= 0:
+		return nil
+	}
+	return limit
+}
+
+// refill adds the tokens since the last refill, and returns the rate.
+func (c *callLimit) refill(coldPerSecond float64, now time.Time) float64 {
+	perSecond, most := c.perSecond, limitBurst+c.perSecond*limitBurstTime.Seconds()
+	if coldPerSecond > 0 {
+		if !c.named || coldPerSecond < perSecond {
+			perSecond = coldPerSecond
+		}
+		most = coldBurst
+	}
+	c.tokens.refill(perSecond, most, now)
+	return perSecond
 }
 
 // expire drops the limits of instances that are not called any more. The caller holds the lock.
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -50,10 +50,10 @@
 	if len(candidates) > maxCandidates {
 		offset = rand.IntN(len(candidates)) //nolint:gosec // Spreads load; nothing depends on secrecy.
 	}
-	preferred := f.preferred(candidates, criteria.Model)
+	preferred, rate := f.preferred(candidates, criteria.Model), f.coldRate(criteria.Service)
 	for i := range min(maxCandidates, len(candidates)) {
 		inst := candidates[(offset+i)%len(candidates)]
-		found, usable := inst.estimate(criteria, chain, f.dataCentre, prefillBudgetMS, now)
+		found, usable := inst.estimate(criteria, chain, f.dataCentre, prefillBudgetMS, rate, now)
 		if !usable {
 			continue
 		}
@@ -86,7 +86,7 @@
 	best.instance.startSend(chain, best.prefillTokens, best.probe)
 	return kumquathitch.InstanceChoice{
 		Instance: best.instance.snapshot(), PrefillTokens: best.prefillTokens, Probe: best.probe, Limited: best.limited, Sent: now,
-		ExpectedTTFB: time.Duration(best.ttfbMS * float64(time.Millisecond)),
+		SendBy: best.sendBy(now), ExpectedTTFB: time.Duration(best.ttfbMS * float64(time.Millisecond)),
 	}, nil
 }
 
@@ -101,13 +101,17 @@
 		inst.endDeferral()
 	}
 	chain := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt)
-	found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), now)
+	found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), f.coldRate(criteria.Service), now)
 	if !usable || found.lastResort || f.isUnreachable(found.dataCentre) {
 		return kumquathitch.InstanceChoice{}, false
 	}
 	inst.startSend(chain, assignment.PrefillTokens, found.probe)
+	sendBy := assignment.SendBy
+	if sendBy.IsZero() {
+		sendBy = found.sendBy(assignment.SendAt)
+	}
 	return kumquathitch.InstanceChoice{
-		Instance: inst.snapshot(), PrefillTokens: assignment.PrefillTokens, Probe: found.probe, Limited: found.limited && !assignment.Limited,
+		Instance: inst.snapshot(), SendBy: sendBy, PrefillTokens: assignment.PrefillTokens, Probe: found.probe, Limited: found.limited && !assignment.Limited,
 		Sent: assignment.SendAt, ExpectedTTFB: assignment.ExpectedTTFB,
 	}, true
 }
@@ -132,7 +136,7 @@
 		if inst.id == choice.Instance.ID {
 			continue
 		}
-		if found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), now); usable && !found.lastResort && !f.isUnreachable(found.dataCentre) {
+		if found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), f.coldRate(criteria.Service), now); usable && !found.lastResort && !f.isUnreachable(found.dataCentre) {
 			return true
 		}
 	}
@@ -202,7 +206,7 @@
 		if end := inst.pauseEnd(criteria, now); !end.IsZero() && (pausedUntil.IsZero() || end.Before(pausedUntil)) {
 			pausedUntil = end
 		}
-		if _, ok := inst.engineSnapshot(criteria.Model, "", now); ok {
+		if _, ok := inst.engineSnapshot(criteria.Model, "", coldRate{}, now); ok {
 			holders++
 		}
 	}
@@ -239,11 +243,20 @@
 	saturated     bool
 	probe         bool
 	limited       bool
+	cold          bool // Or suspected to be.
+}
+
+// sendBy returns when the admission of the call ends that is to be sent at a time, or zero.
+func (c *candidate) sendBy(sendAt time.Time) time.Time {
+	if !c.cold {
+		return time.Time{}
+	}
+	return sendAt.Add(admissionTTL)
 }
 
 // estimate estimates the cost of a send to the instance. It reports false if the
 // instance must not be used for the call.
-func (inst *instanceState) estimate(criteria kumquathitch.InstanceCriteria, chain promptChain, dataCentre string, prefillBudgetMS float64, now time.Time) (candidate, bool) {
+func (inst *instanceState) estimate(criteria kumquathitch.InstanceCriteria, chain promptChain, dataCentre string, prefillBudgetMS float64, rate coldRate, now time.Time) (candidate, bool) {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
 	found := candidate{instance: inst, dataCentre: inst.description.DataCentre}
@@ -273,7 +286,8 @@
 	if now.Before(inst.busyUntil) {
 		found.costMS += milliseconds(criteria.LatencyObjective)
 	}
-	found.probe, found.limited = inst.consecutiveOpens > 0, inst.limit.named
+	found.cold = inst.cold.mayBeCold(rate, now)
+	found.probe, found.limited = inst.consecutiveOpens > 0, inst.limit.named || found.cold
 	found.lastResort = inst.circuitOpen(criteria.NoRetry, now)
 	return found, true
 }
@@ -290,7 +304,7 @@
 	if inst == nil {
 		return
 	}
-	inst.endSend(choice, result, criteria.Model != "", serviceFailureRate)
+	inst.endSend(choice, result, criteria.Model != "", serviceFailureRate, f.coldRate(criteria.Service))
 }
 
 // recordResult adds a result to the averages of the service, and returns its failure rate.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,6 +43,7 @@
 	memberCount atomic.Int64 // Number of VMs that send calls to the same instances.
 	unsettled   atomic.Bool  // VMs may be missing from memberCount.
 	unreachable unreachableSet
+	cold        coldRateSet
 	capacity    capacityNotifier
 	shards      [shardCount]instanceShard // By ID.
 	groups      [shardCount]groupShard
@@ -118,6 +119,7 @@
 	f := &Fleet{vm: vm, dataCentre: dataCentre}
 	f.memberCount.Store(1)
 	f.capacity.changed = make(chan struct{})
+	f.cold.vms = []string{vm}
 	for i := range f.shards {
 		f.shards[i].instances = map[string]*instanceState{}
 		f.shards[i].removed, _ = simplelru.NewLRU[string, removedInstance](maxRemovedPerShard, nil) // Fails only for a size below 1.
@@ -166,7 +168,7 @@
 		s.instances[instance.ID] = inst
 	}
 	s.mutex.Unlock()
-	before, changed := inst.update(instance, now)
+	before, changed := inst.update(instance, f.coldRate(instance.Service), now)
 	if changed {
 		f.updateGroups(inst, before, groupsOf(&instance))
 	}
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -34,12 +34,13 @@
 // assigned to each engine. It does not judge the health of engines: each VM names
 // the engines that failed for it. It is safe for concurrent use.
 type GlobalScheduler struct {
-	fleet    *Fleet
-	vms      [shardCount]vmShard
-	engines  [shardCount]engineShard
-	runTimes [shardCount]runTimeShard
-	limits   *CallLimits
-	counts   scheduleCounter
+	fleet      *Fleet
+	vms        [shardCount]vmShard
+	engines    [shardCount]engineShard
+	runTimes   [shardCount]runTimeShard
+	limits     *CallLimits
+	counts     scheduleCounter
+	coldCounts coldCounter
 }
 
 // runTimeShard holds the average run time on full engines in milliseconds, by service.
@@ -155,7 +156,18 @@
 // Admit counts a call of a VM against the limit of an instance that the VM chose itself.
 func (gs *GlobalScheduler) Admit(request *kumquathitch.AdmitRequest, now time.Time) kumquathitch.AdmitResponse {
 	gs.limits.Learn(request.Limits, now)
-	until, _, admitted := gs.limits.Admit(request.Incarnation, now)
+	gs.fleet.learnCold(request.Limits, now)
+	coldPerSecond := 0.0
+	if rate := gs.fleet.coldRate(request.Service); rate.applies() && (request.Cold || gs.fleet.isCold(request.ID, request.Incarnation, rate, now)) {
+		coldPerSecond = rate.perSecond
+	}
+	until, _, admitted := gs.limits.Admit(request.Incarnation, coldPerSecond, 0, now)
+	switch {
+	case coldPerSecond > 0 && admitted:
+		gs.coldCounts.add(ColdCounts{Admitted: 1})
+	case coldPerSecond > 0:
+		gs.coldCounts.add(ColdCounts{Deferred: 1})
+	}
 	return kumquathitch.AdmitResponse{Admitted: admitted, Wait: max(0, until.Sub(now))}
 }
 
@@ -166,6 +178,7 @@
 func (gs *GlobalScheduler) Schedule(request *kumquathitch.ScheduleRequest, now time.Time) kumquathitch.ScheduleResponse {
 	gs.SetVMLoads(request.From, request.InFlight, now)
 	gs.limits.Learn(request.Limits, now)
+	gs.fleet.learnCold(request.Limits, now)
 	chain := newPromptChain(request.Model+"/"+request.Adapter, request.Prompt)
 	runTimeMS := gs.updateRunTime(request.Service, milliseconds(request.FullEngineRunTime))
 	for {
@@ -174,37 +187,53 @@
 			return refusal
 		}
 		// Another call may have been counted against the limit since the engine was chosen.
-		_, limited, admitted := gs.limits.Admit(best.incarnation, now)
+		sendAt, limited, admitted := gs.limits.Admit(best.incarnation, best.coldPerSecond, request.MaxHold, now)
 		if !admitted {
 			continue
 		}
 		gs.counts.add(request.Priority, ScheduleCounts{Assigned: 1})
 		gs.assign(request.From, &best, chain, now)
-		return kumquathitch.ScheduleResponse{
-			Instance: best.instance.id, PrefillTokens: best.prefillTokens, Wait: duration(best.waitMS), ExpectedTTFB: duration(best.ttfbMS), Limited: limited,
+		response := kumquathitch.ScheduleResponse{
+			Instance: best.instance.id, PrefillTokens: best.prefillTokens, Wait: max(duration(best.waitMS), sendAt.Sub(now)), ExpectedTTFB: duration(best.ttfbMS), Limited: limited,
 		}
+		if best.coldPerSecond > 0 {
+			response.SendWithin = admissionTTL
+			gs.coldCounts.add(ColdCounts{Assigned: 1, Held: oneIf(sendAt.After(now))})
+		}
+		return response
+	}
+}
+
+func oneIf(condition bool) int {
+	if condition {
+		return 1
 	}
+	return 0
 }
 
 // choose returns the engine with the least cost of those whose limits admit a call. If
 // there is none, it returns the earliest time at which a limit admits one, or zero.
 func (gs *GlobalScheduler) choose(request *kumquathitch.ScheduleRequest, chain promptChain, runTimeMS float64, now time.Time) (best engineOption, admittedAt time.Time) {
 	best = engineOption{costMS: math.Inf(1)}
+	rate := gs.fleet.coldRate(request.Service)
 	for _, inst := range gs.fleet.instancesIn(group{service: request.Service, model: request.Model}) {
 		if slices.Contains(request.Exclude, inst.id) {
 			continue
 		}
-		found, ok := gs.evaluate(inst, request, chain, runTimeMS, now)
+		found, ok := gs.evaluate(inst, request, chain, runTimeMS, rate, now)
 		if !ok || found.costMS >= best.costMS {
 			continue
 		}
-		if at := gs.limits.AdmitsAt(found.incarnation, now); !at.IsZero() {
+		at, admits := found.holdForLimit(gs.limits.AdmitsAt(found.incarnation, found.coldPerSecond, now), request.MaxHold, now)
+		if !admits {
 			if admittedAt.IsZero() || at.Before(admittedAt) {
 				admittedAt = at
 			}
 			continue
 		}
-		best = found
+		if found.costMS < best.costMS {
+			best = found
+		}
 	}
 	return best, admittedAt
 }
@@ -213,6 +242,9 @@
 // if the chosen engine can.
 func (gs *GlobalScheduler) refusal(request *kumquathitch.ScheduleRequest, best *engineOption, admittedAt, now time.Time) (kumquathitch.ScheduleResponse, bool) {
 	if best.instance == nil && !admittedAt.IsZero() {
+		if gs.fleet.coldRate(request.Service).applies() {
+			gs.coldCounts.add(ColdCounts{Refused: 1})
+		}
 		gs.counts.add(request.Priority, ScheduleCounts{Limited: 1})
 		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: admittedAt.Sub(now)}, true
 	}
@@ -241,10 +273,32 @@
 	slotWaitMS    float64 // Part of ttfbMS until a slot is free.
 	ttfbMS        float64 // From the send to the first event.
 	costMS        float64
+	coldPerSecond float64 // Calls a second that the engine takes while it is cold; 0 if it is not.
 }
 
-func (gs *GlobalScheduler) evaluate(inst *instanceState, request *kumquathitch.ScheduleRequest, chain promptChain, runTimeMS float64, now time.Time) (engineOption, bool) {
-	snapshot, ok := inst.engineSnapshot(request.Model, request.Adapter, now)
+// holdForLimit adds the wait until the limit admits the call, if the engine is cold. Otherwise,
+// and if the call may not be held so long, it returns when the limit may admit it. The same
+// goes for a call that would be sent long after its admission, and arrive with later ones.
+func (o *engineOption) holdForLimit(at time.Time, longest time.Duration, now time.Time) (time.Time, bool) {
+	if o.coldPerSecond <= 0 {
+		return at, at.IsZero()
+	}
+	wait := max(0, at.Sub(now))
+	if wait > longest {
+		return at, false
+	}
+	if pacing := duration(o.waitMS) - wait; pacing > maxColdPacing {
+		return now.Add(pacing - maxColdPacing), false
+	}
+	if waitMS := milliseconds(wait); waitMS > o.waitMS {
+		o.costMS += waitMS - o.waitMS
+		o.waitMS = waitMS
+	}
+	return time.Time{}, true
+}
+
+func (gs *GlobalScheduler) evaluate(inst *instanceState, request *kumquathitch.ScheduleRequest, chain promptChain, runTimeMS float64, rate coldRate, now time.Time) (engineOption, bool) {
+	snapshot, ok := inst.engineSnapshot(request.Model, request.Adapter, rate, now)
 	if !ok {
 		return engineOption{}, false
 	}
@@ -274,6 +328,10 @@
 	if snapshot.dataCentre != request.DataCentre {
 		option.costMS += remoteCostMS
 	}
+	if snapshot.cold {
+		option.coldPerSecond = rate.perSecond
+		option.costMS += coldCostFraction * objectiveMS / float64(1+max(0, request.Priority))
+	}
 	return option, true
 }
 
@@ -330,11 +388,12 @@
 	started     time.Time
 	incarnation string
 	dataCentre  string
+	cold        bool
 }
 
 // engineSnapshot returns the instance as an engine. It reports false if the
 // instance takes no calls for the model and adapter.
-func (inst *instanceState) engineSnapshot(model, adapter string, now time.Time) (engineSnapshot, bool) {
+func (inst *instanceState) engineSnapshot(model, adapter string, rate coldRate, now time.Time) (engineSnapshot, bool) {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
 	if !inst.serves(model, adapter, now) {
@@ -343,5 +402,6 @@
 	return engineSnapshot{
 		slots: float64(max(1, inst.description.Slots)), tokensPerMS: inst.unqueuedPrefillRate,
 		started: inst.description.Started, incarnation: inst.description.Incarnation(), dataCentre: inst.description.DataCentre,
+		cold: inst.cold.isCold(rate, now),
 	}, true
 }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -110,6 +110,7 @@
 
 	withdrawal withdrawal
 	limit      instanceLimit
+	cold       coldState
 
 	placedAdapters map[string]time.Time // Expiry of adapters that the description does not list yet, by model/adapter.
 	unloading      []string             // Models that are being unloaded, valid until unloadingUntil.
@@ -129,14 +130,14 @@
 	inst.remoteInFlight, inst.prefillRate, inst.unqueuedPrefillRate, inst.latency, inst.runTime = 0, initialTokensPerMS, initialTokensPerMS, initialLatency, initialRunTime
 	inst.failureRate, inst.consecutiveBreaks, inst.consecutiveOpens = 0, 0, 0
 	inst.openUntil, inst.busyUntil, inst.withdrawal = time.Time{}, time.Time{}, withdrawal{}
-	inst.limit = instanceLimit{}
+	inst.limit, inst.cold = instanceLimit{}, coldState{}
 	inst.placedAdapters = map[string]time.Time{}
 	inst.prompts = newPrefixCache()
 }
 
 // update replaces the description. It returns the former groups of the instance,
 // and false if the description is older than the present one.
-func (inst *instanceState) update(instance kumquathitch.Instance, now time.Time) ([]group, bool) {
+func (inst *instanceState) update(instance kumquathitch.Instance, rate coldRate, now time.Time) ([]group, bool) {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
 	if instance.Revision < inst.description.Revision {
@@ -151,6 +152,7 @@
 		inst.reset(instance)
 		inst.withdrawal = carried
 	}
+	inst.cold.describe(&inst.description, &instance, rate, now)
 	for _, r := range inst.description.Models {
 		if !instance.Models.Holds(r.Name, "") {
 			inst.prompts.removeModel(r.Name)
@@ -247,7 +249,12 @@
 	defer inst.mutex.Unlock()
 	inst.pendingPrefill -= choice.PrefillTokens
 	var news kumquathitch.ResponseNews
-	news.LimitChanged = inst.description.SameIncarnation(&choice.Instance) && inst.limit.observe(&head)
+	if inst.description.SameIncarnation(&choice.Instance) {
+		news.LimitChanged = inst.limit.observe(&head)
+		if head.ColdStated && inst.cold.respond(head.ColdUntil, head.Received) {
+			inst.limit.reportedTo = ""
+		}
+	}
 	said := withdrawal{leaving: head.Leaving, pausedUntil: head.PausedUntil, at: head.Received}
 	said = said.carriedTo(&choice.Instance, &inst.description)
 	if said.empty() {
@@ -268,7 +275,8 @@
 func (inst *instanceState) accepts(choice kumquathitch.InstanceChoice, now time.Time) bool {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	return inst.description.SameIncarnation(&choice.Instance) && !inst.description.Leaving && !now.Before(inst.withdrawal.pausedUntil)
+	admitted := choice.SendBy.IsZero() || !now.After(choice.SendBy)
+	return admitted && inst.description.SameIncarnation(&choice.Instance) && !inst.description.Leaving && !now.Before(inst.withdrawal.pausedUntil)
 }
 
 // pauseEnd returns the end of the pause of an instance that would serve the call without
@@ -283,7 +291,7 @@
 }
 
 // endSend records the result of a send.
-func (inst *instanceState) endSend(choice kumquathitch.InstanceChoice, result kumquathitch.SendResult, isEngine bool, serviceFailureRate float64) {
+func (inst *instanceState) endSend(choice kumquathitch.InstanceChoice, result kumquathitch.SendResult, isEngine bool, serviceFailureRate float64, rate coldRate) {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
 	inst.inFlight--
@@ -300,6 +308,9 @@
 	if !inst.description.SameIncarnation(&choice.Instance) {
 		return
 	}
+	if rate.applies() {
+		inst.cold.observe(&result, rate)
+	}
 	inst.updateCircuit(choice, result, serviceFailureRate)
 	if result.Outcome == kumquathitch.SendAnswered {
 		inst.updateAverages(choice, result, isEngine)
--- a/fleet/instance_limit.go
+++ b/fleet/instance_limit.go
@@ -47,7 +47,7 @@
 // unavailableUntil returns the time until which the instance gets no call from this VM: it
 // asked for a pause, or its limit is reached. The caller holds the lock.
 func (inst *instanceState) unavailableUntil() time.Time {
-	if inst.limit.named && inst.limit.deferred.After(inst.withdrawal.pausedUntil) {
+	if inst.limit.deferred.After(inst.withdrawal.pausedUntil) {
 		return inst.limit.deferred
 	}
 	return inst.withdrawal.pausedUntil
@@ -73,16 +73,23 @@
 	inst.limit.deferred = time.Time{}
 }
 
-// AdmitByShare counts a call against this VM's equal share of the limit of an instance. It
-// is used while no VM counts the calls of all, and returns the time of the next one
-// otherwise.
+// AdmitByShare counts a call against this VM's equal share of the limit of an instance, and
+// against what it may send to a cold one. It is used while no VM counts the calls of all, and
+// returns the time of the next one otherwise.
 func (f *Fleet) AdmitByShare(instance *kumquathitch.Instance, now time.Time) (time.Time, bool) {
 	inst := f.instanceState(instance.ID)
 	if inst == nil {
 		return now, false
 	}
+	rate := f.coldRate(instance.Service)
+	mayCall := rate.applies() && f.mayCallCold(instance.Incarnation(), rate.localVMs)
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
+	if inst.cold.mayBeCold(rate, now) {
+		if until, admitted := inst.cold.admitLocally(mayCall, now); !admitted {
+			return until, false
+		}
+	}
 	if !inst.limit.named {
 		return time.Time{}, true
 	}
@@ -114,12 +121,18 @@
 	return limits
 }
 
-// appendLimit appends the limit of the instance if it ever named one, and it is not yet
+// limitKnown reports whether responses of the instance ever named a limit, or stated whether
+// it is cold. The caller holds the lock.
+func (inst *instanceState) limitKnown() bool {
+	return inst.limit.everNamed || !inst.cold.respondedAt.IsZero()
+}
+
+// appendLimit appends the limit of the instance if one is known, and it is not yet
 // reported to a VM.
 func (inst *instanceState) appendLimit(limits []kumquathitch.InstanceLimit, vm string, now time.Time) []kumquathitch.InstanceLimit {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	if !inst.limit.everNamed || inst.limit.reportedTo == vm {
+	if !inst.limitKnown() || inst.limit.reportedTo == vm {
 		return limits
 	}
 	inst.limit.reportedTo = vm
@@ -128,9 +141,13 @@
 
 // reportedLimit returns the limit in the form of a report. The caller holds the lock.
 func (inst *instanceState) reportedLimit(now time.Time) kumquathitch.InstanceLimit {
-	return kumquathitch.InstanceLimit{
+	limit := kumquathitch.InstanceLimit{
 		ID: inst.id, Incarnation: inst.description.Incarnation(), Named: inst.limit.named, PerSecond: inst.limit.perSecond, Age: now.Sub(inst.limit.at),
 	}
+	if at := inst.cold.respondedAt; !at.IsZero() {
+		limit.ColdStated, limit.ColdFor, limit.ColdAge = true, max(0, inst.cold.until.Sub(now)), now.Sub(at)
+	}
+	return limit
 }
 
 // Limit returns the limit of an instance, as this VM knows it.
@@ -141,7 +158,7 @@
 	}
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
-	return inst.reportedLimit(now), inst.limit.everNamed
+	return inst.reportedLimit(now), inst.limitKnown()
 }
 
 // MarkLimitsUnreported marks limits as not sent, after their message failed.
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -39,7 +39,7 @@
 		var admitted []time.Time
 		for range rapid.IntRange(1, 500).Draw(t, "calls") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond)
-			if _, limited, ok := limits.Admit(newEngineIncarnation("one"), now); ok {
+			if _, limited, ok := limits.Admit(newEngineIncarnation("one"), 0, 0, now); ok {
 				admitted = append(admitted, now)
 				must.True(t, limited)
 			}
@@ -69,7 +69,7 @@
 		admitted := 0
 		for range 200 {
 			now = now.Add(50 * time.Millisecond)
-			if _, _, ok := limits.Admit(one, now); ok {
+			if _, _, ok := limits.Admit(one, 0, 0, now); ok {
 				admitted++
 			}
 		}
--- a/instance.go
+++ b/instance.go
@@ -18,6 +18,8 @@
 	Leaving      bool
 	GoneBy       time.Time // When a leaving instance will have stopped at the latest; zero when it does not state it.
 	Started      time.Time // Distinguishes two starts under one id.
+	ColdUntil    time.Time // Until when the instance takes few calls, as described; zero when it is not cold.
+	ColdStated   bool      // The description states whether the instance is cold.
 	Models       ResidentModels
 	CachedModels []string // Models whose weights load from the instance's own memory or disk.
 	Revision     uint64   // Store revision of the description.
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -343,6 +343,7 @@
 		return
 	}
 	if v.deployments.Apply(decoded, document) {
+		v.fleet.SetColdRates(decoded.Services, v.environment.ColdOverage, v.environment.ColdSlack)
 		v.log.Info("configuration in force", zap.Uint64("version", decoded.Version), zap.String("source", source),
 			zap.Int("routes", len(decoded.Routes)), zap.Int("accounts", len(decoded.Tenants)))
 	}
@@ -368,4 +369,5 @@
 	v.rateLimiter.SetMemberCount(count, settled)
 	v.retryBudget.SetMemberCount(count, settled)
 	v.fleet.SetMemberCount(count, settled)
+	v.fleet.SetMemberNames(v.roster.Names(now))
 }
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -75,7 +75,11 @@
 	case response.Instance == "":
 		return kumquathitch.Assignment{}, errNoEngineNamed
 	}
-	return kumquathitch.Assignment{InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt}, nil
+	assignment := kumquathitch.Assignment{InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt}
+	if response.SendWithin > 0 {
+		assignment.SendBy = sendAt.Add(response.SendWithin)
+	}
+	return assignment, nil
 }
 
 // Admit counts a call against the limit that an instance names. The scheduler counts the
@@ -86,7 +90,9 @@
 	if address == "" && !self {
 		return v.fleet.AdmitByShare(instance, now)
 	}
-	request := kumquathitch.AdmitRequest{Incarnation: instance.Incarnation()}
+	request := kumquathitch.AdmitRequest{
+		ID: instance.ID, Service: instance.Service, Incarnation: instance.Incarnation(), Cold: v.fleet.MayBeCold(instance, now),
+	}
 	if limit, ok := v.fleet.Limit(instance.ID, now); ok {
 		request.Limits = append(request.Limits, limit)
 	}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -100,6 +100,7 @@
 	leadership      leadership
 	schedulerRole   schedulerRole
 	roleLoad        *roleLoad
+	coldCalls       coldCalls
 	reachability    reachability
 	feed            leaderFeed
 	compressed      compressedDeployment
@@ -132,7 +133,7 @@
 	}
 	v.promptGuard = retry.NewPromptGuard(environment.Name, v.crashGuard)
 	v.crashDetector = retry.NewCrashDetector(v.crashGuard, v.promptGuard)
-	v.globalScheduler = fleet.NewGlobalScheduler(v.fleet)
+	v.globalScheduler, v.coldCalls = fleet.NewGlobalScheduler(v.fleet), newColdCalls(set, v.fleet)
 	v.updateMemberCount(time.Now())
 	v.self = kumquathitch.Member{Name: environment.Name, Address: environment.PeerAddress, DataCentre: environment.DataCentre, Started: time.Now().Round(0), Capacity: leaderCapacity(environment)}
 	timing := election.Timing{LeaseTTL: leaseTTL, MemberTTL: memberTTL, HandoverDelay: environment.HandoverDelay}
@@ -264,6 +265,7 @@
 	_, leading := v.candidate.CurrentTerm()
 	v.roleLoad.log(v.log, leading, now)
 	v.logSchedules(now)
+	v.logColdCalls(now)
 	for _, blocked := range v.promptGuard.TakeBlocked(now) {
 		v.log.Warn("prompt part blocked", zap.String("part", strconv.FormatUint(blocked.Hash, 16)), zap.Int("crashes", blocked.Crashes), zap.Duration("for", blocked.Until.Sub(now)))
 	}
