Leave the turns at cold engines to the more urgent calls

A call is held for half a second at most until a cold engine takes it, and less the less urgent it is. A draft that may be held for three seconds would otherwise take all turns of those seconds. A test runs the way from the store to the assignment.

--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -131,12 +131,12 @@
 
 // HasAlternative reports whether an instance other than the chosen one could take the call now.
 func (f *Fleet) HasAlternative(criteria kumquathitch.InstanceCriteria, choice kumquathitch.InstanceChoice, now time.Time) bool {
-	chain := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt)
+	chain, rate := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt), f.coldRate(criteria.Service)
 	for _, inst := range f.instancesIn(group{service: criteria.Service, model: criteria.Model}) {
 		if inst.id == choice.Instance.ID {
 			continue
 		}
-		if found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), f.coldRate(criteria.Service), now); usable && !found.lastResort && !f.isUnreachable(found.dataCentre) {
+		if found, usable := inst.estimate(criteria, chain, f.dataCentre, math.Inf(1), rate, now); usable && !found.lastResort && !f.isUnreachable(found.dataCentre) {
 			return true
 		}
 	}
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -26,6 +26,10 @@
 	// coldJitter is how far apart the admission and the arrival of a call can be. The calls
 	// that arrive within a second were admitted within a second and this time.
 	coldJitter = maxColdPacing + admissionTTL + coldTransit
+	// maxColdHold is the longest time for which a call of the most urgent priority is held
+	// until a cold engine takes it. It is shorter for others, so that they do not take the
+	// turns of several seconds from more urgent ones.
+	maxColdHold = 500 * time.Millisecond
 	// localColdInterval is the time between two calls of one VM that no scheduler answers, so
 	// that at most one arrives in any second.
 	localColdInterval = time.Second + coldJitter
@@ -262,6 +266,11 @@
 	}
 }
 
+// coldHold returns the longest time for which a call is held until a cold engine takes it.
+func coldHold(request *kumquathitch.ScheduleRequest) time.Duration {
+	return min(request.MaxHold, maxColdHold/time.Duration(1+max(0, request.Priority)))
+}
+
 // ColdCounts counts the calls to cold instances at the VM that counts those of all VMs.
 type ColdCounts struct {
 	Assigned int // By the scheduler.
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -267,4 +267,9 @@
 	must.Between(t, 350*time.Millisecond, second.Wait, 450*time.Millisecond)
 	must.True(t, third.EnginesFull)
 	must.Eq(t, fleet.ColdCounts{Assigned: 2, Held: 2, Refused: 1}, scheduler.TakeColdCounts())
+	later := start.Add(400 * time.Millisecond)
+	request.Priority = 2
+	must.True(t, scheduler.Schedule(request, later).EnginesFull) // The turn is left to more urgent calls.
+	request.Priority = 0
+	must.NotEq(t, "", scheduler.Schedule(request, later).Instance)
 }
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -187,7 +187,7 @@
 			return refusal
 		}
 		// Another call may have been counted against the limit since the engine was chosen.
-		sendAt, limited, admitted := gs.limits.Admit(best.incarnation, best.coldPerSecond, request.MaxHold, now)
+		sendAt, limited, admitted := gs.limits.Admit(best.incarnation, best.coldPerSecond, coldHold(request), now)
 		if !admitted {
 			continue
 		}
@@ -224,7 +224,7 @@
 		if !ok || found.costMS >= best.costMS {
 			continue
 		}
-		at, admits := found.holdForLimit(gs.limits.AdmitsAt(found.incarnation, found.coldPerSecond, now), request.MaxHold, now)
+		at, admits := found.holdForLimit(gs.limits.AdmitsAt(found.incarnation, found.coldPerSecond, now), coldHold(request), now)
 		if !admits {
 			if admittedAt.IsZero() || at.Before(admittedAt) {
 				admittedAt = at
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -94,7 +94,7 @@
 	environment := kumquathitch.Environment{
 		Name: name, DataCentre: "zone-a", Bootstrap: true, CallerAddress: v.callers, ReadyAddress: v.ready, PeerAddress: v.peers,
 		ShutdownGrace: 2 * time.Second, DrainLag: 300 * time.Millisecond, HandoverDelay: 300 * time.Millisecond, ChecksFencing: true,
-		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
 		Store: p.stores[name], Control: platform.NewEngineControl(time.Second),
 		Dialect: platform.Dialect{}, Codec: p.codec,
 	}
