Suspect only lost plain instances of being cold

An engine comes back without models and answers 421 until it has loaded one, which its entry tells together with the cold time.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -158,7 +158,7 @@
 	return news
 }
 
-// observe records the outcome of a send: an instance that was lost may come back cold.
+// observe records the outcome of a send to a plain instance: one that was lost may come back cold.
 func (c *coldState) observe(result *kumquathitch.SendResult, rate coldRate) {
 	switch result.Outcome {
 	case kumquathitch.SendUnreachable, kumquathitch.SendBroken:
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -308,7 +308,7 @@
 	if !inst.description.SameIncarnation(&choice.Instance) {
 		return
 	}
-	if rate.applies() {
+	if rate.applies() && !isEngine { // An engine comes back without models, and runs no call before its entry lists one.
 		inst.cold.observe(&result, rate)
 	}
 	inst.updateCircuit(choice, result, serviceFailureRate)
