--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,7 @@
 	unsettled    atomic.Bool  // VMs may be missing from memberCount.
 	unreachable  unreachableSet
 	restrictions restrictions // Set before the first choice.
+	cold         coldRateSet
 	capacity     capacityNotifier
 	shards       [shardCount]instanceShard // By ID.
 	groups       [shardCount]groupShard
@@ -119,6 +120,7 @@
 	f := &Fleet{vm: vm, dataCentre: dataCentre}
 	f.memberCount.Store(1)
 	f.capacity.changed = make(chan struct{})
+	f.cold.vms = []string{vm}
 	for i := range f.shards {
 		f.shards[i].instances = map[string]*instanceState{}
 		f.shards[i].removed, _ = simplelru.NewLRU[string, removedInstance](maxRemovedPerShard, nil) // Fails only for a size below 1.
@@ -167,7 +169,7 @@
 		s.instances[instance.ID] = inst
 	}
 	s.mutex.Unlock()
-	before, changed := inst.update(instance, now)
+	before, changed := inst.update(instance, f.coldRate(instance.Service), now)
 	if changed {
 		f.updateGroups(inst, before, groupsOf(&instance))
 	}
--- a/fleet/slowness.go
+++ b/fleet/slowness.go
@@ -130,17 +130,3 @@
 	})
 	return usual
 }
-
-// eachInstance calls a function for each instance, under the lock of the instance.
-func (f *Fleet) eachInstance(use func(inst *instanceState)) {
-	for i := range f.shards {
-		s := &f.shards[i]
-		s.mutex.RLock()
-		for _, inst := range s.instances {
-			inst.mutex.Lock()
-			use(inst)
-			inst.mutex.Unlock()
-		}
-		s.mutex.RUnlock()
-	}
-}
--- a/vm/evacuations.go
+++ b/vm/evacuations.go
@@ -24,14 +24,14 @@
 // putEvacuation applies a change that asks for the evacuation of a data centre.
 func (w *storeWatcher) putEvacuation(dataCentre string, revision uint64, lastKnown time.Time) {
 	if change := w.vm.evacuations.Begin(dataCentre, revision, w.vm.closesAt(lastKnown), time.Now()); change != nil {
-		w.vm.logEvacuation(*change, "change")
+		w.vm.applyEvacuation(*change, "change")
 	}
 }
 
 // removeEvacuation applies a change that takes the evacuation of a data centre back.
 func (w *storeWatcher) removeEvacuation(dataCentre string, revision uint64) {
 	if change := w.vm.evacuations.End(dataCentre, revision, time.Now()); change != nil {
-		w.vm.logEvacuation(*change, "change")
+		w.vm.applyEvacuation(*change, "change")
 	}
 }
 
@@ -49,11 +49,14 @@
 // replaceEvacuations applies a list of all evacuations, from a scan or another VM.
 func (v *VM) replaceEvacuations(list kumquathitch.EvacuationList, source string) {
 	for _, change := range v.evacuations.Replace(list, time.Now()) {
-		v.logEvacuation(change, source)
+		v.applyEvacuation(change, source)
 	}
 }
 
-func (v *VM) logEvacuation(change evacuation.Change, source string) {
+// applyEvacuation logs the start or the end of an evacuation. The instances of the data centre
+// may be cold then before their entries say so.
+func (v *VM) applyEvacuation(change evacuation.Change, source string) {
+	v.fleet.ExpectCold(change.DataCentre, time.Now())
 	fields := []zap.Field{zap.String("data-centre", change.DataCentre), zap.String("source", source), zap.Uint64("revision", change.Revision)}
 	if change.Begun {
 		v.log.Info("evacuation begun", append(fields, zap.Duration("closed-in", max(0, time.Until(change.ClosesAt))))...)
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -356,6 +356,7 @@
 		return
 	}
 	if v.deployments.Apply(decoded, document) {
+		v.fleet.SetColdRates(decoded.Services, v.environment.ColdOverage, v.environment.ColdSlack)
 		v.log.Info("configuration in force", zap.Uint64("version", decoded.Version), zap.String("source", source),
 			zap.Int("routes", len(decoded.Routes)), zap.Int("accounts", len(decoded.Tenants)))
 	}
@@ -381,4 +382,5 @@
 	v.rateLimiter.SetMemberCount(count, settled)
 	v.retryBudget.SetMemberCount(count, settled)
 	v.fleet.SetMemberCount(count, settled)
+	v.fleet.SetMemberNames(v.roster.Names(now))
 }
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -101,7 +101,11 @@
 	case response.Instance == "":
 		return kumquathitch.Assignment{}, errNoEngineNamed
 	}
-	return kumquathitch.Assignment{InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt}, nil
+	assignment := kumquathitch.Assignment{InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt}
+	if response.SendWithin > 0 {
+		assignment.SendBy = sendAt.Add(response.SendWithin)
+	}
+	return assignment, nil
 }
 
 // Admit counts a call against the limit that an instance names. The scheduler counts the
@@ -112,7 +116,9 @@
 	if address == "" && !self {
 		return v.fleet.AdmitByShare(instance, now)
 	}
-	request := kumquathitch.AdmitRequest{Incarnation: instance.Incarnation()}
+	request := kumquathitch.AdmitRequest{
+		ID: instance.ID, Service: instance.Service, Incarnation: instance.Incarnation(), Cold: v.fleet.MayBeCold(instance, now),
+	}
 	if limit, ok := v.fleet.Limit(instance.ID, now); ok {
 		request.Limits = append(request.Limits, limit)
 	}
@@ -148,11 +154,12 @@
 
 // target returns the address of the VM to ask for engines of a partition, or self when that
 // is this one. While its scheduler does not answer, that of the next partition takes its
-// place, and the leader when there is none. It returns neither when no VM can be asked.
+// place, or the leader when there is only one. It returns neither when no VM can be asked. No
+// third VM is asked: the calls to cold instances are bounded for two VMs that count at a time.
 func (s *scheduler) target(partition int, now time.Time) (address string, self bool) {
 	v := s.vm
 	schedulers := v.schedulerRole.addresses()
-	for i := range schedulers {
+	for i := range min(2, len(schedulers)) {
 		address = schedulers[(partition+i)%len(schedulers)]
 		if address == v.environment.PeerAddress {
 			return "", true
@@ -161,6 +168,9 @@
 			return address, false
 		}
 	}
+	if len(schedulers) > 1 {
+		return "", false
+	}
 	if _, leading := v.candidate.CurrentTerm(); leading {
 		return "", true
 	}
