Bound what callers make an entry VM hold

Cause: nothing bounded the connections of callers, the memory of heads while they are read and after they are decoded, or the readiness port; a body that does not come held the space of all others.

Change: package intake stands between the listener and net/http. It counts connections, bytes and lines of heads up to their end, and sees bodies and writes progress. At a limit it closes the connections of those who give least for what they hold: refused ones and ones idle beyond the operator's limit, incomplete heads, silent connections, bodies and writes without progress, and last, at the limit of connections only, ones that wait for a next request. A request that is being served is never closed. Heads beyond the limit get 431, slow ones 408, empty lines 400, a lack of space 503; then the connection is closed. Limits follow from limits.memory_mb and limits.max_fds; callers.* in the settings replaces them. Buffers moves from relay to intake, and closes stalled callers before it refuses a message.

--- a/deployment.go
+++ b/deployment.go
@@ -93,7 +93,9 @@
 
 // CallerLimits bound the requests of callers.
 type CallerLimits struct {
-	MaxBodyBytes int64
+	MaxBodyBytes   int64
+	MaxHeaderBytes int64
+	IdleTimeout    time.Duration // How long a connection may be idle before callers no longer reuse it.
 }
 
 // Validate returns a *ValidationError with every problem of the deployment, or nil.
--- a/environment.go
+++ b/environment.go
@@ -16,6 +16,8 @@
 	Seeds          []string // Peer addresses of entry VMs; some may be out of date.
 
 	MemoryBytes   int64
+	Descriptors   int // File descriptors of the process.
+	Intake        IntakeLimits
 	Cores         float64       // CPU cores that the VM may use; can be a fraction.
 	LinkMbps      float64       // Bandwidth of the VM's network link.
 	ShutdownGrace time.Duration // From the shutdown signal until the process is killed.
--- a/relay/call.go
+++ b/relay/call.go
@@ -13,6 +13,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
 const (
@@ -50,7 +51,7 @@
 	criteria          kumquathitch.InstanceCriteria
 	modelListed       bool // The service configures the model; demand for other names is not recorded.
 	body              []byte
-	held              heldBody // Holds body.
+	held              intake.HeldBody // Holds body.
 	deadline          time.Time
 	chargedTokens     float64 // Tokens taken from the account's rate.
 
@@ -122,7 +123,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	rc.held.buffers = rc.Buffers
+	rc.held.Buffers = rc.Buffers
 	control := http.NewResponseController(rc.writer)
 	if rc.request.ContentLength != 0 { // A caller that stops sending must not hold the body for ever.
 		until := rc.received.Add(defaultTimeout)
@@ -131,10 +132,10 @@
 		}
 		_ = control.SetReadDeadline(until) // Fails only on a closed connection, which ends the read as well.
 	}
-	err := rc.held.readAll(http.MaxBytesReader(rc.writer, rc.request.Body, limit), "body", rc.request.ContentLength, limit)
+	err := rc.held.ReadAll(http.MaxBytesReader(rc.writer, rc.request.Body, limit), "body", rc.request.ContentLength, limit)
 	var tooLong *http.MaxBytesError
-	var large *TooLargeError
-	var full *BuffersFullError
+	var large *intake.TooLargeError
+	var full *intake.BuffersFullError
 	switch {
 	case errors.As(err, &tooLong), errors.As(err, &large):
 		return kumquathitch.NewRefusal(http.StatusRequestEntityTooLarge, "body-too-large",
@@ -147,7 +148,7 @@
 		return kumquathitch.NewRefusal(http.StatusBadRequest, "body-unreadable", "reading the body: "+err.Error())
 	}
 	_ = control.SetReadDeadline(time.Time{}) // The connection may carry further calls.
-	rc.body = rc.held.data
+	rc.body = rc.held.Data
 	return nil
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/deployment"
+	"kumquathitch.example/kumquathitch/intake"
 	"kumquathitch.example/kumquathitch/telemetry"
 )
 
@@ -80,7 +81,7 @@
 	Tracer        trace.Tracer
 	Metrics       *Metrics
 	Pool          *Pool
-	Buffers       *Buffers
+	Buffers       *intake.Buffers
 	Panics        *telemetry.PanicGuard
 
 	// Draining reports whether the VM is shutting down. Responses then carry
@@ -103,7 +104,7 @@
 	}
 	rc := &relayedCall{Handler: h, writer: w, request: r, received: h.Clock.Now()}
 	defer rc.answerPanic()
-	defer rc.held.release()
+	defer rc.held.Release()
 	rc.boundWrites(rc.received.Add(defaultTimeout)) // Replaces the deadline of an earlier call on the connection.
 	if refusal := rc.admit(); refusal != nil {
 		rc.refuse(refusal)
--- a/relay/send.go
+++ b/relay/send.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
 const (
@@ -331,13 +332,13 @@
 	if err := a.connection.SetReadDeadline(a.deadline); err != nil {
 		return a.ended(kumquathitch.SendBroken, sendStatus{delivered: true, mayHaveRun: true, err: err})
 	}
-	content := &heldBody{buffers: a.Buffers}
-	defer content.release()
+	content := &intake.HeldBody{Buffers: a.Buffers}
+	defer content.Release()
 	length := a.response.ContentLength
 	if a.response.Body == http.NoBody {
 		length = 0 // The response to a HEAD request states the length of a body that it does not have.
 	}
-	if err := content.readAll(a.response.Body, "body of the response", length, maxResponseBytes); err != nil {
+	if err := content.ReadAll(a.response.Body, "body of the response", length, maxResponseBytes); err != nil {
 		return a.ended(kumquathitch.SendBroken, sendStatus{delivered: true, mayHaveRun: true, err: eris.Wrap(err, "response body")})
 	}
 	a.reusable = !a.response.Close
@@ -359,11 +360,11 @@
 	header := a.writer.Header()
 	a.Dialect.CopyResponseHeader(header, a.response.Header)
 	if a.request.Method != http.MethodHead {
-		header["Content-Length"] = []string{strconv.Itoa(len(content.data))}
+		header["Content-Length"] = []string{strconv.Itoa(len(content.Data))}
 	}
 	a.headSent = true
 	a.writer.WriteHeader(status)
-	_, _ = a.writer.Write(content.data) // A disconnected caller ends the request's context.
+	_, _ = a.writer.Write(content.Data) // A disconnected caller ends the request's context.
 	a.Metrics.countResponse(status, "")
 	a.Metrics.ResponseTime.Update(a.Clock.Now().Sub(a.received).Seconds())
 	return a.sendResult(outcome), sendStatus{delivered: true, mayHaveRun: true, answered: true}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -131,12 +131,12 @@
 	control := http.NewResponseController(a.writer)
 	pending := make([]byte, 0, streamBufferBytes)
 	reserved := int64(0)
-	defer func() { a.Buffers.release(reserved) }()
+	defer func() { a.Buffers.Release(reserved) }()
 	a.watchdog.start(a, a.eventTimeout)
 	defer a.watchdog.stop()
 	for {
 		if size := len(pending); size == cap(pending) {
-			if full := a.Buffers.extend(reserved, int64(size)); full != nil {
+			if full := a.Buffers.Extend(reserved, int64(size)); full != nil {
 				reserved = 0
 				return pending, full
 			}
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -13,16 +13,11 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/intake"
 	"kumquathitch.example/kumquathitch/link"
 )
 
 const (
-	// readHeaderTimeout is longer than the limit of any deployment.
-	readHeaderTimeout = 20 * time.Second
-	// callerIdleTimeout exceeds the time for which callers keep idle connections.
-	callerIdleTimeout = 90 * time.Second
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 64 << 10
 	// drainDelay is how long new calls are accepted after the shutdown signal. The
 	// platform checks readiness once a second and stops sending calls after two
 	// failed checks. A call that arrives 3 s after the signal must not be cut off.
@@ -64,38 +59,48 @@
 		return nil, eris.Wrap(err, "VM.Run: peer address")
 	}
 	s.peers = v.peerServer().Serve(ctx, listener)
-	for address, handler := range map[string]http.Handler{v.environment.ReadyAddress: v.readiness(), v.environment.MetricsAddress: v.metrics()} {
-		if address == "" {
-			continue
-		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-		if _, err := s.serve(ctx, server, address); err != nil {
-			stop()
-			return nil, err
-		}
-		s.other = append(s.other, server)
+	if err := s.listenOther(ctx, "readiness", v.environment.ReadyAddress, v.readiness()); err != nil {
+		stop()
+		return nil, err
 	}
-	s.calls = &callCounter{handler: v.handler, started: time.Now()}
-	s.callers = &http.Server{
-		Handler: s.calls, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(v.log),
+	if err := s.listenOther(ctx, "metrics", v.environment.MetricsAddress, v.metrics()); err != nil {
+		stop()
+		return nil, err
 	}
-	if s.accepts, err = s.serve(ctx, s.callers, v.environment.CallerAddress); err != nil {
+	s.calls = &callCounter{handler: v.handler, started: time.Now()}
+	s.callers = &http.Server{Handler: s.calls, ErrorLog: zap.NewStdLog(v.log)} //nolint:gosec // The budget sets the timeouts.
+	if s.accepts, err = s.serve(ctx, s.callers, v.environment.CallerAddress, v.intake); err != nil {
 		stop()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *servers) serve(ctx context.Context, server *http.Server, address string) (net.Listener, error) {
+// listenOther opens a listener for requests of the platform, unless its address is empty.
+func (s *servers) listenOther(ctx context.Context, name, address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	server := &http.Server{Handler: handler} //nolint:gosec // The budget sets the timeouts.
+	budget := intake.NewBudget(intake.Settings{Name: name, Limits: intake.DeriveReadiness(s.vm.resources()), Logger: s.vm.log, Metrics: s.vm.set})
+	if _, err := s.serve(ctx, server, address, budget); err != nil {
+		return err
+	}
+	s.other = append(s.other, server)
+	return nil
+}
+
+// serve serves the connections of an address that a budget admits.
+func (s *servers) serve(ctx context.Context, server *http.Server, address string, budget *intake.Budget) (net.Listener, error) {
 	listener, err := link.Listen(ctx, address)
 	if err != nil {
 		return nil, eris.Wrap(err, "VM.Run: address "+address)
 	}
+	budget.Configure(server)
 	end := make(chan error, 1)
 	s.ends = append(s.ends, end)
 	go func() {
-		err := server.Serve(listener)
+		err := server.Serve(budget.Listen(listener))
 		if !isClosed(err) {
 			s.failed <- err
 		}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -36,6 +36,7 @@
 	"kumquathitch.example/kumquathitch/deployment"
 	"kumquathitch.example/kumquathitch/election"
 	"kumquathitch.example/kumquathitch/fleet"
+	"kumquathitch.example/kumquathitch/intake"
 	"kumquathitch.example/kumquathitch/model"
 	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/placement"
@@ -104,6 +105,7 @@
 	feed            leaderFeed
 	compressed      compressedDeployment
 	panics          *telemetry.PanicGuard
+	intake          *intake.Budget // What callers make this VM hold.
 	handler         *relay.Handler
 	cancelCalls     context.CancelFunc // Cancels the calls that are still in flight.
 	draining        atomic.Bool        // The readiness check fails, so that callers go elsewhere.
@@ -151,9 +153,26 @@
 		Tracer: tracing.Tracer, Metrics: relayMetrics, Pool: relay.NewPool(relayMetrics),
 		Buffers: relay.NewBuffers(int64(bufferFraction * float64(environment.MemoryBytes))), Panics: v.panics, Draining: v.draining.Load, Stopping: v.stopping.Load, BaseContext: callContext,
 	}
+	v.intake = intake.NewBudget(intake.Settings{
+		Name: "callers", Limits: intake.Derive(environment.Intake, v.resources()), Logger: log, Metrics: set, Allowed: v.callerLimits,
+	})
+	v.handler.Buffers.Reclaim = v.intake.CloseStalled
 	return v
 }
 
+// resources returns what this VM has for callers and itself.
+func (v *VM) resources() intake.Resources {
+	return intake.Resources{MemoryBytes: v.environment.MemoryBytes, Descriptors: v.environment.Descriptors}.Restrict()
+}
+
+// callerLimits returns what the deployment allows to callers.
+func (v *VM) callerLimits() kumquathitch.CallerLimits {
+	if snapshot := v.deployments.Snapshot(); snapshot != nil {
+		return snapshot.Deployment.Limits
+	}
+	return kumquathitch.CallerLimits{}
+}
+
 // leaderCapacity returns the capacity by which VMs campaign for leadership: the
 // number of processor cores, reduced in proportion for a link below fullLinkMbps.
 func leaderCapacity(environment kumquathitch.Environment) float64 {
