Bound what callers make kumquathitchd hold

Cause: the product's own front end bounded neither heads, nor bodies together, nor responses that wait for their callers, nor connections; a body that does not come held its handler for ever.

A buffer for a body of stated length grows in larger steps: many responses of 8 MB left garbage that took kumquathitch-entry to 99 MB of 96 in TestPipeliningWithoutReading/big.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -97,10 +97,10 @@
 // an ordinary request is answered.
 func check(t *testing.T, p *process, sockets int) {
 	t.Helper()
-	t.Logf("%s: %d MB of %d, %d sockets of %d", p.name, p.residentMB(t), memoryMB, sockets, p.maxDescriptors-fileDescriptors)
 	p.settle()
 	sockets = max(sockets, p.sockets())
 	p.mustServe(t)
+	t.Logf("%s: %d MB of %d, %d sockets of %d", p.name, p.residentMB(t), memoryMB, sockets, p.maxDescriptors-fileDescriptors)
 	if resident := p.residentMB(t); resident > memoryMB {
 		t.Errorf("%s used %d MB of %d", p.name, resident, memoryMB)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,7 +22,7 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
+	"runtime/debug"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
@@ -34,6 +34,7 @@
 	"kumquathitch.example/kumquathitch/configuration"
 	"kumquathitch.example/kumquathitch/entry"
 	"kumquathitch.example/kumquathitch/gateway"
+	"kumquathitch.example/kumquathitch/intake"
 	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/platform"
 	"kumquathitch.example/kumquathitch/route"
@@ -64,6 +65,7 @@
 	Distribution *Distribution
 	Placement    *placementTask
 
+	intake          *intake.Budget // What callers make this process hold.
 	upstreamWatcher *upstreamWatcher
 	tracing         *telemetry.Tracing
 	listener        net.Listener
@@ -107,6 +109,7 @@
 		Tracing:       tracing,
 		Logger:        d.Logger,
 		Metrics:       d.Metrics,
+		Buffers:       d.newIntake(),
 	}, nil)
 	d.Configuration = configuration.NewCurrent(d.Accounts, d.RateShares, d.Upstreams, d.Routes, d.Members, d.Gateway)
 	d.addMembership()
@@ -116,6 +119,28 @@
 	return d, d.listen(ctx)
 }
 
+const (
+	// memoryLimitFraction is the memory limit of the Go runtime, as a fraction of the
+	// memory in the settings.
+	memoryLimitFraction = 0.7
+	// bufferFraction is the memory for bodies and responses, and minBufferBytes its least
+	// value: one response of the largest size.
+	bufferFraction = 0.25
+	minBufferBytes = 16 << 20
+)
+
+// newIntake creates the budget for callers, and returns the buffers of their messages.
+func (d *Daemon) newIntake() *intake.Buffers {
+	if memory := d.Settings.MemoryBytes; memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory)))
+	}
+	resources := intake.Resources{MemoryBytes: d.Settings.MemoryBytes}.Restrict()
+	d.intake = intake.NewBudget(intake.Settings{Name: "callers", Limits: intake.Derive(d.Settings.Intake, resources), Logger: d.Logger, Metrics: d.Metrics})
+	buffers := intake.NewBuffers(max(minBufferBytes, int64(bufferFraction*float64(resources.MemoryBytes))))
+	buffers.Reclaim = d.intake.CloseStalled
+	return buffers
+}
+
 func (d *Daemon) listen(ctx context.Context) error {
 	var err error
 	var config net.ListenConfig
@@ -171,7 +196,8 @@
 
 // serveCallers serves HTTP requests until ctx ends, then drains.
 func (d *Daemon) serveCallers(ctx context.Context) error {
-	server := &http.Server{Handler: d.Gateway, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: d.Gateway, ErrorLog: zap.NewStdLog(d.Logger)} //nolint:gosec // The budget sets the timeouts.
+	d.intake.Configure(server)
 	drained := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
@@ -182,7 +208,7 @@
 		defer cancel()
 		drained <- server.Shutdown(drainCtx)
 	}()
-	if err := server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(d.intake.Listen(d.listener)); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(err, "Daemon.serveCallers")
 	}
 	return eris.Wrap(<-drained, "Daemon.serveCallers")
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -36,6 +36,13 @@
 	LeavingGrace   string   `arg:"--leaving-grace,env:KUMQUATHITCH_LEAVING_GRACE" help:"how long a leaving upstream may still get new work [default: 2s]"`
 	ReportMaxAge   string   `arg:"--report-max-age,env:KUMQUATHITCH_REPORT_MAX_AGE" help:"age at which a load report is no longer used [default: 5s]"`
 	FingerprintTTL string   `arg:"--fingerprint-ttl,env:KUMQUATHITCH_FINGERPRINT_TTL" help:"how long the fingerprint of a crashing request is kept [default: 1h]"`
+	MemoryMB       string   `arg:"--memory-mb,env:KUMQUATHITCH_MEMORY_MB" help:"memory of this process in MiB [default: that of the machine]"`
+	MaxConnections string   `arg:"--max-connections,env:KUMQUATHITCH_MAX_CONNECTIONS" help:"open connections of callers [default: from memory and descriptors]"`
+	HeadBytes      string   `arg:"--head-bytes,env:KUMQUATHITCH_HEAD_BYTES" help:"largest head of a request in bytes [default: 65536]"`
+	HeadMemoryMB   string   `arg:"--head-memory-mb,env:KUMQUATHITCH_HEAD_MEMORY_MB" help:"memory for the heads of all requests in MiB [default: a tenth of the memory]"`
+	EmptyLineBytes string   `arg:"--empty-line-bytes,env:KUMQUATHITCH_EMPTY_LINE_BYTES" help:"empty lines before a request in bytes [default: 64]"`
+	HeadTimeout    string   `arg:"--head-timeout,env:KUMQUATHITCH_HEAD_TIMEOUT" help:"longest time for the head of a request [default: 10s]"`
+	CallerIdle     string   `arg:"--caller-idle-timeout,env:KUMQUATHITCH_CALLER_IDLE_TIMEOUT" help:"longest time between two requests of a connection [default: 90s]"`
 	OutcomeTTL     string   `arg:"--outcome-ttl,env:KUMQUATHITCH_OUTCOME_TTL" help:"how long an idempotency record is kept [default: 1h]"`
 }
 
@@ -50,6 +57,8 @@
 	OTLPEndpoint string
 	LogLevel     string
 	ClockDrift   float64
+	MemoryBytes  int64 // 0 for the memory of the machine.
+	Intake       kumquathitch.IntakeLimits
 
 	DrainTimeout   time.Duration
 	StoreTimeout   time.Duration
@@ -91,6 +100,8 @@
 		{&s.ReportMaxAge, "5s"},
 		{&s.FingerprintTTL, "1h"},
 		{&s.OutcomeTTL, "1h"},
+		{&s.HeadTimeout, "10s"},
+		{&s.CallerIdle, "90s"},
 	}
 	for _, d := range defaults {
 		if *d.field == "" {
@@ -112,6 +123,8 @@
 		Platform:       p.address("platform", s.Platform),
 		OTLPEndpoint:   s.OTLPEndpoint,
 		LogLevel:       p.logLevel("log-level", s.LogLevel),
+		MemoryBytes:    p.count("memory-mb", s.MemoryMB) << 20,
+		Intake:         p.intake(s),
 		ClockDrift:     p.fraction("clock-drift", s.ClockDrift),
 		DrainTimeout:   p.duration("drain-timeout", s.DrainTimeout),
 		StoreTimeout:   p.duration("store-timeout", s.StoreTimeout),
@@ -177,6 +190,29 @@
 	return value
 }
 
+// count parses a number; an empty text stands for the default, which is 0.
+func (p *settingsParser) count(flag, text string) int64 {
+	if text == "" {
+		return 0
+	}
+	value, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || value <= 0 {
+		p.add(flag, text, "a whole number above 0")
+	}
+	return value
+}
+
+func (p *settingsParser) intake(s *Settings) kumquathitch.IntakeLimits {
+	return kumquathitch.IntakeLimits{
+		Connections:    int(p.count("max-connections", s.MaxConnections)),
+		HeadBytes:      p.count("head-bytes", s.HeadBytes),
+		HeadMemory:     p.count("head-memory-mb", s.HeadMemoryMB) << 20,
+		EmptyLineBytes: p.count("empty-line-bytes", s.EmptyLineBytes),
+		HeadTimeout:    p.duration("head-timeout", s.HeadTimeout),
+		IdleTimeout:    p.duration("caller-idle-timeout", s.CallerIdle),
+	}
+}
+
 func (p *settingsParser) duration(flag, text string) time.Duration {
 	value, err := time.ParseDuration(text)
 	if err != nil || value <= 0 {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
 // Reasons of upstream failures, as labelled in metrics. With reasonConnect no
@@ -50,10 +51,10 @@
 	cancel     context.CancelFunc
 	cancelled  bool // Another attempt responded first, or the call has ended.
 	response   *http.Response
-	buffer     *[]byte // From the pool buffers; starts with the first bytes of a stream.
-	buffered   int     // Number of bytes in buffer.
-	readErr    error   // Error of the read that filled buffer.
-	body       []byte  // Complete body, if stream is false.
+	buffer     *[]byte         // From the pool buffers; starts with the first bytes of a stream.
+	buffered   int             // Number of bytes in buffer.
+	readErr    error           // Error of the read that filled buffer.
+	body       intake.HeldBody // Complete body, if stream is false.
 	stream     bool
 	result     kumquathitch.UpstreamResult
 	err        error
@@ -86,7 +87,7 @@
 	if err := a.checkHeader(c); err != nil {
 		return err
 	}
-	return a.readFirstBytes(ctx, s.Clock)
+	return a.readFirstBytes(ctx, s)
 }
 
 // executionAfter returns NotExecuted if err proves that the request did not run
@@ -120,14 +121,12 @@
 
 // readFirstBytes reads the first bytes of a stream, or the complete body of any
 // other response.
-func (a *attempt) readFirstBytes(ctx context.Context, clock kumquathitch.Clock) error {
+func (a *attempt) readFirstBytes(ctx context.Context, s *Server) error {
 	if !a.stream {
-		body, err := readFullBody(a.response.Body)
-		if err != nil {
-			return a.fail(transportFailure(ctx, err), reasonBroken, err)
+		if err := s.readFullBody(a.response, &a.body); err != nil {
+			return a.fail(bodyFailure(ctx, err), reasonBroken, err)
 		}
-		a.body = body
-		a.result.FirstByte = clock.Now()
+		a.result.FirstByte = s.Clock.Now()
 		return nil
 	}
 	a.buffer, _ = buffers.Get().(*[]byte)
@@ -137,7 +136,7 @@
 	if a.buffered == 0 {
 		return a.fail(transportFailure(ctx, a.readErr), reasonTruncated, a.readErr)
 	}
-	a.result.FirstByte, a.result.Stream = clock.Now(), true
+	a.result.FirstByte, a.result.Stream = s.Clock.Now(), true
 	return nil
 }
 
@@ -158,6 +157,7 @@
 		buffers.Put(a.buffer)
 		a.buffer = nil
 	}
+	a.body.Release()
 }
 
 func newRequestID() string {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
 // chatCall is one chat completion request and its attempts on upstreams. A
@@ -223,11 +224,13 @@
 // writeFullResponse writes a response that was read to its end.
 func (c *chatCall) writeFullResponse(a *attempt) error {
 	var usage usageBody
-	if json.Unmarshal(a.body, &usage) == nil {
+	if json.Unmarshal(a.body.Data, &usage) == nil {
 		a.result.Tokens = usage.Usage.TotalTokens
 	}
 	c.usedTokens = max(c.usedTokens, a.result.Tokens)
 	header, status, body := a.response.Header, a.response.StatusCode, a.body
+	defer body.Release()
+	a.body = intake.HeldBody{} // The end of the attempt comes before the write.
 	c.finish(a)
 	c.writer.Header().Set("Content-Type", header.Get("Content-Type"))
 	if after := header.Get("Retry-After"); after != "" {
@@ -235,7 +238,7 @@
 	}
 	c.relay.extendDeadline(c.server.Clock.Now())
 	c.writer.WriteHeader(status)
-	_, _ = c.writer.Write(body) //nolint:gosec // Relaying the answer is the purpose; a caller that has gone away needs none.
+	_, _ = c.writer.Write(body.Data) // A caller that has gone away needs none.
 	return nil
 }
 
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -11,8 +10,12 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
+// busyRetryAfter is when a caller may try again after a lack of memory.
+const busyRetryAfter = time.Second
+
 // maxBodyBytes is the maximum size of a caller's request body.
 const maxBodyBytes = 8 << 20
 
@@ -24,6 +27,9 @@
 	return propagation.HeaderCarrier(h)
 }
 
+// defaultBufferBytes is the memory for bodies and responses of a server without Buffers.
+const defaultBufferBytes = 256 << 20
+
 // prepare authenticates the caller, unless the route is open, and reads the
 // body into info. It returns a *RefusalError with status 400 or 413 for a body
 // that it rejects.
@@ -36,16 +42,30 @@
 		}
 		info.caller = caller
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return kumquathitch.NewRefusal(413, "body-too-large", "The request body is larger than 8 MiB.")
-		}
+	if err := s.readBody(w, r, info); err != nil {
+		return err
+	}
+	return rejectKeyInContent(info.key, info.body, r.URL.RawQuery)
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, info *requestInfo) error {
+	err := info.held.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), "body", r.ContentLength, maxBodyBytes)
+	var tooLong *http.MaxBytesError
+	var tooLarge *intake.TooLargeError
+	var full *intake.BuffersFullError
+	switch {
+	case errors.As(err, &tooLong), errors.As(err, &tooLarge):
+		return kumquathitch.NewRefusal(413, "body-too-large", "The request body is larger than 8 MiB.")
+	case errors.As(err, &full):
+		refusal := kumquathitch.NewRefusal(503, "buffers-full", "The requests that this VM holds take all of its memory for them.")
+		refusal.RetryAfter = s.Clock.Now().Add(busyRetryAfter)
+		return refusal
+	case err != nil:
 		return kumquathitch.NewRefusal(400, "body-unreadable", "The request body ended early.")
 	}
-	info.body = body
-	return rejectKeyInContent(info.key, body, r.URL.RawQuery)
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // The connection may carry further requests.
+	info.body = info.held.Data
+	return nil
 }
 
 // rejectKeyInContent refuses a request whose body or query contains the
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 	"kumquathitch.example/kumquathitch/telemetry"
 )
 
@@ -41,6 +42,7 @@
 	Tracing       *telemetry.Tracing
 	Logger        *zap.Logger
 	Metrics       *metrics.Set
+	Buffers       *intake.Buffers // For bodies and responses; nil for defaultBufferBytes.
 
 	router          atomic.Pointer[chi.Mux]
 	counters        atomic.Pointer[counters]
@@ -69,6 +71,9 @@
 	if s.Demand == nil {
 		s.Demand = discardDemand{}
 	}
+	if s.Buffers == nil {
+		s.Buffers = intake.NewBuffers(defaultBufferBytes)
+	}
 	s.operatorHandler = operatorHandler
 	s.router.Store(s.newRouter(kumquathitch.Routes{}))
 	s.counters.Store(newCounters(s.Metrics, nil))
@@ -138,6 +143,16 @@
 	caller kumquathitch.Caller
 	key    string // As presented; only compared, never forwarded.
 	body   []byte
+	held   intake.HeldBody // Holds body.
+}
+
+// boundCaller ends the read of the body at the deadline of the request, and writes to a
+// caller that does not read callerWriteTimeout later.
+func boundCaller(ctx context.Context, w http.ResponseWriter) {
+	deadline, _ := ctx.Deadline()
+	control := http.NewResponseController(w) // Not every ResponseWriter supports deadlines.
+	_ = control.SetReadDeadline(deadline)
+	_ = control.SetWriteDeadline(deadline.Add(callerWriteTimeout))
 }
 
 type serveFunc func(ctx context.Context, w http.ResponseWriter, r *http.Request, info *requestInfo) error
@@ -151,7 +166,9 @@
 		defer span.End()
 		ctx, cancel := context.WithDeadline(ctx, s.Clock.Now().Add(routeTimeout(route)))
 		defer cancel()
-		info := &requestInfo{route: route}
+		info := &requestInfo{route: route, held: intake.HeldBody{Buffers: s.Buffers}}
+		defer info.held.Release()
+		boundCaller(ctx, w)
 		if err := s.prepare(w, r, info); err != nil {
 			s.writeError(w, info, err)
 			return
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
 // serveService relays a call of a plain service.
@@ -77,6 +78,7 @@
 		if err != nil {
 			return withCause(ctx, err)
 		}
+		defer response.held.Release()
 		writeServiceResponse(w, response)
 		return nil
 	}
@@ -97,6 +99,7 @@
 		if result.err != nil {
 			return result.err
 		}
+		defer result.response.held.Release()
 		writeServiceResponse(w, result.response)
 		return nil
 	case <-ctx.Done():
@@ -105,7 +108,8 @@
 		s.writeError(w, call.info, withCause(ctx, kumquathitch.NewFailure(504, "deadline-exceeded", "The upstream did not answer in time.")))
 		_ = http.NewResponseController(w).Flush() // Not every ResponseWriter can flush.
 	}
-	<-results // A graceful shutdown waits for the handler and must also wait for the call.
+	result := <-results // A graceful shutdown waits for the handler and must also wait for the call.
+	result.response.held.Release()
 	return nil
 }
 
@@ -114,6 +118,7 @@
 	status      int
 	contentType string
 	body        []byte
+	held        intake.HeldBody // Holds body, unless the response was stored before.
 }
 
 // tryUpstreams sends a call to upstreams until one responds. A non-idempotent
@@ -175,14 +180,15 @@
 		return serviceResponse{}, transportFailure(ctx, err), serviceError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := readFullBody(response.Body)
+	var held intake.HeldBody
+	err = s.readFullBody(response, &held)
 	if errors.Is(err, errResponseTooLarge) {
 		return serviceResponse{}, kumquathitch.UpstreamResult{Failed: true}, kumquathitch.NewFailure(502, "answer-too-large", "The upstream's response is larger than 16 MiB.")
 	}
 	if err != nil {
-		return serviceResponse{}, transportFailure(ctx, err), kumquathitch.NewFailure(502, "upstream-failed", "The upstream's response broke off.")
+		return serviceResponse{}, bodyFailure(ctx, err), kumquathitch.NewFailure(502, "upstream-failed", "The upstream's response broke off.")
 	}
-	fullResponse := serviceResponse{status: response.StatusCode, contentType: response.Header.Get("Content-Type"), body: body}
+	fullResponse := serviceResponse{status: response.StatusCode, contentType: response.Header.Get("Content-Type"), body: held.Data, held: held}
 	now := s.Clock.Now()
 	return fullResponse, kumquathitch.UpstreamResult{FirstByte: now, PausedUntil: pauseEnd(response, now)}, nil
 }
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
 // Limits of the connections to upstreams, and headers of their messages.
@@ -115,14 +116,29 @@
 var errResponseTooLarge = eris.New("gateway.readFullBody: the response is larger than 16 MiB")
 
 // readFullBody reads a response body of at most maxResponseBytes to its end. A
-// body that is shorter than its declared length is an error.
-func readFullBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+// body that is shorter than its declared length is an error. The caller releases the
+// held body.
+func (s *Server) readFullBody(response *http.Response, held *intake.HeldBody) error {
+	held.Buffers = s.Buffers
+	err := held.ReadAll(response.Body, "response", response.ContentLength, maxResponseBytes)
+	var tooLarge *intake.TooLargeError
+	if errors.As(err, &tooLarge) {
+		held.Release()
+		return errResponseTooLarge
+	}
 	if err != nil {
-		return nil, eris.Wrap(err, "gateway.readFullBody")
+		held.Release()
+		return eris.Wrap(err, "gateway.readFullBody")
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
+	return nil
+}
+
+// bodyFailure returns what a body that could not be read says of its upstream: nothing
+// if this VM had no memory for it.
+func bodyFailure(ctx context.Context, err error) kumquathitch.UpstreamResult {
+	var full *intake.BuffersFullError
+	if errors.As(err, &full) {
+		return kumquathitch.UpstreamResult{}
 	}
-	return body, nil
+	return transportFailure(ctx, err)
 }
--- a/intake/buffers.go
+++ b/intake/buffers.go
@@ -14,6 +14,9 @@
 	// maxFirstReadBytes bounds the first buffer for a body of stated length, since the
 	// length may be stated without the bytes following.
 	maxFirstReadBytes = 256 << 10
+	// knownGrowth and unknownGrowth are the factors by which a buffer grows. A large factor
+	// leaves less garbage; with a stated length it never exceeds the body.
+	knownGrowth, unknownGrowth = 8, 2
 	// freedTimeout is how long a message waits for the space of connections that were
 	// closed for it.
 	freedTimeout = 250 * time.Millisecond
@@ -142,6 +145,14 @@
 	return nil
 }
 
+// nextSize returns the next size of a full buffer.
+func nextSize(size, length, limit int64) int64 {
+	if length >= size {
+		return min(length+1, knownGrowth*size)
+	}
+	return min(limit+1, unknownGrowth*size)
+}
+
 // ReadAll reads a body to its end. length is its stated length, negative if there is
 // none. It returns a *TooLargeError for a body beyond the limit, a *BuffersFullError
 // without space, or the error of the reader. The caller releases the body in any case.
@@ -158,7 +169,7 @@
 	}
 	for {
 		if len(b.Data) == cap(b.Data) {
-			if err := b.grow(min(limit+1, 2*int64(cap(b.Data)))); err != nil {
+			if err := b.grow(nextSize(int64(cap(b.Data)), length, limit)); err != nil {
 				return err
 			}
 		}
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,137 @@
+package intake_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
+)
+
+// startServer starts a server with a budget and returns its address.
+func startServer(t *testing.T, limits kumquathitch.IntakeLimits, handler http.HandlerFunc) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	budget := intake.NewBudget(intake.Settings{
+		Name: "callers", Limits: intake.Derive(limits, intake.Resources{}), Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+		Allowed: func() kumquathitch.CallerLimits { return kumquathitch.CallerLimits{IdleTimeout: 50 * time.Millisecond} },
+	})
+	server := &http.Server{Handler: handler}
+	budget.Configure(server)
+	go func() { _ = server.Serve(budget.Listen(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	content, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, r.URL.Path, len(content))
+}
+
+func send(t *testing.T, address, text string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, _ = io.WriteString(conn, text)
+	return conn
+}
+
+// status returns the status of the response on a connection, or 0 if there is none.
+func status(conn net.Conn) int {
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestRefusalsHaveAStatus guards against callers that lose their connection without
+// knowing why, and against limits that meet an ordinary request.
+func TestRefusalsHaveAStatus(t *testing.T) {
+	address := startServer(t, kumquathitch.IntakeLimits{HeadTimeout: 300 * time.Millisecond, HeadMemory: 400 << 10}, echo)
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"ordinary":             {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 200},
+		"body of empty lines":  {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("\n", 3000), 200},
+		"largest head allowed": {"GET / HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("a", 60<<10) + "\r\n\r\n", 200},
+		"head too large":       {"GET / HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("a", 80<<10), 431},
+		"head too slow":        {"GET / HTTP/1.1\r\nHost: a\r\n", 408},
+		"head too costly":      {"GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 8<<10), 503},
+		"empty lines":          {strings.Repeat("\r", 2000), 400},
+	} {
+		t.Run(name, func(t *testing.T) { must.Eq(t, c.status, status(send(t, address, c.text))) })
+	}
+}
+
+// TestServedRequestKeepsItsConnection guards against a crowd that takes the connection
+// of a request that is being served, and against a new caller that finds no space
+// although others hold connections and give nothing.
+func TestServedRequestKeepsItsConnection(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	address := startServer(t, kumquathitch.IntakeLimits{Connections: 4}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(running)
+			<-release
+		}
+		echo(w, r)
+	})
+	served := send(t, address, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-running
+	silent := send(t, address, "")
+	idle := send(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.Eq(t, 200, status(idle))
+	slow := send(t, address, "GET / HTTP/1.1\r\n")
+	time.Sleep(200 * time.Millisecond)                     // Longer than each of them may take when others wait.
+	for _, loser := range []net.Conn{idle, slow, silent} { // The idle one is so for longer than the operator allows.
+		must.Eq(t, 200, status(send(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")))
+		_ = loser.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err := loser.Read(make([]byte, 1))
+		must.ErrorIs(t, err, io.EOF)
+	}
+	close(release)
+	must.Eq(t, 200, status(served))
+}
+
+// TestBuffersReclaimSpace guards against messages that are refused although a stalled
+// caller holds the space.
+func TestBuffersReclaimSpace(t *testing.T) {
+	buffers := intake.NewBuffers(10)
+	must.NoError(t, buffers.Extend(0, 8))
+	must.Error(t, buffers.Extend(0, 4))
+	buffers.Reclaim = func(bytes int64) int64 {
+		go buffers.Release(8)
+		return 8
+	}
+	must.NoError(t, buffers.Extend(0, 4))
+	buffers.Reclaim = nil
+	must.Error(t, buffers.Extend(4, 7))
+	must.NoError(t, buffers.Extend(0, 10)) // The refused message has returned what it held.
+}
+
+// TestDerivedLimits guards against limits that callers within the pages' limits meet on
+// the smallest VM, or that leave nothing for upstreams.
+func TestDerivedLimits(t *testing.T) {
+	limits := intake.Derive(kumquathitch.IntakeLimits{}, intake.Resources{MemoryBytes: 144 << 20, Descriptors: 3075})
+	must.Eq(t, 2696, limits.Connections)
+	must.Greater(t, 16384, limits.HeadBytes)
+	must.Greater(t, 3*time.Second, limits.HeadTimeout)
+	must.Greater(t, 15*time.Second, limits.IdleTimeout)
+	must.Eq(t, 7, intake.Derive(kumquathitch.IntakeLimits{Connections: 7}, intake.Resources{Descriptors: 3075}).Connections)
+}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -90,8 +90,13 @@
 	}
 }
 
-// Restrict returns the resources with no more descriptors than the kernel allows to this process.
+// Restrict returns the resources with no more descriptors than the kernel allows to this
+// process, and with the memory of the machine if the memory is not known.
 func (r Resources) Restrict() Resources {
+	var machine unix.Sysinfo_t
+	if r.MemoryBytes <= 0 && unix.Sysinfo(&machine) == nil {
+		r.MemoryBytes = int64(machine.Totalram) * int64(machine.Unit) //nolint:gosec // Below 2^63 on every machine.
+	}
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && limit.Cur > 0 && limit.Cur < math.MaxInt32 {
 		if r.Descriptors <= 0 || int(limit.Cur) < r.Descriptors {
