Keep the body that net/http inspects

FuzzServerSeesTheSameRequests found that a server behind the budget read a further request after a body with a malformed trailer: net/http decides by the type of the request's body whether the connection can carry another request, and the budget had replaced it. The handler now gets a copy of the request.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -109,7 +109,7 @@
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if held, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			held.beginRequest(r)
+			r = held.beginRequest(r)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -132,14 +132,18 @@
 	return delta, 0, ""
 }
 
-// beginRequest records that a handler has got a request, and notes when its body has been read.
-func (c *Conn) beginRequest(r *http.Request) {
-	next := phaseServing
-	if r.Body != nil && r.Body != http.NoBody {
-		next = phaseBody
-		r.Body = &body{ReadCloser: r.Body, conn: c}
-	}
-	c.enter(next)
+// beginRequest records that a handler has got a request, and returns the request with a
+// body that notes when it has been read. It is a copy: net/http inspects the body of the
+// original to decide whether the connection can carry another request.
+func (c *Conn) beginRequest(r *http.Request) *http.Request {
+	if r.Body == nil || r.Body == http.NoBody {
+		c.enter(phaseServing)
+		return r
+	}
+	c.enter(phaseBody)
+	watched := r.WithContext(r.Context())
+	watched.Body = &body{ReadCloser: r.Body, conn: c}
+	return watched
 }
 
 func (c *Conn) enter(next phase) {
--- a/intake/fuzz_test.go
+++ b/intake/fuzz_test.go
@@ -97,7 +97,11 @@
 		}
 	}
 	_ = server.Serve(listener)
-	<-ended
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the connection has not ended")
+	}
 	refused := false
 	if set != nil {
 		var text bytes.Buffer
