Let a leader that cannot read from the store learn from other VMs

A leader exchanged only with itself. When the store served its writes but not its watch, it stayed without changes, evacuations among them, as long as it led; a new test shows it. Every second of its full exchanges now goes to another VM.

A refusal names the evacuation as its reason only if no instance outside the evacuated data centres could serve the call: others, which were tried or are full, may take it again much earlier.

--- a/dispatch.go
+++ b/dispatch.go
@@ -152,8 +152,8 @@
 	// Saturated is set when the call would delay the streams of every instance and
 	// can still wait.
 	Saturated bool
-	// Evacuated is set when instances that could serve the call are in data centres that
-	// are being evacuated.
+	// Evacuated is set when all instances that could serve the call are in data centres
+	// that are being evacuated.
 	Evacuated bool
 	// OutsideHomes is set when the service has instances, and all of them are outside the
 	// regions that the call is bound to.
@@ -172,7 +172,7 @@
 		return "service " + e.Service + " has no instance in the regions that the call is bound to"
 	}
 	if e.Evacuated {
-		return "instances of service " + e.Service + " for model " + e.Model + " adapter " + e.Adapter + " are in data centres that are being evacuated, and no other one can take the call"
+		return "all instances of service " + e.Service + " that could serve model " + e.Model + " adapter " + e.Adapter + " are in data centres that are being evacuated"
 	}
 	return "no instance of service " + e.Service + " can take a call for model " + e.Model + " adapter " + e.Adapter
 }
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -207,16 +207,16 @@
 		}
 	}
 	all := f.instancesIn(group{service: criteria.Service})
+	usable := len(f.restrictions.allowed(all, criteria.Homes, now)) > 0
 	evacuated, outsideHomes := f.restrictions.exclusion(all, criteria.Homes, now)
-	if evacuated && criteria.Model != "" {
-		holding, _ := f.restrictions.exclusion(f.instancesIn(group{service: criteria.Service, model: criteria.Model}), criteria.Homes, now)
-		evacuated = holding || len(f.restrictions.allowed(all, criteria.Homes, now)) == 0
+	if usable {
+		evacuated, _ = f.restrictions.exclusion(f.instancesIn(group{service: criteria.Service, model: criteria.Model}), criteria.Homes, now)
 	}
 	return &kumquathitch.NoInstanceError{
-		Evacuated: evacuated, OutsideHomes: outsideHomes,
+		Evacuated: evacuated && len(candidates) == 0, OutsideHomes: outsideHomes,
 		Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
 		AdapterNotResident: criteria.Adapter != "" && holders > 0 && len(criteria.Exclude) == 0,
-		ModelNotResident:   criteria.Model != "" && holders == 0 && len(f.restrictions.allowed(all, criteria.Homes, now)) > 0,
+		ModelNotResident:   criteria.Model != "" && holders == 0 && usable,
 		PausedUntil:        pausedUntil,
 	}
 }
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -147,7 +147,10 @@
 // returns neither when there is none. With withoutStore the known leader may be
 // outdated, and other VMs are chosen as well.
 func (v *VM) exchangePeer(withoutStore bool) (address string, self bool) {
-	if _, leading := v.candidate.CurrentTerm(); leading {
+	// A leader that can write to the store, but not read from it, learns of changes from
+	// other VMs.
+	_, leading := v.candidate.CurrentTerm()
+	if leading && (!withoutStore || rand.IntN(2) == 0) { //nolint:gosec // Nothing depends on secrecy.
 		return "", true
 	}
 	leader, known := v.candidate.Leader()
@@ -171,7 +174,7 @@
 			return address, false
 		}
 	}
-	return "", false
+	return "", leading
 }
 
 // applyResponse applies the response to a full exchange.
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -321,6 +321,7 @@
 	kumquathitch.Keyspace
 	refuse       atomic.Bool
 	refuseWrites atomic.Bool // Refuses writes only, so that the VM can't become the leader.
+	refuseWatch  atomic.Bool // Refuses the watch only, so that the VM stays the leader.
 }
 
 func (s *refusingStore) refused(operation string) error {
@@ -335,6 +336,9 @@
 	if err := s.refused("Follow"); err != nil {
 		return kumquathitch.KeyChanges{}, err
 	}
+	if s.refuseWatch.Load() {
+		return kumquathitch.KeyChanges{}, &kumquathitch.StoreError{Operation: "Follow", Cause: errors.New("refused by the test")}
+	}
 	changes, err := s.Keyspace.Follow(ctx, prefix, after, wait)
 	if refused := s.refused("Follow"); refused != nil {
 		return kumquathitch.KeyChanges{}, refused
