--- a/vm/lost_history_test.go
+++ b/vm/lost_history_test.go
@@ -10,7 +10,7 @@
 )
 
 // exchangeWith returns the response of a VM to an exchange.
-func exchangeWith(t *testing.T, client *peer.Client, v *testVM) kumquathitch.ExchangeResponse {
+func exchangeWith(t testing.TB, client *peer.Client, v *testVM) kumquathitch.ExchangeResponse {
 	t.Helper()
 	var response kumquathitch.ExchangeResponse
 	_ = client.Call(t.Context(), v.peers, "vm.exchange", kumquathitch.ExchangeRequest{From: "test"}, &response) // The VM may not have started yet.
