--- a/vm/bench_test.go
+++ b/vm/bench_test.go
@@ -27,7 +27,7 @@
 				for i := range 60 {
 					loads[fmt.Sprintf("i-%010d", (from*7+i*61)%(10*size))] = 1
 				}
-				return kumquathitch.ExchangeRequest{From: fmt.Sprint("entry-", from+1), DeploymentVersion: 1, InFlight: loads, StoreRevision: uint64(20 * size)} //nolint:gosec // Positive.
+				return kumquathitch.ExchangeRequest{From: fmt.Sprint("entry-", from+1), DeploymentVersion: 1, InFlight: loads, StoreRevision: uint64(20 * size)}
 			}
 			var response kumquathitch.ExchangeResponse
 			p.waitFor("the VM leads", func() bool {
