Let each VM call a subset of a large plain service

Cause: a VM chose among all instances of a plain service, and one that had not been called yet looked faster than those it knew.

--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -42,6 +42,8 @@
 // time to the response. It returns a *NoInstanceError if no instance can take the call.
 func (f *Fleet) Choose(criteria kumquathitch.InstanceCriteria, now time.Time) (kumquathitch.InstanceChoice, error) {
 	candidates := f.restrictions.allowed(f.instancesIn(group{service: criteria.Service, model: criteria.Model}), criteria.Homes, now)
+	all := candidates
+	candidates = f.subset(candidates, criteria, now)
 	chain := newPromptChain(criteria.Model+"/"+criteria.Adapter, criteria.Prompt)
 	prefillBudgetMS := f.prefillBudget(criteria, len(candidates))
 	best := candidate{costMS: math.Inf(1)}
@@ -82,7 +84,7 @@
 		best = fallback
 	}
 	if best.instance == nil {
-		return kumquathitch.InstanceChoice{}, f.noInstanceError(criteria, candidates, now)
+		return kumquathitch.InstanceChoice{}, f.noInstanceError(criteria, all, now)
 	}
 	best.instance.startSend(chain, best.prefillTokens, best.probe)
 	return kumquathitch.InstanceChoice{
