Keep newer knowledge of cold instances when an entry is read again

An entry that is read again, as by a VM without the store, ended the cold time that a response had stated after it. It says nothing new. An entry within two seconds after the operator takes a data centre back may have been written before, and does not end the cold time that is expected of its instances.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -35,8 +35,8 @@
 	localColdInterval = time.Second + coldJitter
 	// localColdRetry is when a VM that may not call a cold instance itself asks a scheduler again.
 	localColdRetry = 200 * time.Millisecond
-	// coldEntryLag is the age that the newest entry of an instance can have. A response that
-	// came within this time before the entry applies instead.
+	// coldEntryLag is the age that the newest entry of an instance can have. What became known
+	// within this time before the entry applies instead.
 	coldEntryLag = 2 * time.Second
 	// startClockSkew is how far the clocks of VMs and instances may differ.
 	startClockSkew = 5 * time.Second
@@ -127,20 +127,18 @@
 type coldState struct {
 	until          time.Time // As its newest entry or response states, or expected of a new start.
 	respondedAt    time.Time // Last response that stated it.
+	knownAt        time.Time // When a response stated it, or the instance was expected to be cold. Entries may be older.
 	suspectedUntil time.Time // It may have started again unseen. This applies to this VM's calls only.
 	lost           bool      // It could not be reached, or broke a connection, and has not answered since.
 	localUntil     time.Time // Until when this VM calls it no more without a scheduler.
 }
 
-// describe records a description. A description read again counts from its first reading.
+// describe records a description. One that is read again says nothing new.
 func (c *coldState) describe(before, instance *kumquathitch.Instance, rate coldRate, now time.Time) {
 	known := before.Service != "" && before.SameIncarnation(instance)
 	switch {
 	case instance.ColdStated && known && instance.Revision == before.Revision:
-		if instance.ColdUntil.Before(c.until) {
-			c.until = instance.ColdUntil
-		}
-	case instance.ColdStated && now.Sub(c.respondedAt) >= coldEntryLag:
+	case instance.ColdStated && now.Sub(c.knownAt) >= coldEntryLag:
 		c.until = instance.ColdUntil
 	case !instance.ColdStated && !known && !instance.Started.IsZero() && now.Sub(instance.Started) < rate.duration+startClockSkew && rate.applies():
 		c.until = now.Add(rate.duration)
@@ -154,7 +152,7 @@
 		return false
 	}
 	news := at.Before(c.until) != at.Before(until)
-	c.until, c.respondedAt = until, at
+	c.until, c.respondedAt, c.knownAt = until, at, at
 	return news
 }
 
@@ -198,7 +196,7 @@
 		defer inst.mutex.Unlock()
 		rate := f.coldRate(inst.description.Service)
 		if until := now.Add(rate.duration); rate.applies() && inst.description.DataCentre == dataCentre && until.After(inst.cold.until) {
-			inst.cold.until = until
+			inst.cold.until, inst.cold.knownAt = until, now
 		}
 	})
 }
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -205,6 +205,8 @@
 	must.Eq(t, 1, cold(8*time.Second))
 	f.Put(coldEngine("one", 4, time.Time{}), at.Add(time.Second)) // Possibly written before the response.
 	must.Eq(t, 1, cold(9*time.Second))
+	f.Put(coldEngine("one", 4, time.Time{}), at.Add(2500*time.Millisecond)) // The same one, read again.
+	must.Eq(t, 1, cold(10900*time.Millisecond))
 	report := f.TakeLimits("scheduler", at.Add(time.Second))
 	must.Len(t, 1, report)
 	other := coldFleet("entry-2", []string{"entry-2"}, coldEngine("one", 4, time.Time{}))
@@ -229,6 +231,9 @@
 		must.Eq(t, 0, f.ColdCount(start.Add(coldTime)))
 		f.ExpectCold("a", start.Add(time.Minute))
 		f.ExpectCold("b", start.Add(2*time.Minute))
+		warm := engine
+		warm.Revision, warm.ColdStated = 2, true
+		f.Put(warm, start.Add(time.Minute+time.Second)) // Possibly written before.
 		must.Eq(t, 1, f.ColdCount(start.Add(time.Minute+coldTime-1)))
 		must.Eq(t, 0, f.ColdCount(start.Add(2*time.Minute)))
 	}
@@ -276,3 +281,22 @@
 	request.Priority = 0
 	must.NotEq(t, "", scheduler.Schedule(request, later).Instance)
 }
+
+// TestLowerOfBothLimitsApplies guards against a cold instance that gets as many calls as it names
+// when warm, and against a named limit that is forgotten while the instance is cold.
+func TestLowerOfBothLimitsApplies(t *testing.T) {
+	const coldPerSecond = 5
+	for named, expected := range map[float64]int{2: 20, 100: 50} {
+		limits := fleet.NewCallLimits()
+		limits.Learn([]kumquathitch.InstanceLimit{namedLimit("one", named, 0)}, start)
+		admitted := 0
+		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
+			if _, limited, ok := limits.Admit(newEngineIncarnation("one"), coldPerSecond, 0, now); ok {
+				must.True(t, limited)
+				admitted++
+			}
+			must.False(t, limits.AdmitsAt(newEngineIncarnation("one"), coldPerSecond, now).IsZero())
+		}
+		must.Between(t, expected-1, admitted, expected+1)
+	}
+}
