--- a/vm/evacuation_test.go
+++ b/vm/evacuation_test.go
@@ -178,6 +178,34 @@
 	}
 }
 
+// TestCallsGoOnUntilDataCentreCloses guards against a hole while models are being loaded
+// elsewhere, against calls after the lag that the platform allows, and against a VM that
+// grants that time to an evacuation whose age it does not know.
+func TestCallsGoOnUntilDataCentreCloses(t *testing.T) {
+	p := newTestPlatform(t)
+	p.lag = 5 * time.Second
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	only, _ := p.startEngineIn("zone-b", "i-only", "m")
+	e := &evacuationTest{testPlatform: p, emptied: only}
+	v := e.startVM("entry-1")
+	e.awaitAnswer(v)
+	asked := time.Now()
+	p.store.Put("op/evacuate/zone-b", []byte("{}"))
+	e.awaitEvacuations(v, 1)
+	status, body := v.call(t, "k1", "m")
+	must.Eq(t, 200, status, must.Sprint(body))
+	late := e.startVM("entry-2")
+	e.waitFor("the new VM is ready", late.isReady)
+	status, body = late.call(t, "k1", "m")
+	must.Eq(t, 503, status, must.Sprint(body))
+	e.waitFor("the data centre is closed", func() bool { status, body := v.call(t, "k1", "m"); return status == 503 && strings.HasPrefix(body, "evacuated:") })
+	must.Between(t, time.Second, time.Since(asked), p.lag)
+	before := len(only.Arrivals())
+	status, _ = v.call(t, "k1", "m")
+	must.Eq(t, 503, status)
+	must.Len(t, before, only.Arrivals())
+}
+
 // TestEvacuationOutlivesLeader guards against an evacuation, or its end, that is lost with the
 // leader, and against a VM that starts meanwhile and does not know of it.
 func TestEvacuationOutlivesLeader(t *testing.T) {
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -57,7 +57,8 @@
 	vms     []*testVM
 	stores  map[string]*refusingStore // By name of the VM.
 	codec   kumquathitch.PlatformCodec
-	seeds   []string // Of the VMs that are started from now on.
+	seeds   []string      // Of the VMs that are started from now on.
+	lag     time.Duration // Their EvacuationLag.
 }
 
 type testVM struct {
@@ -96,7 +97,7 @@
 	environment := kumquathitch.Environment{
 		Name: name, DataCentre: "zone-a", Bootstrap: true, CallerAddress: v.callers, ReadyAddress: v.ready, PeerAddress: v.peers,
 		ShutdownGrace: 2 * time.Second, DrainLag: 300 * time.Millisecond, HandoverDelay: 300 * time.Millisecond, ChecksFencing: true,
-		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Seeds: p.seeds,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Seeds: p.seeds, EvacuationLag: p.lag,
 		Store: p.stores[name], Control: platform.NewEngineControl(time.Second),
 		Dialect: platform.Dialect{}, Codec: p.codec,
 	}
