--- a/fleet/restrictions.go
+++ b/fleet/restrictions.go
@@ -64,6 +64,25 @@
 	return evacuated, outsideHomes
 }
 
+// EvacuatedLoad returns this VM's calls in flight in data centres that are being evacuated.
+func (f *Fleet) EvacuatedLoad() int {
+	if f.restrictions.evacuations == nil || !f.restrictions.evacuations.Any() {
+		return 0
+	}
+	total := 0
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mutex.RLock()
+		for _, inst := range s.instances {
+			if f.restrictions.evacuations.Standing(inst.dataCentre()) {
+				total += inst.localLoad()
+			}
+		}
+		s.mutex.RUnlock()
+	}
+	return total
+}
+
 func (inst *instanceState) dataCentre() string {
 	inst.mutex.Lock()
 	defer inst.mutex.Unlock()
--- a/fleet/restrictions_test.go
+++ b/fleet/restrictions_test.go
@@ -44,6 +44,7 @@
 	must.True(t, ok)
 	set.Begin("b", 10, closed, start)
 	set.Begin("c", 11, closed, start)
+	must.Eq(t, 1, f.EvacuatedLoad())
 	must.True(t, f.Accepts(chosen, closed.Add(-1)))
 	must.False(t, f.Accepts(chosen, closed))
 	_, ok = f.ChooseAssigned(criteria, kumquathitch.Assignment{InstanceID: "b", SendAt: start}, closed)
@@ -61,6 +62,8 @@
 	tried := criteria
 	tried.Exclude = []string{"a"}
 	must.False(t, noInstance(t, f, tried, closed).Evacuated) // The one that was tried may soon take calls again.
+	f.Done(criteria, chosen, sendResult(kumquathitch.SendAnswered, closed))
+	must.Eq(t, 0, f.EvacuatedLoad())
 	set.End("b", 12, closed)
 	choice, err := f.Choose(tried, closed)
 	must.NoError(t, err)
--- a/vm/evacuation_test.go
+++ b/vm/evacuation_test.go
@@ -198,7 +198,10 @@
 	e.waitFor("the new VM is ready", late.isReady)
 	status, body = late.call(t, "k1", "m")
 	must.Eq(t, 503, status, must.Sprint(body))
-	e.waitFor("the data centre is closed", func() bool { status, body := v.call(t, "k1", "m"); return status == 503 && strings.HasPrefix(body, "evacuated:") })
+	e.waitFor("the data centre is closed", func() bool {
+		status, body := v.call(t, "k1", "m")
+		return status == 503 && strings.HasPrefix(body, "evacuated:")
+	})
 	must.Between(t, time.Second, time.Since(asked), p.lag)
 	before := len(only.Arrivals())
 	status, _ = v.call(t, "k1", "m")
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -147,6 +147,7 @@
 	v.placer = placement.NewController(environment.Control, environment.Name, v.orderFence, clock.Monotonic{}, log, v.set, v.panics)
 	v.placer.UseEvacuations(v.evacuations)
 	v.set.NewGauge("kumquathitch_evacuated_data_centres", func() float64 { return float64(v.evacuations.Count()) })
+	v.set.NewGauge("kumquathitch_evacuated_calls_in_flight", func() float64 { return float64(v.fleet.EvacuatedLoad()) })
 	v.watcher = newStoreWatcher(v)
 	var callContext context.Context
 	callContext, v.cancelCalls = context.WithCancel(context.Background())
