--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,7 +18,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"kumquathitch.example/kumquathitch"
 )
@@ -42,15 +41,12 @@
 	// singleReplicaCost is the cost of a model with one replica, per unit of its
 	// share of the demand, because the loss of one engine makes it unavailable.
 	singleReplicaCost = 0.4
-	// A load costs moveCost, since an unload drops the engine's prefix cache, and
-	// loadCostPerSecond for the time that it takes; a move must gain more than that. The
-	// unit is the cost of one engine with an even share of the demand.
-	moveCost          = 0.24
-	loadCostPerSecond = 0.08
-	// copyLoadTime is the time of a load from an engine's own copy, and usualLoadTime that
-	// of a load from the weight store for a model whose load time is not configured.
-	copyLoadTime  = 1500 * time.Millisecond
-	usualLoadTime = 6 * time.Second
+	// storeLoadCost is the cost of a load from the weight store, and copyLoadCost
+	// that of a load from an engine's own copy; a move must gain more than its load
+	// costs. The unit is the cost of one engine with an even share of the demand.
+	// A load takes seconds, and an unload drops the engine's prefix cache.
+	storeLoadCost = 0.72
+	copyLoadCost  = 0.36
 	// One plan makes at most movesPerPlan moves, or one for each enginesPerMove
 	// engines if that is more.
 	movesPerPlan   = 3
@@ -255,7 +251,11 @@
 			if e.Busy || e.Models.Holds(m.Name, "") || (fromStore && !allowStore) {
 				continue
 			}
-			cost := p.loadCost(m, fromStore) - p.relief(m.Name, e)
+			cost := p.engineCost(copyLoadCost)
+			if fromStore {
+				cost = p.engineCost(storeLoadCost)
+			}
+			cost -= p.relief(m.Name, e)
 			for _, victims := range p.victimSets(m, e) {
 				gain := p.gain(m.Name, i, victims) - cost
 				if gain > best.gain {
@@ -421,18 +421,6 @@
 	return unservedDemandCost * max(0, p.shares[model]/p.capacity(p.holders[model])-p.engineCost(overloadFactor))
 }
 
-// loadCost returns the cost of a load by the time that it takes.
-func (p *planner) loadCost(m *kumquathitch.ModelSpec, fromStore bool) float64 {
-	takes := m.LoadTime
-	if takes <= 0 {
-		takes = usualLoadTime
-	}
-	if !fromStore {
-		takes = min(takes, copyLoadTime)
-	}
-	return p.engineCost(moveCost + loadCostPerSecond*takes.Seconds())
-}
-
 // engineCost converts a cost from the unit of one engine with an even share of the
 // demand to that of the whole placement, where all engines together cost 1.
 func (p *planner) engineCost(engines float64) float64 {
