--- a/exchange.go
+++ b/exchange.go
@@ -14,7 +14,6 @@
 	TokensReturned    map[string]float64 `json:"return,omitempty"`        // By account.
 	Suspects          SuspectReport      `json:"suspect-parts,omitzero"`  // Prompt parts and contents that may crash upstreams, as the sending VM observed.
 	InFlight          map[string]int     `json:"loads,omitempty"`         // The VM's own calls in flight, by instance.
-	Slowness          map[string]float64 `json:"slowness,omitempty"`      // That instances stated to the VM since the last exchange, as a multiple of the usual.
 	StoreRevision     uint64             `json:"revision"`                // Highest store revision known to the VM.
 	StoreUnavailable  bool               `json:"without-store,omitempty"` // The VM cannot reach the store.
 }
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -106,14 +106,6 @@
 	}
 }
 
-// SetSlowness sets how long work usually takes on instances, by ID, as a multiple of the
-// usual time of all.
-func (c *Controller) SetSlowness(usual map[string]float64) {
-	for id, factor := range usual {
-		c.withState(id, func(st *instanceState) { st.slowness = factor })
-	}
-}
-
 // Unloading returns the models with an open order to unload, by instance. An
 // instance refuses new calls for such a model.
 func (c *Controller) Unloading() map[string][]string {
--- a/placement/instance_state.go
+++ b/placement/instance_state.go
@@ -46,7 +46,6 @@
 	uncertain      bool                      // acceptedOrders and models need confirmation by a report.
 	firstReport    *kumquathitch.EngineState // Waits for a second report with the same order count.
 	reportedAt     time.Time                 // Arrival of firstReport.
-	slowness       float64                   // How long work usually takes, as a multiple of the usual time of all; 0 if unknown.
 	listedAt       time.Time                 // When the instance was last in the list of instances.
 
 	pending      *openOrder // Accepted model order whose effect has not been seen yet.
@@ -131,7 +130,7 @@
 // engine returns the planner's view of the instance. A model that is being
 // unloaded still counts towards the used memory.
 func (st *instanceState) engine(spec *kumquathitch.EngineSpec, now time.Time) Engine {
-	e := Engine{Instance: st.instance, Models: cloneResidents(st.models), Slowness: st.slowness}
+	e := Engine{Instance: st.instance, Models: cloneResidents(st.models)}
 	if !now.Before(st.queueExpires) {
 		st.queue = nil
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,7 +70,6 @@
 	Models           kumquathitch.ResidentModels // Resident, loading, or to be loaded by an open order.
 	Loading          string                      // The model that is being loaded, or is about to be; empty for none.
 	UsedMB           float64                     // Memory of all Models.
-	Slowness         float64                     // How long work takes, as a multiple of the usual time; 0 if unknown.
 	Busy             bool                        // No model order can be sent now.
 	UsedAdapterSlots int                         // Slots of the adapters in Models, and of those added by a plan.
 	AdaptersInFlight int                         // Adapter orders in flight.
@@ -108,8 +107,8 @@
 //
 // The cost of a placement is the sum of the squares of the engines' shares of the
 // demand, scaled so that an even distribution costs 1, plus penalties for models
-// with too few replicas. Each model's demand is assumed to be spread over its replicas, and
-// the whole demand over all engines, in proportion to their speed. A move is made when it lowers the cost by more than its load costs. An engine
+// with too few replicas. Each model's demand is assumed to be spread evenly over
+// its replicas. A move is made when it lowers the cost by more than its load costs. An engine
 // without models first gets one whose replicas are overloaded.
 func Plan(spec *kumquathitch.EngineSpec, engines Engines, demand Demand, loads int) []Move {
 	p := newPlanner(spec, engines, demand)
@@ -140,7 +139,6 @@
 	holders     map[string][]int   // Indices of the engines that hold a model.
 	copies      map[string]int     // Number of engines with a copy of the weights, by model.
 	engineLoads []float64          // Share of the demand, by engine.
-	capacities  []float64          // Work that an engine does in some time, by engine; the mean is 1.
 	reserveMB   float64            // Memory for adapters on each engine.
 	sizesMB     map[string]float64 // Memory, by model.
 }
@@ -158,7 +156,7 @@
 	p := &planner{
 		spec: spec, engines: slices.Clone(engines), shares: map[string]float64{}, minReplicas: map[string]int{},
 		holders: map[string][]int{}, copies: map[string]int{}, engineLoads: make([]float64, len(engines)), reserveMB: adapterReserveMB(spec),
-		sizesMB: make(map[string]float64, len(spec.Models)), capacities: capacitiesOf(engines),
+		sizesMB: make(map[string]float64, len(spec.Models)),
 	}
 	total := 0.0
 	for _, m := range spec.Models {
@@ -189,44 +187,11 @@
 		}
 	}
 	for model, held := range p.holders {
-		p.addLoads(p.shares[model], held)
-	}
-	return p
-}
-
-// capacitiesOf returns the speeds of engines, relative to their mean. The speed of an engine
-// that has not stated its slowness is the usual one.
-func capacitiesOf(engines Engines) []float64 {
-	capacities := make([]float64, len(engines))
-	total := 0.0
-	for i := range engines {
-		capacities[i] = 1
-		if factor := engines[i].Slowness; factor > 0 {
-			capacities[i] = 1 / factor
+		for _, i := range held {
+			p.engineLoads[i] += p.shares[model] / float64(len(held))
 		}
-		total += capacities[i]
-	}
-	for i := range capacities {
-		capacities[i] *= float64(len(engines)) / total
-	}
-	return capacities
-}
-
-// capacity returns the capacity of several engines together.
-func (p *planner) capacity(engines []int) float64 {
-	total := 0.0
-	for _, i := range engines {
-		total += p.capacities[i]
-	}
-	return total
-}
-
-// addLoads adds a share of the demand to the engines that hold its model.
-func (p *planner) addLoads(share float64, held []int) {
-	total := p.capacity(held)
-	for _, i := range held {
-		p.engineLoads[i] += share * p.capacities[i] / total
 	}
+	return p
 }
 
 // adapterReserveMB returns the memory that is reserved for adapters on each engine, in MB.
@@ -333,8 +298,7 @@
 		held, share := len(p.holders[m.Name]), p.shares[m.Name]
 		gain := p.replicaCost(m.Name, held) - p.replicaCost(m.Name, held+1)
 		if held > 0 {
-			capacity := p.capacity(p.holders[m.Name])
-			gain += float64(len(p.engines)) * share * share / (capacity * (capacity + 1))
+			gain += float64(len(p.engines)) * share * share / float64(held*(held+1))
 		}
 		return gain
 	}
@@ -386,17 +350,17 @@
 	gain := 0.0
 	shift := func(name string, add int) {
 		held := p.holders[name]
-		share, before := p.shares[name], p.capacity(held)
-		after := before + float64(add)*p.capacities[engine]
+		share, before := p.shares[name], float64(len(held))
+		after := before + float64(add)
 		gain += p.replicaCost(name, len(held)) - p.replicaCost(name, len(held)+add)
 		for _, i := range held {
-			change[i] -= share * p.capacities[i] / before
-			if add > 0 || i != engine {
-				change[i] += share * p.capacities[i] / after
+			change[i] -= share / before
+			if after > 0 && (add > 0 || i != engine) {
+				change[i] += share / after
 			}
 		}
 		if add > 0 {
-			change[engine] += share * p.capacities[engine] / after
+			change[engine] += share / after
 		}
 	}
 	shift(model, 1)
@@ -405,7 +369,7 @@
 	}
 	for i, d := range change {
 		before, after := p.engineLoads[i], p.engineLoads[i]+d
-		gain += float64(len(p.engines)) * (before*before - after*after) / p.capacities[i]
+		gain += float64(len(p.engines)) * (before*before - after*after)
 	}
 	return gain
 }
@@ -418,7 +382,7 @@
 	if len(e.Models) > 0 || held == 0 { // Without a replica, it is part of replicaCost.
 		return 0
 	}
-	return unservedDemandCost * max(0, p.shares[model]/p.capacity(p.holders[model])-p.engineCost(overloadFactor))
+	return unservedDemandCost * max(0, p.shares[model]/float64(held)-p.engineCost(overloadFactor))
 }
 
 // engineCost converts a cost from the unit of one engine with an even share of the
@@ -461,8 +425,12 @@
 // setHolders replaces the holders of a model and updates the engines' loads.
 func (p *planner) setHolders(model string, holders []int) {
 	share := p.shares[model]
-	p.addLoads(-share, p.holders[model])
-	p.addLoads(share, holders)
+	for _, i := range p.holders[model] {
+		p.engineLoads[i] -= share / float64(len(p.holders[model]))
+	}
+	for _, i := range holders {
+		p.engineLoads[i] += share / float64(len(holders))
+	}
 	p.holders[model] = holders
 }
 
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -108,7 +108,6 @@
 	request := kumquathitch.ExchangeRequest{From: v.environment.Name, TokensOnly: tokensOnly}
 	if !tokensOnly {
 		request.DeploymentVersion, request.Demand, request.InFlight = v.deployments.Version(), v.demand.Local(now), v.fleet.LocalLoads()
-		request.Slowness = v.fleet.StatedSlowness(now.Add(-exchangeInterval))
 		request.StoreRevision, request.StoreUnavailable = v.watcher.currentRevision(), v.watcher.needsPeers(now)
 	}
 	address, self := v.exchangePeer(request.StoreUnavailable)
@@ -235,7 +234,6 @@
 		response.InFlight = v.feed.exchangeLoads(request.From, request.InFlight, now)
 		if request.From != v.environment.Name {
 			v.demand.SetRemote(request.From, request.Demand, now)
-			v.fleet.AddStatedSlowness(request.Slowness)
 			// The revision is read before the changes. Changes that arrive in between are sent twice.
 			response.StoreRevision = v.watcher.currentRevision()
 			response.Changes, response.Segments, response.SegmentsComplete = v.changesSince(request.StoreRevision, now)
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -250,7 +250,6 @@
 		return
 	}
 	expected := v.forecast.Update(v.demand.Total(now), v.demand.MeanRequestTokens(), now)
-	v.placer.SetSlowness(v.fleet.UsualSlowness())
 	v.placer.Reconcile(ctx, snapshot.Deployment.Services, v.fleet.Instances(), expected)
 	v.fleet.SetUnloading(v.placer.Unloading(), time.Now())
 	v.roleLoad.addRound(time.Since(now))
