--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,7 +18,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"kumquathitch.example/kumquathitch"
 )
@@ -42,15 +41,12 @@
 	// singleReplicaCost is the cost of a model with one replica, per unit of its
 	// share of the demand, because the loss of one engine makes it unavailable.
 	singleReplicaCost = 0.4
-	// A load costs moveCost, since an unload drops the engine's prefix cache, and
-	// loadCostPerSecond for the time that it takes; a move must gain more than that. The
-	// unit is the cost of one engine with an even share of the demand.
-	moveCost          = 0.24
-	loadCostPerSecond = 0.08
-	// copyLoadTime is the time of a load from an engine's own copy, and usualLoadTime that
-	// of a load from the weight store for a model whose load time is not configured.
-	copyLoadTime  = 1500 * time.Millisecond
-	usualLoadTime = 6 * time.Second
+	// storeLoadCost is the cost of a load from the weight store, and copyLoadCost
+	// that of a load from an engine's own copy; a move must gain more than its load
+	// costs. The unit is the cost of one engine with an even share of the demand.
+	// A load takes seconds, and an unload drops the engine's prefix cache.
+	storeLoadCost = 0.72
+	copyLoadCost  = 0.36
 	// One plan makes at most movesPerPlan moves, or one for each enginesPerMove
 	// engines if that is more, but no more than maxMovesPerPlan. Plans are made several
 	// times a second.
@@ -79,7 +75,6 @@
 	Models           kumquathitch.ResidentModels // Resident, loading, or to be loaded by an open order.
 	Loading          string                      // The model that is being loaded, or is about to be; empty for none.
 	UsedMB           float64                     // Memory of all Models.
-	Slowness         float64                     // How long work takes, as a multiple of the usual time; 0 if unknown.
 	Busy             bool                        // No model order can be sent now.
 	UsedAdapterSlots int                         // Slots of the adapters in Models, and of those added by a plan.
 	AdaptersInFlight int                         // Adapter orders in flight.
@@ -117,8 +112,8 @@
 //
 // The cost of a placement is the sum of the squares of the engines' shares of the
 // demand, scaled so that an even distribution costs 1, plus penalties for models
-// with too few replicas. Each model's demand is assumed to be spread over its replicas, and
-// the whole demand over all engines, in proportion to their speed. A move is made when it lowers the cost by more than its load costs. An engine
+// with too few replicas. Each model's demand is assumed to be spread evenly over
+// its replicas. A move is made when it lowers the cost by more than its load costs. An engine
 // without models first gets one whose replicas are overloaded.
 func Plan(spec *kumquathitch.EngineSpec, engines Engines, demand Demand, loads int) []Move {
 	p := newPlanner(spec, engines, demand)
@@ -149,7 +144,6 @@
 	holders     map[string][]int   // Indices of the engines that hold a model.
 	copies      map[string]int     // Number of engines with a copy of the weights, by model.
 	engineLoads []float64          // Share of the demand, by engine.
-	capacities  []float64          // Work that an engine does in some time, by engine; the mean is 1.
 	reserveMB   float64            // Memory for adapters on each engine.
 	sizesMB     map[string]float64 // Memory, by model.
 	sums        loadSums           // Of the present holders and loads.
@@ -168,7 +162,7 @@
 	p := &planner{
 		spec: spec, engines: slices.Clone(engines), shares: map[string]float64{}, minReplicas: map[string]int{},
 		holders: map[string][]int{}, copies: map[string]int{}, engineLoads: make([]float64, len(engines)), reserveMB: adapterReserveMB(spec),
-		sizesMB: make(map[string]float64, len(spec.Models)), capacities: capacitiesOf(engines),
+		sizesMB: make(map[string]float64, len(spec.Models)),
 	}
 	total := 0.0
 	for _, m := range spec.Models {
@@ -199,47 +193,14 @@
 		}
 	}
 	for model, held := range p.holders {
-		p.addLoads(p.shares[model], held)
+		for _, i := range held {
+			p.engineLoads[i] += p.shares[model] / float64(len(held))
+		}
 	}
 	p.updateSums()
 	return p
 }
 
-// capacitiesOf returns the speeds of engines, relative to their mean. The speed of an engine
-// that has not stated its slowness is the usual one.
-func capacitiesOf(engines Engines) []float64 {
-	capacities := make([]float64, len(engines))
-	total := 0.0
-	for i := range engines {
-		capacities[i] = 1
-		if factor := engines[i].Slowness; factor > 0 {
-			capacities[i] = 1 / factor
-		}
-		total += capacities[i]
-	}
-	for i := range capacities {
-		capacities[i] *= float64(len(engines)) / total
-	}
-	return capacities
-}
-
-// capacity returns the capacity of several engines together.
-func (p *planner) capacity(engines []int) float64 {
-	total := 0.0
-	for _, i := range engines {
-		total += p.capacities[i]
-	}
-	return total
-}
-
-// addLoads adds a share of the demand to the engines that hold its model.
-func (p *planner) addLoads(share float64, held []int) {
-	total := p.capacity(held)
-	for _, i := range held {
-		p.engineLoads[i] += share * p.capacities[i] / total
-	}
-}
-
 // adapterReserveMB returns the memory that is reserved for adapters on each engine, in MB.
 func adapterReserveMB(spec *kumquathitch.EngineSpec) float64 {
 	largest := 0.0
@@ -263,7 +224,11 @@
 			if e.Busy || e.Models.Holds(m.Name, "") || (fromStore && !allowStore) {
 				continue
 			}
-			cost := p.loadCost(m, fromStore) - p.relief(m.Name, e)
+			cost := p.engineCost(copyLoadCost)
+			if fromStore {
+				cost = p.engineCost(storeLoadCost)
+			}
+			cost -= p.relief(m.Name, e)
 			for _, victims := range p.victimSets(m, e) {
 				gain := p.gain(m.Name, i, victims) - cost
 				if gain > best.gain {
@@ -362,8 +327,7 @@
 		held, share := len(p.holders[m.Name]), p.shares[m.Name]
 		gain := p.replicaCost(m.Name, held) - p.replicaCost(m.Name, held+1)
 		if held > 0 {
-			capacity := p.capacity(p.holders[m.Name])
-			gain += float64(len(p.engines)) * share * share / (capacity * (capacity + 1))
+			gain += float64(len(p.engines)) * share * share / float64(held*(held+1))
 		}
 		return gain
 	}
@@ -417,19 +381,7 @@
 	if len(e.Models) > 0 || held == 0 { // Without a replica, it is part of replicaCost.
 		return 0
 	}
-	return unservedDemandCost * max(0, p.shares[model]/p.capacity(p.holders[model])-p.engineCost(overloadFactor))
-}
-
-// loadCost returns the cost of a load by the time that it takes.
-func (p *planner) loadCost(m *kumquathitch.ModelSpec, fromStore bool) float64 {
-	takes := m.LoadTime
-	if takes <= 0 {
-		takes = usualLoadTime
-	}
-	if !fromStore {
-		takes = min(takes, copyLoadTime)
-	}
-	return p.engineCost(moveCost + loadCostPerSecond*takes.Seconds())
+	return unservedDemandCost * max(0, p.shares[model]/float64(held)-p.engineCost(overloadFactor))
 }
 
 // engineCost converts a cost from the unit of one engine with an even share of the
@@ -473,8 +425,12 @@
 // setHolders replaces the holders of a model and updates the engines' loads.
 func (p *planner) setHolders(model string, holders []int) {
 	share := p.shares[model]
-	p.addLoads(-share, p.holders[model])
-	p.addLoads(share, holders)
+	for _, i := range p.holders[model] {
+		p.engineLoads[i] -= share / float64(len(p.holders[model]))
+	}
+	for _, i := range holders {
+		p.engineLoads[i] += share / float64(len(holders))
+	}
 	p.holders[model] = holders
 }
 
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -283,7 +283,6 @@
 	instances := v.fleet.Instances()
 	v.nextPlan = now.Add(time.Duration(len(instances)) * planTimePerEngine)
 	expected := v.forecast.Update(v.demand.Total(now), v.demand.MeanRequestTokens(), now)
-	v.placer.SetSlowness(v.fleet.UsualSlowness())
 	v.placer.Reconcile(ctx, snapshot.Deployment.Services, instances, expected)
 	v.fleet.SetUnloading(v.placer.Unloading(), time.Now())
 	v.roleLoad.addRound(time.Since(now))
