Bound what the kernel holds for callers

Cause: the platform counts bytes that a process has not read as its memory. Behind a request that is being served, or while the processor is busy, each connection could hold the kernel's whole receive buffer, and a response that is not read up to 3.8 MB of send buffer (measured here).

Change: listeners for callers ask for a receive buffer of 16 KiB, widened while a larger body is read; connections leave at most 64 KiB unsent.

Measured: TestKernelHoldsLittle fails without either option (175,616 bytes received, 3,875,310 written) and passes five times with both. Tests of vm, relay, gateway and daemon pass.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -117,6 +117,7 @@
 
 // Listen returns a listener whose connections count in the budget.
 func (b *Budget) Listen(inner net.Listener) net.Listener {
+	boundReceived(inner)
 	return &listener{Listener: inner, budget: b}
 }
 
@@ -156,6 +157,7 @@
 	case count > limit*sheddingNumerator/sheddingDenominator && b.now()-time.Duration(b.searchedAt.Load()) >= searchInterval:
 		b.closeConnections(max(1, limit/shedDivisor), false)
 	}
+	boundUnsent(conn)
 	c := &Conn{Conn: conn, budget: b, shard: &b.shards[b.next.Add(1)%shardCount], since: b.now()}
 	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
 		c.address = address.AddrPort().Addr()
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -68,6 +68,7 @@
 	charged   int64 // Cost of the head that the budget counts.
 	bodyBytes int64 // Bytes of the body that were read.
 	writing   int64 // Bytes that are being written; 0 for none.
+	widened   bool  // The kernel may hold bodyBufferBytes.
 	closed    bool
 }
 
@@ -75,6 +76,9 @@
 // refused has got a response when Read returns the error.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.widens(n) {
+		c.setReadBuffer(bodyBufferBytes)
+	}
 	status, why := c.record(p[:n], err)
 	if status == 0 {
 		return n, err
@@ -155,9 +159,14 @@
 // awaitHead records that a request and its response have ended.
 func (c *Conn) awaitHead() {
 	c.shard.mutex.Lock()
-	defer c.shard.mutex.Unlock()
 	c.phase, c.since = phaseIdle, c.budget.now()
 	c.release()
+	widened := c.widened
+	c.widened = false
+	c.shard.mutex.Unlock()
+	if widened {
+		c.setReadBuffer(receiveBufferBytes)
+	}
 }
 
 // release returns what the connection holds. The shard must be locked.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -29,7 +29,8 @@
 	})
 	server := &http.Server{Handler: handler}
 	budget.Configure(server)
-	go func() { _ = server.Serve(budget.Listen(listener)) }()
+	admitted := budget.Listen(listener)
+	go func() { _ = server.Serve(admitted) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
@@ -109,6 +110,36 @@
 	must.Eq(t, 200, status(served))
 }
 
+// TestKernelHoldsLittle guards against memory of the machine for bytes behind a request
+// that is being served, and for a response that is not read.
+func TestKernelHoldsLittle(t *testing.T) {
+	const sent, received, bound = 8 << 20, 128 << 10, 512 << 10
+	running, release, written := make(chan struct{}), make(chan struct{}), make(chan int, 1)
+	address := startServer(t, kumquathitch.IntakeLimits{}, func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-release
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+		total := 0
+		for total < sent {
+			n, err := w.Write(make([]byte, 4<<10))
+			if total += n; err != nil {
+				break
+			}
+		}
+		written <- total
+	})
+	conn := send(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-running
+	must.NoError(t, conn.(*net.TCPConn).SetWriteBuffer(16<<10))
+	must.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	must.NoError(t, conn.SetWriteDeadline(time.Now().Add(time.Second)))
+	n, err := conn.Write(make([]byte, sent))
+	must.Error(t, err)
+	must.Less(t, received, n)
+	close(release)
+	must.Less(t, bound, <-written)
+}
+
 // TestBuffersReclaimSpace guards against messages that are refused although a stalled
 // caller holds the space.
 func TestBuffersReclaimSpace(t *testing.T) {
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -97,10 +97,11 @@
 		return nil, eris.Wrap(err, "VM.Run: address "+address)
 	}
 	budget.Configure(server)
+	admitted := budget.Listen(listener)
 	end := make(chan error, 1)
 	s.ends = append(s.ends, end)
 	go func() {
-		err := server.Serve(budget.Listen(listener))
+		err := server.Serve(admitted)
 		if !isClosed(err) {
 			s.failed <- err
 		}
