Bound the memory of log lines that wait

Cause: callers choose texts in log lines, such as the ID of a call, of up to a head's size; 4,096 lines may wait. Change: a text in a line has at most 8 KiB, and lines that wait at most 4 MiB together; others count as dropped.

--- a/telemetry/bounded_logger.go
+++ b/telemetry/bounded_logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,6 +13,8 @@
 const (
 	// maxQueuedLines is the maximum number of lines that are queued while the log is read slowly.
 	maxQueuedLines = 4096
+	// maxQueuedBytes bounds the memory of these lines.
+	maxQueuedBytes = 4 << 20
 	// fullLinesPerSecond is the number of lines with the same message that are written
 	// each second. Of further lines in that second, every samplingInterval-th is written.
 	fullLinesPerSecond = 100
@@ -43,15 +46,21 @@
 	stop    chan struct{}
 	stopped chan struct{}
 	dropped *metrics.Counter
+	queued  atomic.Int64 // Bytes in lines.
 }
 
 // Write queues a line, or drops it if the queue is full.
 func (a *asyncWriter) Write(line []byte) (int, error) {
-	select {
-	case a.lines <- append([]byte(nil), line...):
-	default:
-		a.dropped.Inc()
+	size := int64(len(line))
+	if a.queued.Add(size) <= maxQueuedBytes {
+		select {
+		case a.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	a.queued.Add(-size)
+	a.dropped.Inc()
 	return len(line), nil
 }
 
@@ -76,6 +85,7 @@
 
 // writeBatch writes a line together with the lines that are queued after it.
 func (a *asyncWriter) writeBatch(w io.Writer, line []byte) {
+	defer func() { a.queued.Add(-int64(len(line))) }()
 	for len(line) < maxBatchBytes {
 		select {
 		case next := <-a.lines:
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -68,12 +68,19 @@
 	return c.Core.Write(entry, fieldsAsText(fields))
 }
 
+// maxValueBytes bounds one text in a line. Callers choose the texts of some, such as
+// the ID of a call; a stack is shorter.
+const maxValueBytes = 8 << 10
+
 func fieldsAsText(fields []zapcore.Field) []zapcore.Field {
 	converted := make([]zapcore.Field, 0, len(fields))
 	for _, f := range fields {
 		if f.Type == zapcore.ReflectType {
 			f = zap.String(f.Key, fmt.Sprint(f.Interface))
 		}
+		if f.Type == zapcore.StringType && len(f.String) > maxValueBytes {
+			f.String = fmt.Sprintf("%s... (%d bytes)", f.String[:maxValueBytes], len(f.String))
+		}
 		converted = append(converted, f)
 	}
 	return converted
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -38,6 +38,24 @@
 	return s.Buffer.Write(line)
 }
 
+// TestBoundedLoggerBoundsItsMemory guards against a process that runs out of memory, or
+// floods its log, because lines contain long texts of callers while nobody reads the log.
+func TestBoundedLoggerBoundsItsMemory(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	logger, flush := telemetry.NewBoundedLogger(out, "info", metrics.NewSet())
+	long := strings.Repeat("a", 60<<10)
+	for i := range 5_000 {
+		logger.Info("event "+strconv.Itoa(i%100), zap.String("call", long), zap.String("reason", "reason "+long))
+	}
+	logger.Info("last", zap.String("call", "short"))
+	close(out.release)
+	flush()
+	must.Less(t, 8<<20, out.Len())
+	must.Positive(t, out.Len())
+	line, _, _ := strings.Cut(out.String(), "\n")
+	must.Less(t, 24<<10, len(line))
+}
+
 // TestBoundedLoggerNeverBlocks logs many lines while nobody reads the log. Callers must
 // not be blocked, and the log volume must not grow with the number of lines.
 func TestBoundedLoggerNeverBlocks(t *testing.T) {
