Let an ordinary caller in while a crowd goes on

A connection could also be closed between its choice and the start of its handler.

Change: at a limit, where the new caller would be refused otherwise, the oldest of those that give nothing makes room, and stalled bodies after 0.25 s. A connection that has left the phase in which it was chosen stays open. One that may be sending a request gets a 503 first, and no handler gets a request of it afterwards, so that the 503 is true.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -109,7 +109,9 @@
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if held, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			r = held.beginRequest(r)
+			if r = held.beginRequest(r); r == nil {
+				panic(http.ErrAbortHandler) // The caller has been told that the request has not run.
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -185,7 +187,7 @@
 	if over <= 0 {
 		return true
 	}
-	b.closeCandidates(reasonHeadMemory, func(ranked []candidate) int {
+	b.closeCandidates(reasonHeadMemory, true, func(ranked []candidate) int {
 		n := 0
 		for freed := int64(0); n < len(ranked) && ranked[n].rank < rankIdle && freed < over; n++ {
 			if ranked[n].conn == c {
@@ -202,7 +204,7 @@
 // read, until they hold some bytes together. It returns the number of these bytes.
 func (b *Budget) CloseStalled(bytes int64) int64 {
 	freed := int64(0)
-	b.closeCandidates(reasonBuffers, func(ranked []candidate) int {
+	b.closeCandidates(reasonBuffers, true, func(ranked []candidate) int {
 		ranked = slices.DeleteFunc(ranked, func(x candidate) bool { return x.rank != rankStalled })
 		n := 0
 		for ; n < len(ranked) && freed < bytes; n++ {
@@ -214,14 +216,14 @@
 }
 
 // closeConnections closes up to a number of connections that give nothing. If none of
-// them is left and idle is set, it closes one that waits for its next request.
-func (b *Budget) closeConnections(count int, idle bool) int {
-	return b.closeCandidates(reasonConnections, func(ranked []candidate) int {
+// them is left and the need is urgent, it closes one that waits for its next request.
+func (b *Budget) closeConnections(count int, urgent bool) int {
+	return b.closeCandidates(reasonConnections, urgent, func(ranked []candidate) int {
 		n := 0
 		for n < min(count, len(ranked)) && ranked[n].rank < rankIdle {
 			n++
 		}
-		if n == 0 && idle {
+		if n == 0 && urgent {
 			return min(1, len(ranked))
 		}
 		return n
@@ -229,23 +231,27 @@
 }
 
 // closeCandidates closes the first of the ranked connections, as many as choose
-// returns, and returns their number. Afterwards their descriptors are free.
-func (b *Budget) closeCandidates(why reason, choose func(ranked []candidate) int) int {
+// returns, and returns how many were closed. Afterwards their descriptors are free. One
+// whose request has been completed meanwhile stays open.
+func (b *Budget) closeCandidates(why reason, urgent bool, choose func(ranked []candidate) int) int {
 	b.search.Lock()
 	defer b.search.Unlock()
 	now := b.now()
 	b.searchedAt.Store(int64(now))
-	ranked := b.rankConnections(now)
-	chosen := ranked[:choose(ranked)]
-	for _, x := range chosen {
+	ranked := b.rankConnections(now, urgent)
+	closed := 0
+	for _, x := range ranked[:choose(ranked)] {
+		if !x.conn.evict(x) {
+			continue
+		}
+		closed++
 		b.report.add(why)
-		_ = x.conn.Close()
 	}
-	return len(chosen)
+	return closed
 }
 
 // rankConnections returns the connections that may be closed, those to close first first.
-func (b *Budget) rankConnections(now time.Duration) []candidate {
+func (b *Budget) rankConnections(now time.Duration, urgent bool) []candidate {
 	var candidates []candidate
 	byAddress := map[netip.Addr]int{}
 	idleLimit := b.allowed().IdleTimeout
@@ -254,7 +260,7 @@
 		s.mutex.Lock()
 		for c := range s.conns {
 			byAddress[c.address]++
-			if x, ok := c.candidate(now, idleLimit); ok {
+			if x, ok := c.candidate(now, idleLimit, urgent); ok {
 				candidates = append(candidates, x)
 			}
 		}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -119,6 +119,9 @@
 	if c.phase == phaseBody || c.phase == phaseServing || c.closed {
 		return 0, 0, ""
 	}
+	if c.phase == phaseRefused { // Closed for others, or about to be.
+		return 0, 0, ""
+	}
 	if len(p) > 0 && c.phase != phaseHead {
 		c.phase, c.since = phaseHead, c.budget.now()
 	}
@@ -136,24 +139,55 @@
 	return delta, 0, ""
 }
 
-// beginRequest records that a handler has got a request, and returns the request with a
+// evict closes the connection for others, unless it has left the phase in which it was
+// chosen. A caller who may be sending a request is told that it has not run.
+func (c *Conn) evict(x candidate) bool {
+	c.shard.mutex.Lock()
+	if c.closed || c.phase != x.phase || (c.phase == phaseHead && c.head.complete) {
+		c.shard.mutex.Unlock()
+		return false
+	}
+	beforeRequest := c.phase == phaseNew || c.phase == phaseHead || c.phase == phaseIdle
+	if beforeRequest {
+		c.phase = phaseRefused
+	}
+	c.shard.mutex.Unlock()
+	if beforeRequest && x.rank != rankUseless {
+		refuse(c.Conn, http.StatusServiceUnavailable)
+	}
+	_ = c.Close()
+	return true
+}
+
+// beginRequest records that a handler has got a request, or returns nil if its connection
+// was refused meanwhile. It returns the request with a
 // body that notes when it has been read. It is a copy: net/http inspects the body of the
 // original to decide whether the connection can carry another request.
 func (c *Conn) beginRequest(r *http.Request) *http.Request {
+	next := phaseBody
 	if r.Body == nil || r.Body == http.NoBody {
-		c.enter(phaseServing)
+		next = phaseServing
+	}
+	if !c.enter(next) {
+		return nil
+	}
+	if next == phaseServing {
 		return r
 	}
-	c.enter(phaseBody)
 	watched := r.WithContext(r.Context())
 	watched.Body = &body{ReadCloser: r.Body, conn: c}
 	return watched
 }
 
-func (c *Conn) enter(next phase) {
+// enter enters a phase, unless the connection was refused.
+func (c *Conn) enter(next phase) bool {
 	c.shard.mutex.Lock()
 	defer c.shard.mutex.Unlock()
+	if c.phase == phaseRefused {
+		return false
+	}
 	c.phase, c.since = next, c.budget.now()
+	return true
 }
 
 // awaitHead records that a request and its response have ended.
--- a/intake/rank.go
+++ b/intake/rank.go
@@ -15,6 +15,7 @@
 	rankSilent       // No byte since the connection was opened.
 	rankStalled      // A body that does not come, or a response that is not read.
 	rankIdle         // Waits for its next request.
+	rankYoung        // As rankHead, rankSilent or rankIdle, for less than headPatience.
 )
 
 const (
@@ -23,11 +24,15 @@
 	headPatience = 100 * time.Millisecond
 	// stallPatience is the same for a body or a response that makes no progress.
 	stallPatience = time.Second
+	// urgentStallPatience replaces it at a limit, where a new caller would be refused
+	// otherwise. It is longer than the gaps of an upload from another region.
+	urgentStallPatience = 250 * time.Millisecond
 )
 
 // candidate is a connection that may be closed.
 type candidate struct {
 	conn   *Conn
+	phase  phase
 	rank   rank
 	weight float64 // What it holds, times for how long, times the connections of its address.
 	head   int64   // Bytes charged for its head.
@@ -38,33 +43,40 @@
 	return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(y.weight, x.weight))
 }
 
-// candidate returns the connection as a candidate, and whether it may be closed. The
-// shard must be locked.
-func (c *Conn) candidate(now, idleLimit time.Duration) (candidate, bool) {
+// candidate returns the connection as a candidate, and whether it may be closed. At a
+// limit the need is urgent. The shard must be locked.
+func (c *Conn) candidate(now, idleLimit time.Duration, urgent bool) (candidate, bool) {
+	patience := stallPatience
+	if urgent {
+		patience = urgentStallPatience
+	}
 	age, held := now-c.since, c.bodyBytes
 	if c.writing > 0 {
 		held = max(held, c.writing)
 	}
-	x := candidate{conn: c, head: c.charged, held: held, weight: float64(connectionBytes+c.charged+held) * age.Seconds()}
+	x := candidate{conn: c, phase: c.phase, head: c.charged, held: held, weight: float64(connectionBytes+c.charged+held) * age.Seconds()}
 	switch {
 	case c.phase == phaseRefused:
 		x.rank = rankUseless
 		return x, true
 	case c.phase == phaseHead && !c.head.complete:
 		x.rank = rankHead
-		return x, age >= headPatience
 	case c.phase == phaseNew:
 		x.rank = rankSilent
-		return x, age >= headPatience
 	case c.phase == phaseBody, c.writing > 0:
 		x.rank = rankStalled
-		return x, age >= stallPatience
+		return x, age >= patience
 	case c.phase == phaseIdle:
 		x.rank = rankIdle
 		if idleLimit > 0 && age > idleLimit {
 			x.rank = rankUseless
 		}
-		return x, age >= headPatience
+	default:
+		return x, false
+	}
+	if age < headPatience {
+		x.rank = rankYoung
+		return x, urgent
 	}
-	return x, false
+	return x, true
 }
