--- a/intake/conn.go
+++ b/intake/conn.go
@@ -68,6 +68,7 @@
 	charged   int64 // Cost of the head that the budget counts.
 	bodyBytes int64 // Bytes of the body that were read.
 	writing   int64 // Bytes that are being written; 0 for none.
+	widened   bool  // The kernel may hold bodyBufferBytes.
 	closed    bool
 }
 
@@ -75,6 +76,9 @@
 // refused has got a response when Read returns the error.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.widens(n) {
+		c.setReadBuffer(bodyBufferBytes)
+	}
 	status, why := c.record(p[:n], err)
 	if status == 0 {
 		return n, err
@@ -115,6 +119,9 @@
 	if c.phase == phaseBody || c.phase == phaseServing || c.closed {
 		return 0, 0, ""
 	}
+	if c.phase == phaseRefused { // Closed for others, or about to be.
+		return 0, 0, ""
+	}
 	if len(p) > 0 && c.phase != phaseHead {
 		c.phase, c.since = phaseHead, c.budget.now()
 	}
@@ -132,32 +139,68 @@
 	return delta, 0, ""
 }
 
-// beginRequest records that a handler has got a request, and returns the request with a
+// evict closes the connection for others, unless it has left the phase in which it was
+// chosen. A caller who may be sending a request is told that it has not run.
+func (c *Conn) evict(x candidate) bool {
+	c.shard.mutex.Lock()
+	if c.closed || c.phase != x.phase || (c.phase == phaseHead && c.head.complete) {
+		c.shard.mutex.Unlock()
+		return false
+	}
+	beforeRequest := c.phase == phaseNew || c.phase == phaseHead || c.phase == phaseIdle
+	if beforeRequest {
+		c.phase = phaseRefused
+	}
+	c.shard.mutex.Unlock()
+	if beforeRequest && x.rank != rankUseless {
+		refuse(c.Conn, http.StatusServiceUnavailable)
+	}
+	_ = c.Close()
+	return true
+}
+
+// beginRequest records that a handler has got a request, or returns nil if its connection
+// was refused meanwhile. It returns the request with a
 // body that notes when it has been read. It is a copy: net/http inspects the body of the
 // original to decide whether the connection can carry another request.
 func (c *Conn) beginRequest(r *http.Request) *http.Request {
+	next := phaseBody
 	if r.Body == nil || r.Body == http.NoBody {
-		c.enter(phaseServing)
+		next = phaseServing
+	}
+	if !c.enter(next) {
+		return nil
+	}
+	if next == phaseServing {
 		return r
 	}
-	c.enter(phaseBody)
 	watched := r.WithContext(r.Context())
 	watched.Body = &body{ReadCloser: r.Body, conn: c}
 	return watched
 }
 
-func (c *Conn) enter(next phase) {
+// enter enters a phase, unless the connection was refused.
+func (c *Conn) enter(next phase) bool {
 	c.shard.mutex.Lock()
 	defer c.shard.mutex.Unlock()
+	if c.phase == phaseRefused {
+		return false
+	}
 	c.phase, c.since = next, c.budget.now()
+	return true
 }
 
 // awaitHead records that a request and its response have ended.
 func (c *Conn) awaitHead() {
 	c.shard.mutex.Lock()
-	defer c.shard.mutex.Unlock()
 	c.phase, c.since = phaseIdle, c.budget.now()
 	c.release()
+	widened := c.widened
+	c.widened = false
+	c.shard.mutex.Unlock()
+	if widened {
+		c.setReadBuffer(receiveBufferBytes)
+	}
 }
 
 // release returns what the connection holds. The shard must be locked.
