Admit calls to engines by urgency

The scheduler counted the priority of a call and did not use it: a call with a short objective was refused where a patient one waited in the engine's queue, took the next slot and kept it for its run. Engines preempted running streams by priority, which made these late.

It now tracks the assigned calls by rank and learns run times by engine and model from the responses that VMs report. Calls that can wait do so at their VMs until there is room that no more urgent call is expected to need.

--- a/deployment.go
+++ b/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -35,6 +36,33 @@
 // DeploymentRoutes is a list of routes of a deployment.
 type DeploymentRoutes []DeploymentRoute
 
+// accountPriorityStep is the number of route priorities that are told apart within the
+// calls of accounts of one priority.
+const accountPriorityStep = 3
+
+// CallPriority ranks the calls of an account on the route by the account first, then by the
+// route. The account may be nil.
+func (r *DeploymentRoute) CallPriority(account *Tenant) int {
+	if account == nil || account.Priority < 0 {
+		return r.Priority
+	}
+	return accountPriorityStep*account.Priority + min(r.Priority, accountPriorityStep-1)
+}
+
+// Priorities returns the different priorities that the calls of a route may have.
+func (d *Deployment) Priorities(route *DeploymentRoute) []int {
+	var priorities []int
+	if len(d.Tenants) == 0 || route.Open {
+		priorities = append(priorities, route.CallPriority(nil))
+	}
+	for i := range d.Tenants {
+		if p := route.CallPriority(&d.Tenants[i]); !slices.Contains(priorities, p) {
+			priorities = append(priorities, p)
+		}
+	}
+	return priorities
+}
+
 // ServiceShare is a service that a route sends calls to, with its weight.
 type ServiceShare struct {
 	Service string
--- a/dispatch.go
+++ b/dispatch.go
@@ -18,7 +18,12 @@
 	GapLimit          time.Duration // Longest pause between events of a stream; 0 when there is none.
 	HoldUntil         time.Time     // Until then the call may wait for an instance that is not saturated.
 	FirstByteDeadline time.Time     // A call whose response cannot start by then is refused; zero to accept it in any case.
+	OutputTokens      int64         // Most tokens that the response may have; 0 if the call does not say.
 	Priority          int           // 0 is the most urgent.
+	Ticket            uint64        // Identifies the call while it waits for a turn; 0 if it cannot wait.
+	Received          time.Time     // Arrival of the call at this VM.
+	LeaveAt           time.Time     // The caller leaves if the response has not started by then.
+	ReturnBy          time.Time     // Latest time at which the caller comes back if it is refused; zero if unknown.
 	NoRetry           bool          // The call runs at most once; it is not used to probe an instance that has failed.
 	Exclude           []string      // Instances that were already tried.
 }
@@ -56,6 +61,7 @@
 	Ended     time.Time
 	Load      LoadCount
 	HasLoad   bool
+	Pause     time.Duration // Longest time between two events of a stream.
 }
 
 // Chooser chooses instances. Implementations are safe for concurrent use.
@@ -96,13 +102,16 @@
 	ExpectedTTFB  time.Duration // From SendAt to the first event.
 	Limited       bool          // The call was counted against a limit of the engine.
 	SendAt        time.Time     // An earlier send would delay the engine's running streams.
+	Ranked        bool          // The scheduler has ranked the call; engines need not.
+	Yields        bool          // The engine runs the call after those that do not yield.
 }
 
 // Scheduler distributes the calls of all VMs over engines. Implementations are
 // safe for concurrent use.
 type Scheduler interface {
 	// Schedule asks the leader for the engine of a call. It returns an
-	// *EnginesFullError when no engine would start the response in time, and a
+	// *EnginesFullError when no engine would start the response in time, a
+	// *CallDeferredError when the call has to wait for its turn, and a
 	// *CallBlockedError when such calls crash engines. After
 	// any other error the VM chooses an engine itself.
 	Schedule(ctx context.Context, criteria InstanceCriteria) (Assignment, error)
@@ -138,6 +147,18 @@
 	return "the engines of service " + e.Service + " that hold model " + e.Model + " have queues longer than the call can wait"
 }
 
+// CallDeferredError reports that a call waits for its turn. The VM that holds it asks
+// again at AskAt.
+type CallDeferredError struct {
+	Service string
+	Model   string
+	AskAt   time.Time
+}
+
+func (e *CallDeferredError) Error() string {
+	return "more urgent calls need the engines of service " + e.Service + " that hold model " + e.Model
+}
+
 // NoInstanceError reports that no instance can take a call now.
 type NoInstanceError struct {
 	Service string
--- a/exchange.go
+++ b/exchange.go
@@ -94,6 +94,7 @@
 	Prompt            PromptParts     `json:"prompt,omitempty"`
 	Content           uint64          `json:"content,omitempty"`  // Hash of the call's content.
 	Tokens            int64           `json:"tokens"`             // Tokens of the prompt.
+	OutputTokens      int64           `json:"output,omitempty"`   // Most tokens that the response may have; 0 if the call does not say.
 	Priority          int             `json:"priority,omitempty"` // 0 is the most urgent.
 	LatencyObjective  time.Duration   `json:"objective"`
 	GapLimit          time.Duration   `json:"gap-limit,omitempty"` // Longest pause between events of a stream; 0 when there is none.
@@ -103,6 +104,25 @@
 	Exclude           []string        `json:"avoid,omitempty"`     // Engines that were already tried, or that failed for the VM.
 	InFlight          map[string]int  `json:"loads,omitempty"`     // All calls of the VM in flight, by instance.
 	Limits            []InstanceLimit `json:"limits,omitempty"`    // Changes since the last request to this scheduler.
+	// The following are not sent by an older VM. Its calls do not wait for a turn.
+	Ticket   uint64           `json:"ticket,omitempty"`   // Identifies the call while it waits for a turn; 0 if it cannot wait.
+	Waited   time.Duration    `json:"waited,omitempty"`   // Time since the VM received the call.
+	Patience time.Duration    `json:"patience,omitempty"` // Time within which the response must start for the caller to receive it.
+	ReturnIn time.Duration    `json:"return,omitempty"`   // Time within which the caller comes back if it is refused.
+	Observed []EngineResponse `json:"observed,omitempty"` // Complete responses since the last request.
+}
+
+// EngineResponse is what a VM measured of a complete response of an engine.
+type EngineResponse struct {
+	Instance      string        `json:"id"`
+	Service       string        `json:"service"`
+	Model         string        `json:"model"`
+	PrefillTokens int64         `json:"read"`             // Prompt tokens that were expected not to be in the prefix cache.
+	OutputTokens  int64         `json:"output,omitempty"` // Most tokens that the call allowed.
+	FirstEvent    time.Duration `json:"first"`            // From the send to the first event.
+	Run           time.Duration `json:"run"`              // From the first event to the last.
+	Expected      time.Duration `json:"expected"`         // FirstEvent as the scheduler expected it.
+	Paused        bool          `json:"paused,omitempty"` // A pause between events exceeded the limit of the route.
 }
 
 // ScheduleResponse is the response to a ScheduleRequest.
@@ -110,6 +130,9 @@
 	Instance         string        `json:"instance,omitempty"` // Empty when no engine is assigned.
 	PrefillTokens    int64         `json:"missing"`            // Prompt tokens that are not in the engine's prefix cache.
 	EnginesFull      bool          `json:"full,omitempty"`     // No engine would start the response in time.
+	Deferred         bool          `json:"deferred,omitempty"` // The call waits for its turn, and asks again after Wait.
+	Ranked           bool          `json:"ranked,omitempty"`   // The scheduler has ranked the call; engines need not.
+	Yields           bool          `json:"yields,omitempty"`   // The engine runs the call after those that do not yield.
 	Wait             time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has capacity again.
 	ExpectedTTFB     time.Duration `json:"expected"`           // From the end of Wait to the first event.
 	Blocked          time.Duration `json:"blocked,omitempty"`  // Time for which calls with the content or a part of the prompt are blocked; 0 if they are not.
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -285,6 +285,7 @@
 // Done records the result of a choice. It is called exactly once for each choice.
 func (f *Fleet) Done(criteria kumquathitch.InstanceCriteria, choice kumquathitch.InstanceChoice, result kumquathitch.SendResult) {
 	serviceFailureRate := f.recordResult(criteria.Service, choice, result)
+	f.recordResponse(&criteria, &choice, &result)
 	defer f.notifyCapacity()
 	inst := f.observedState(choice.Instance.ID)
 	if inst == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,6 +47,7 @@
 	shards      [shardCount]instanceShard // By ID.
 	groups      [shardCount]groupShard
 	services    [shardCount]serviceShard
+	responses   engineResponses
 }
 
 type instanceShard struct {
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -1,10 +1,10 @@
 package fleet
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -39,6 +39,9 @@
 	engines  [shardCount]engineShard
 	runTimes [shardCount]runTimeShard
 	limits   *CallLimits
+	paces    *paceBook
+	turns    *turnQueues
+	rules    atomic.Pointer[admissionRules]
 	counts   scheduleCounter
 }
 
@@ -67,7 +70,8 @@
 
 // engineState is the scheduler's view of one engine.
 type engineState struct {
-	calls        int       // In flight, of all VMs.
+	inFlight     int // Calls of all VMs.
+	calls        engineCalls
 	slots        float64   // Of the engine, as last described; 0 before the first call.
 	prefillUntil time.Time // Estimated end of the assigned prefill, which gets prefillShare of the time.
 	started      time.Time // Start of the engine; a restart discards the assigned prefill and the cached prompts.
@@ -76,7 +80,8 @@
 
 // NewGlobalScheduler returns a scheduler over the engines of a fleet.
 func NewGlobalScheduler(f *Fleet) *GlobalScheduler {
-	gs := &GlobalScheduler{fleet: f, limits: NewCallLimits()}
+	gs := &GlobalScheduler{fleet: f, limits: NewCallLimits(), paces: newPaceBook(), turns: newTurnQueues()}
+	gs.rules.Store(&admissionRules{})
 	for i := range shardCount {
 		gs.vms[i].loads = map[string]*vmLoads{}
 		gs.engines[i].engines = map[string]*engineState{}
@@ -95,8 +100,7 @@
 		reported = &vmLoads{}
 		s.loads[vm] = reported
 	}
-	gs.replaceLoads(reported.byInstance, loads)
-	reported.byInstance, reported.expiresAt = maps.Clone(loads), now.Add(vmLoadTTL)
+	reported.byInstance, reported.expiresAt = gs.replaceLoads(vm, reported.byInstance, loads, now), now.Add(vmLoadTTL)
 }
 
 // ExpireVMs drops the loads of VMs that have not reported for vmLoadTTL.
@@ -106,7 +110,7 @@
 		s.mutex.Lock()
 		for name, reported := range s.loads {
 			if now.After(reported.expiresAt) {
-				gs.replaceLoads(reported.byInstance, nil)
+				gs.replaceLoads(name, reported.byInstance, nil, now)
 				delete(s.loads, name)
 			}
 		}
@@ -114,28 +118,37 @@
 	}
 }
 
-// replaceLoads applies the difference between two loads of one VM to the engines.
-func (gs *GlobalScheduler) replaceLoads(before, after map[string]int) {
+// replaceLoads applies the difference between two loads of one VM to the engines, and
+// returns the load that counts: calls that were just assigned may not be reported yet.
+func (gs *GlobalScheduler) replaceLoads(vm string, before, after map[string]int, now time.Time) map[string]int {
+	counted := make(map[string]int, len(after))
 	for id, count := range before {
-		if after[id] != count {
-			gs.addCalls(id, after[id]-count)
+		if after[id] == count {
+			counted[id] = count
+		} else if settled := gs.settleCalls(vm, id, count, after[id], now); settled > 0 {
+			counted[id] = settled
 		}
 	}
 	for id, count := range after {
 		if _, ok := before[id]; !ok {
-			gs.addCalls(id, count)
+			counted[id] = gs.settleCalls(vm, id, 0, count, now)
 		}
 	}
+	return counted
 }
 
-func (gs *GlobalScheduler) addCalls(id string, calls int) {
+// settleCalls replaces the number of a VM's calls on an engine by the reported one, and
+// returns the number that counts.
+func (gs *GlobalScheduler) settleCalls(vm, id string, before, reported int, now time.Time) int {
 	s := gs.shard(id)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	engine := s.engine(id)
-	if engine.calls += calls; engine.calls <= 0 && gs.fleet.instanceState(id) == nil {
+	counted := engine.calls.settle(vm, reported, now)
+	if engine.inFlight += counted - before; engine.inFlight <= 0 && gs.fleet.instanceState(id) == nil {
 		delete(s.engines, id)
 	}
+	return counted
 }
 
 func (gs *GlobalScheduler) shard(id string) *engineShard {
@@ -162,73 +175,121 @@
 // Schedule assigns a call to the engine with the least cost, which is mainly the
 // expected time to the first event. The result names no instance if none can take
 // the call, and sets EnginesFull if the first event would come later than
-// request.FirstByteLimit, or if all engines have reached their limits.
+// request.FirstByteLimit, or if all engines have reached their limits. On a service whose
+// calls differ in priority, see admission.go, it sets Deferred for a call that waits for its turn.
 func (gs *GlobalScheduler) Schedule(request *kumquathitch.ScheduleRequest, now time.Time) kumquathitch.ScheduleResponse {
 	gs.SetVMLoads(request.From, request.InFlight, now)
 	gs.limits.Learn(request.Limits, now)
+	for i := range request.Observed {
+		gs.paces.observe(&request.Observed[i], now)
+	}
 	chain := newPromptChain(request.Model+"/"+request.Adapter, request.Prompt)
 	runTimeMS := gs.updateRunTime(request.Service, milliseconds(request.FullEngineRunTime))
+	rules := gs.rules.Load().services[request.Service]
 	for {
-		best, admittedAt := gs.choose(request, chain, runTimeMS, now)
-		if refusal, refused := gs.refusal(request, &best, admittedAt, now); refused {
-			return refusal
+		found := gs.choose(request, chain, rules, runTimeMS, now)
+		response, option := gs.decide(request, &found, rules, now)
+		if option == nil {
+			return response
 		}
 		// Another call may have been counted against the limit since the engine was chosen.
-		_, limited, admitted := gs.limits.Admit(best.incarnation, now)
+		_, limited, admitted := gs.limits.Admit(option.incarnation, now)
 		if !admitted {
 			continue
 		}
-		gs.counts.add(request.Priority, ScheduleCounts{Assigned: 1})
-		gs.assign(request.From, &best, chain, now)
-		return kumquathitch.ScheduleResponse{
-			Instance: best.instance.id, PrefillTokens: best.prefillTokens, Wait: duration(best.waitMS), ExpectedTTFB: duration(best.ttfbMS), Limited: limited,
+		counts := ScheduleCounts{Assigned: 1}
+		if response.Yields {
+			counts.Late = 1
 		}
+		gs.counts.add(request.Priority, counts)
+		gs.assign(request, option, chain, response.Yields, now)
+		response.Instance, response.PrefillTokens, response.Limited = option.instance.id, option.prefillTokens, limited
+		response.Wait, response.ExpectedTTFB = duration(option.waitMS), duration(option.ttfbMS)
+		return response
 	}
 }
 
-// choose returns the engine with the least cost of those whose limits admit a call. If
-// there is none, it returns the earliest time at which a limit admits one, or zero.
-func (gs *GlobalScheduler) choose(request *kumquathitch.ScheduleRequest, chain promptChain, runTimeMS float64, now time.Time) (best engineOption, admittedAt time.Time) {
-	best = engineOption{costMS: math.Inf(1)}
-	for _, inst := range gs.fleet.instancesIn(group{service: request.Service, model: request.Model}) {
+// survey is what the engines with the model of a call offer to it.
+type survey struct {
+	best       engineOption // Least cost.
+	free       engineOption // Least cost of those with room that no more urgent call needs.
+	room       int          // Calls that have such room, on all engines.
+	slots      int
+	perSecond  float64   // Ends of runs.
+	spare      float64   // Ends of runs that no more urgent call needs, per second.
+	admittedAt time.Time // Earliest time at which the limit of an engine admits a call, if none does now.
+}
+
+// choose evaluates the engines with the model of a call whose limits admit it.
+func (gs *GlobalScheduler) choose(request *kumquathitch.ScheduleRequest, chain promptChain, rules *serviceRules, runTimeMS float64, now time.Time) survey {
+	found := survey{best: engineOption{costMS: math.Inf(1)}, free: engineOption{costMS: math.Inf(1)}}
+	engines := gs.fleet.instancesIn(group{service: request.Service, model: request.Model})
+	var paces []estimatedPace
+	if rules != nil {
+		paces = gs.paces.estimates(request.Service, request.Model, engines, make([]estimatedPace, 0, len(engines)))
+	}
+	for i, inst := range engines {
 		if slices.Contains(request.Exclude, inst.id) {
 			continue
 		}
-		found, ok := gs.evaluate(inst, request, chain, runTimeMS, now)
-		if !ok || found.costMS >= best.costMS {
+		pace := estimatedPace{runMS: runTimeMS}
+		if rules != nil {
+			pace = paces[i]
+		}
+		option, ok := gs.evaluate(inst, request, chain, rules, pace, now)
+		if !ok {
+			continue
+		}
+		found.slots, found.perSecond, found.spare = found.slots+option.slots, found.perSecond+option.perSecond, found.spare+option.spare
+		found.room += option.room
+		if option.costMS >= found.best.costMS && (option.room <= 0 || option.costMS >= found.free.costMS) {
 			continue
 		}
-		if at := gs.limits.AdmitsAt(found.incarnation, now); !at.IsZero() {
-			if admittedAt.IsZero() || at.Before(admittedAt) {
-				admittedAt = at
+		if at := gs.limits.AdmitsAt(option.incarnation, now); !at.IsZero() {
+			if found.admittedAt.IsZero() || at.Before(found.admittedAt) {
+				found.admittedAt = at
 			}
 			continue
 		}
-		best = found
+		if option.costMS < found.best.costMS {
+			found.best = option
+		}
+		if option.room > 0 && option.costMS < found.free.costMS {
+			found.free = option
+		}
 	}
-	return best, admittedAt
+	return found
 }
 
-// refusal returns the response to a call that no engine can take in time. It reports false
-// if the chosen engine can.
-func (gs *GlobalScheduler) refusal(request *kumquathitch.ScheduleRequest, best *engineOption, admittedAt, now time.Time) (kumquathitch.ScheduleResponse, bool) {
-	if best.instance == nil && !admittedAt.IsZero() {
+// decide returns the option for a call, or none and the response. The response to a call
+// that gets an option has only the fields that depend on more than the option.
+func (gs *GlobalScheduler) decide(request *kumquathitch.ScheduleRequest, found *survey, rules *serviceRules, now time.Time) (kumquathitch.ScheduleResponse, *engineOption) {
+	best := &found.best
+	if best.instance == nil && !found.admittedAt.IsZero() {
 		gs.counts.add(request.Priority, ScheduleCounts{Limited: 1})
-		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: admittedAt.Sub(now)}, true
+		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: found.admittedAt.Sub(now)}, nil
 	}
 	if best.instance == nil {
 		gs.counts.add(request.Priority, ScheduleCounts{NoEngine: 1})
-		return kumquathitch.ScheduleResponse{}, true
+		return kumquathitch.ScheduleResponse{}, nil
+	}
+	if rules != nil {
+		return gs.admit(request, found, now)
 	}
 	if late := duration(best.waitMS+best.ttfbMS) - request.FirstByteLimit; request.FirstByteLimit > 0 && late > 0 {
-		if duration(best.slotWaitMS) >= late {
-			gs.counts.add(request.Priority, ScheduleCounts{FullSlots: 1})
-		} else {
-			gs.counts.add(request.Priority, ScheduleCounts{FullPrefill: 1})
-		}
-		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: late}, true
+		gs.countFull(request.Priority, best, late)
+		return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: late}, nil
+	}
+	return kumquathitch.ScheduleResponse{}, best
+}
+
+// countFull counts a refused call by what makes it late.
+func (gs *GlobalScheduler) countFull(priority int, best *engineOption, late time.Duration) {
+	if duration(best.slotWaitMS) >= late {
+		gs.counts.add(priority, ScheduleCounts{FullSlots: 1})
+	} else {
+		gs.counts.add(priority, ScheduleCounts{FullPrefill: 1})
 	}
-	return kumquathitch.ScheduleResponse{}, false
 }
 
 // engineOption is an engine that can take a call, with its estimated times.
@@ -241,9 +302,17 @@
 	slotWaitMS    float64 // Part of ttfbMS until a slot is free.
 	ttfbMS        float64 // From the send to the first event.
 	costMS        float64
+	// The following are set on services whose calls differ in priority.
+	slots     int
+	room      int     // Calls of this rank that no more urgent call leaves without a slot.
+	runMS     float64 // Expected run of a call of usual length.
+	ownRunMS  float64 // Expected run of this call.
+	perSecond float64 // Ends of runs.
+	spare     float64 // Ends of runs that no more urgent call needs, per second.
+	crowds    bool    // The call would make more urgent ones wait for too long.
 }
 
-func (gs *GlobalScheduler) evaluate(inst *instanceState, request *kumquathitch.ScheduleRequest, chain promptChain, runTimeMS float64, now time.Time) (engineOption, bool) {
+func (gs *GlobalScheduler) evaluate(inst *instanceState, request *kumquathitch.ScheduleRequest, chain promptChain, rules *serviceRules, pace estimatedPace, now time.Time) (engineOption, bool) {
 	snapshot, ok := inst.engineSnapshot(request.Model, request.Adapter, now)
 	if !ok {
 		return engineOption{}, false
@@ -255,8 +324,12 @@
 	if !engine.started.Equal(snapshot.started) {
 		engine.started, engine.prefillUntil, engine.prompts = snapshot.started, time.Time{}, newPrefixCache()
 	}
+	tokensPerMS := snapshot.tokensPerMS
+	if pace.tokensPerMS > 0 {
+		tokensPerMS = pace.tokensPerMS
+	}
 	option := engineOption{instance: inst, incarnation: snapshot.incarnation, prefillTokens: max(0, request.Tokens-engine.prompts.cachedTokens(chain))}
-	option.prefillMS = float64(option.prefillTokens) / max(snapshot.tokensPerMS, minTokensPerMS)
+	option.prefillMS = float64(option.prefillTokens) / max(tokensPerMS, minTokensPerMS)
 	backlogMS := prefillShare * max(0, milliseconds(engine.prefillUntil.Sub(now)))
 	gapLimitMS, objectiveMS := milliseconds(request.GapLimit), milliseconds(request.LatencyObjective)
 	if gapLimitMS > 0 {
@@ -265,11 +338,15 @@
 	}
 	backlogAtSendMS := max(0, backlogMS-prefillShare*option.waitMS)
 	engine.slots = snapshot.slots
-	option.slotWaitMS = max(0, float64(engine.calls+1)-snapshot.slots) * runTimeMS / snapshot.slots
+	if rules == nil {
+		option.slotWaitMS = max(0, float64(engine.inFlight+1)-snapshot.slots) * pace.runMS / snapshot.slots
+	} else {
+		rules.weigh(&option, engine, request, pace, now)
+	}
 	option.ttfbMS = backlogAtSendMS + option.prefillMS + option.slotWaitMS
-	option.costMS = option.waitMS + option.ttfbMS + fullBatchCostFraction*objectiveMS*float64(engine.calls)/snapshot.slots
+	option.costMS = option.waitMS + option.ttfbMS + fullBatchCostFraction*objectiveMS*float64(engine.inFlight)/snapshot.slots + pace.pauses*objectiveMS
 	if gapLimitMS > 0 && backlogAtSendMS+option.prefillMS > (1-prefillShare)*gapLimitMS {
-		option.costMS += delayedStreamCost * objectiveMS * min(float64(engine.calls), snapshot.slots)
+		option.costMS += delayedStreamCost * objectiveMS * min(float64(engine.inFlight), snapshot.slots)
 	}
 	if snapshot.dataCentre != request.DataCentre {
 		option.costMS += remoteCostMS
@@ -296,21 +373,25 @@
 
 // assign adds a call to the load of its VM, and its prompt to the prefill and the
 // prefix cache of the engine.
-func (gs *GlobalScheduler) assign(vm string, option *engineOption, chain promptChain, now time.Time) {
-	v := &gs.vms[kumquathitch.ShardOf(vm, shardCount)]
+func (gs *GlobalScheduler) assign(request *kumquathitch.ScheduleRequest, option *engineOption, chain promptChain, yields bool, now time.Time) {
+	v := &gs.vms[kumquathitch.ShardOf(request.From, shardCount)]
 	v.mutex.Lock()
-	if reported := v.loads[vm]; reported != nil {
+	defer v.mutex.Unlock()
+	s := gs.shard(option.instance.id)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	engine := s.engine(option.instance.id)
+	if reported := v.loads[request.From]; reported != nil {
 		if reported.byInstance == nil {
 			reported.byInstance = map[string]int{}
 		}
 		reported.byInstance[option.instance.id]++
-		gs.addCalls(option.instance.id, 1)
+		engine.inFlight++
+		engine.calls.add(engineCall{
+			vm: request.From, rank: rankOf(request), tokens: request.Tokens + request.OutputTokens, yields: yields,
+			waits: option.slotWaitMS > 0, assigned: now, run: duration(option.prefillMS + option.ownRunMS), endsAt: now.Add(duration(option.waitMS + option.ttfbMS + option.ownRunMS)),
+		})
 	}
-	v.mutex.Unlock()
-	s := gs.shard(option.instance.id)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	engine := s.engine(option.instance.id)
 	begin := now.Add(duration(option.waitMS))
 	if engine.prefillUntil.Before(begin) {
 		engine.prefillUntil = begin
--- a/fleet/schedule_counts.go
+++ b/fleet/schedule_counts.go
@@ -8,6 +8,9 @@
 // ScheduleCounts counts the scheduler's decisions on the calls of one priority.
 type ScheduleCounts struct {
 	Assigned    int
+	Late        int // Of those assigned: the response starts after the objective.
+	Deferred    int // Told to ask again, since more urgent calls need the room.
+	Returned    int // Of those assigned: the caller came back at the time that it was told.
 	FullPrefill int // Refused: the prefill that was assigned before would take too long.
 	FullSlots   int // Refused: the wait for a slot would take too long.
 	Limited     int // Refused: all engines have reached the limits that they name.
@@ -40,6 +43,9 @@
 	}
 	total := c.byPriority[priority]
 	total.Assigned += counts.Assigned
+	total.Late += counts.Late
+	total.Deferred += counts.Deferred
+	total.Returned += counts.Returned
 	total.FullPrefill += counts.FullPrefill
 	total.FullSlots += counts.FullSlots
 	total.Limited += counts.Limited
@@ -64,8 +70,8 @@
 		s.mutex.Lock()
 		for _, engine := range s.engines {
 			use.Engines++
-			use.Calls += engine.calls
-			if engine.slots > 0 && float64(engine.calls) >= engine.slots {
+			use.Calls += engine.inFlight
+			if engine.slots > 0 && float64(engine.inFlight) >= engine.slots {
 				use.Full++
 			}
 			left := duration(prefillShare * max(0, milliseconds(engine.prefillUntil.Sub(now))))
@@ -78,3 +84,8 @@
 	}
 	return use
 }
+
+// Waiting returns the number of calls that wait for their turn at their VMs, by rank.
+func (gs *GlobalScheduler) Waiting(now time.Time) [maxRanks]int {
+	return gs.turns.lengths(now)
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -23,6 +23,16 @@
 	// route's objective. Callers abandon streams without an event after four times
 	// the objective.
 	modelWaitFactor = 2
+	// abandonFactor is the multiple of the objective after which callers abandon streams
+	// without an event, and leaveMargin the time by which a response starts before that.
+	abandonFactor = 4
+	leaveMargin   = 150 * time.Millisecond
+	// maxWaitFraction is the fraction of the time until the deadline within which a
+	// response must start, so that it can end.
+	maxWaitFraction = 0.6
+	// maxReturnDivisor limits the time after which refused callers come back to this part
+	// of the time that they have.
+	maxReturnDivisor = 3
 	// holdFraction is the fraction of the objective for which a call may be held
 	// back to avoid delaying streams. The rest is left for the prefill of its prompt.
 	holdFraction = 0.5
@@ -48,7 +58,8 @@
 	tenant            *kumquathitch.Tenant // Nil on open routes, and if the deployment has no accounts.
 	deploymentVersion uint64               // Version of the deployment that the call was admitted under.
 	criteria          kumquathitch.InstanceCriteria
-	modelListed       bool // The service configures the model; demand for other names is not recorded.
+	assignment        kumquathitch.Assignment // Of the present choice; zero if this VM chose the instance itself.
+	modelListed       bool                    // The service configures the model; demand for other names is not recorded.
 	body              []byte
 	held              heldBody // Holds body.
 	deadline          time.Time
@@ -81,7 +92,7 @@
 	}
 	if snapshot.RequiresKey() && !rc.route.Open {
 		if rc.tenant = snapshot.Tenant(call.Key); rc.tenant == nil {
-			return kumquathitch.NewRefusal(http.StatusUnauthorized, "unknown-key", "no client account has this key")
+			return unknownKeyRefusal()
 		}
 	}
 	if refusal := rc.readBody(snapshot.Deployment.Limits.MaxBodyBytes); refusal != nil {
@@ -106,6 +117,10 @@
 	return nil
 }
 
+func unknownKeyRefusal() *kumquathitch.RefusalError {
+	return kumquathitch.NewRefusal(http.StatusUnauthorized, "unknown-key", "no client account has this key")
+}
+
 func stoppingRefusal() *kumquathitch.RefusalError {
 	return kumquathitch.NewRefusal(http.StatusServiceUnavailable, "shutting-down", "this VM is shutting down")
 }
@@ -174,10 +189,14 @@
 	rc.criteria = kumquathitch.InstanceCriteria{
 		Service: rc.pickService(), Model: rc.call.Model, Adapter: rc.call.Adapter,
 		Prompt: rc.call.Prompt, Tokens: rc.call.PromptTokens, LatencyObjective: objective, GapLimit: rc.route.GapLimit,
-		Priority:          rc.priority(),
+		Priority:          rc.route.CallPriority(rc.tenant),
 		NoRetry:           rc.route.RetryMode == kumquathitch.RetryNever,
 		HoldUntil:         rc.received.Add(time.Duration(holdFraction * float64(objective))),
 		FirstByteDeadline: rc.received.Add(objective),
+		OutputTokens:      rc.call.MaxOutputTokens, Ticket: xxhash.Sum64String(rc.call.ID) | 1, Received: rc.received, LeaveAt: rc.leaveAt(objective),
+	}
+	if d := rc.call.Deadline; !d.IsZero() {
+		rc.criteria.ReturnBy = rc.received.Add(d.Sub(rc.received) / maxReturnDivisor)
 	}
 	if service := services.Find(rc.criteria.Service); service != nil && service.Engine != nil {
 		rc.modelListed = service.Engine.Models.Find(rc.call.Model) != nil
@@ -195,6 +214,16 @@
 	rc.stream.lastEventID = rc.call.LastEventID
 }
 
+// leaveAt returns the time at which the caller leaves if the response has not started. It
+// leaves time for the response until the deadline.
+func (rc *relayedCall) leaveAt(objective time.Duration) time.Time {
+	patience := time.Duration(maxWaitFraction * float64(rc.deadline.Sub(rc.received)))
+	if rc.route.Stream {
+		patience = min(patience, max(maxEventTimeout, abandonFactor*objective, maxEventTimeoutFactor*rc.route.GapLimit)-leaveMargin)
+	}
+	return rc.received.Add(patience)
+}
+
 // pickService picks one of the route's services by weight. The choice depends
 // only on the ID of the call.
 func (rc *relayedCall) pickService() string {
@@ -298,10 +327,12 @@
 // instance holds a configured model, the call waits as long as the model may
 // still load in time.
 func (rc *relayedCall) choose(ctx context.Context) (kumquathitch.InstanceChoice, error) {
+	rc.assignment = kumquathitch.Assignment{}
 	choice, err := rc.chooseScheduled(ctx)
 	var full *kumquathitch.EnginesFullError
 	var blocked *kumquathitch.CallBlockedError
-	if err == nil || errors.As(err, &full) || errors.As(err, &blocked) {
+	var refused *kumquathitch.RefusalError
+	if err == nil || errors.As(err, &full) || errors.As(err, &blocked) || errors.As(err, &refused) {
 		return choice, err
 	}
 	until := rc.modelWaitEnd()
@@ -355,7 +386,7 @@
 	if rc.runs > 0 {
 		rc.criteria.FirstByteDeadline = time.Time{}
 	}
-	assignment, err := rc.Scheduler.Schedule(ctx, rc.criteria)
+	assignment, err := rc.scheduleInTurn(ctx)
 	if err != nil {
 		return kumquathitch.InstanceChoice{}, err
 	}
@@ -363,10 +394,40 @@
 	if !ok || !rc.admitByLimit(ctx, choice) {
 		return kumquathitch.InstanceChoice{}, errNotScheduled
 	}
+	rc.assignment = assignment
 	clock.Pause(ctx, assignment.SendAt.Sub(rc.Clock.Now())) // If ctx ends meanwhile, the send reports SendCancelled.
 	return choice, nil
 }
 
+// scheduleInTurn asks the scheduler for an engine. While the call has to wait for its turn,
+// it waits here, and asks again at the time that the scheduler names.
+func (rc *relayedCall) scheduleInTurn(ctx context.Context) (kumquathitch.Assignment, error) {
+	for {
+		assignment, err := rc.Scheduler.Schedule(ctx, rc.criteria)
+		var deferred *kumquathitch.CallDeferredError
+		if !errors.As(err, &deferred) {
+			return assignment, err
+		}
+		if !clock.Pause(ctx, deferred.AskAt.Sub(rc.Clock.Now())) {
+			return assignment, err
+		}
+		if refusal := rc.waitRefusal(); refusal != nil {
+			return assignment, refusal
+		}
+	}
+}
+
+// waitRefusal returns the refusal of a call that may no longer wait for its turn, or nil.
+func (rc *relayedCall) waitRefusal() *kumquathitch.RefusalError {
+	if rc.Stopping() && !rc.headSent {
+		return stoppingRefusal()
+	}
+	if snapshot := rc.Deployments.Snapshot(); rc.tenant != nil && snapshot.RequiresKey() && snapshot.Tenant(rc.call.Key) == nil {
+		return unknownKeyRefusal()
+	}
+	return rc.crashRefusal(rc.Clock.Now())
+}
+
 // admitByLimit counts the call against the limit of the chosen instance. It ends the choice
 // and reports false if the limit is reached.
 func (rc *relayedCall) admitByLimit(ctx context.Context, choice kumquathitch.InstanceChoice) bool {
--- a/relay/send.go
+++ b/relay/send.go
@@ -30,6 +30,9 @@
 	// objective. A response after the objective counts for little, and the other
 	// instance needs the remaining time.
 	minHeadTimeoutFraction = 0.6
+	// rankedPriority and yieldingPriority are the priorities for engines of calls that
+	// the scheduler has ranked, and of those among them that are late in any case.
+	rankedPriority, yieldingPriority = 4, 6
 )
 
 // sendStatus is the result of one send with regard to the caller.
@@ -190,7 +193,7 @@
 	}
 	now := a.Clock.Now()
 	header := a.Dialect.ForwardHeader(a.request.Header, kumquathitch.Dispatch{
-		Account: account, Instance: a.choice.Instance.ID, Priority: a.criteria.Priority,
+		Account: account, Instance: a.choice.Instance.ID, Priority: a.enginePriority(),
 		Deadline: a.deadline, LastEventID: a.stream.resumeAfter(),
 	}, now)
 	if len(a.body) > 0 || a.request.Method == http.MethodPost || a.request.Method == http.MethodPut {
@@ -209,17 +212,6 @@
 	return parts.WriteTo(a.connection.Conn)
 }
 
-// priority ranks calls by account first, then by route.
-func (rc *relayedCall) priority() int {
-	if rc.tenant == nil || rc.tenant.Priority < 0 {
-		return rc.route.Priority
-	}
-	return accountPriorityStep*rc.tenant.Priority + min(rc.route.Priority, accountPriorityStep-1)
-}
-
-// accountPriorityStep is the number of route priorities within one account priority.
-const accountPriorityStep = 3
-
 // readHead reads the head of the response to this call, and drops responses to other
 // calls on the same connection.
 func (a *attempt) readHead() error {
@@ -323,7 +315,7 @@
 }
 
 func (a *attempt) sendResult(outcome kumquathitch.SendOutcome) kumquathitch.SendResult {
-	return kumquathitch.SendResult{Outcome: outcome, FirstByte: a.headAt, Load: a.head.Load, HasLoad: a.head.HasLoad}
+	return kumquathitch.SendResult{Outcome: outcome, FirstByte: a.headAt, Load: a.head.Load, HasLoad: a.head.HasLoad, Pause: a.stream.longestGap}
 }
 
 // relayBuffered reads a response that is not a stream to its end, and forwards it.
@@ -369,6 +361,19 @@
 	return a.sendResult(outcome), sendStatus{delivered: true, mayHaveRun: true, answered: true}
 }
 
+// enginePriority returns the priority that the engine is told. Engines preempt running calls
+// for more urgent ones, and read their prompts anew. Among calls that the scheduler has ranked
+// this only makes other calls late, so that engines see two ranks of them.
+func (a *attempt) enginePriority() int {
+	switch {
+	case !a.assignment.Ranked:
+		return a.criteria.Priority
+	case a.assignment.Yields:
+		return yieldingPriority
+	}
+	return rankedPriority
+}
+
 // impliesNotRun reports whether callers conclude from a status that the call did not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -343,6 +343,7 @@
 		return
 	}
 	if v.deployments.Apply(decoded, document) {
+		v.globalScheduler.Configure(decoded)
 		v.log.Info("configuration in force", zap.Uint64("version", decoded.Version), zap.String("source", source),
 			zap.Int("routes", len(decoded.Routes)), zap.Int("accounts", len(decoded.Tenants)))
 	}
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -43,11 +43,7 @@
 	if address == "" && !self {
 		return kumquathitch.Assignment{}, errNoEngineNamed
 	}
-	request := kumquathitch.ScheduleRequest{
-		From: v.environment.Name, DataCentre: v.environment.DataCentre, Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
-		Prompt: criteria.Prompt, Content: criteria.Content, Tokens: criteria.Tokens, Priority: criteria.Priority, LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit,
-		MaxHold: max(0, criteria.HoldUntil.Sub(now)), FirstByteLimit: firstByteLimit(criteria, now), FullEngineRunTime: v.fleet.FullEngineRunTime(criteria.Service), Exclude: v.fleet.AvoidedInstances(criteria, now), InFlight: v.fleet.LocalLoads(),
-	}
+	request := s.request(&criteria, now)
 	authority := address
 	if self {
 		authority = v.environment.PeerAddress
@@ -70,12 +66,33 @@
 	switch {
 	case response.Blocked > 0:
 		return kumquathitch.Assignment{}, &kumquathitch.CallBlockedError{Until: time.Now().Add(response.Blocked), ByContent: response.BlockedByContent}
+	case response.Deferred:
+		return kumquathitch.Assignment{}, &kumquathitch.CallDeferredError{Service: criteria.Service, Model: criteria.Model, AskAt: sendAt}
 	case response.EnginesFull:
 		return kumquathitch.Assignment{}, &kumquathitch.EnginesFullError{Service: criteria.Service, Model: criteria.Model, AvailableAt: sendAt}
 	case response.Instance == "":
 		return kumquathitch.Assignment{}, errNoEngineNamed
 	}
-	return kumquathitch.Assignment{InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt}, nil
+	return kumquathitch.Assignment{
+		InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt,
+		Ranked: response.Ranked, Yields: response.Yields,
+	}, nil
+}
+
+// request returns the request for a call, without the limits that this VM has learned.
+func (s *scheduler) request(criteria *kumquathitch.InstanceCriteria, now time.Time) kumquathitch.ScheduleRequest {
+	v := s.vm
+	request := kumquathitch.ScheduleRequest{
+		From: v.environment.Name, DataCentre: v.environment.DataCentre, Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
+		Prompt: criteria.Prompt, Content: criteria.Content, Tokens: criteria.Tokens, OutputTokens: criteria.OutputTokens, Priority: criteria.Priority,
+		LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit, MaxHold: max(0, criteria.HoldUntil.Sub(now)), FirstByteLimit: firstByteLimit(criteria, now),
+		FullEngineRunTime: v.fleet.FullEngineRunTime(criteria.Service), Exclude: v.fleet.AvoidedInstances(*criteria, now), InFlight: v.fleet.LocalLoads(),
+		Ticket: criteria.Ticket, Waited: max(0, now.Sub(criteria.Received)), Patience: max(0, criteria.LeaveAt.Sub(now)), Observed: v.fleet.TakeResponses(),
+	}
+	if !criteria.ReturnBy.IsZero() {
+		request.ReturnIn = max(time.Millisecond, criteria.ReturnBy.Sub(now))
+	}
+	return request
 }
 
 // Admit counts a call against the limit that an instance names. The scheduler counts the
@@ -113,7 +130,7 @@
 
 // firstByteLimit returns the time within which the response must start for the call to be
 // admitted, or 0 when the call is admitted in any case.
-func firstByteLimit(criteria kumquathitch.InstanceCriteria, now time.Time) time.Duration {
+func firstByteLimit(criteria *kumquathitch.InstanceCriteria, now time.Time) time.Duration {
 	if criteria.FirstByteDeadline.IsZero() {
 		return 0
 	}
--- a/vm/scheduler_role.go
+++ b/vm/scheduler_role.go
@@ -62,11 +62,12 @@
 	if len(counts) == 0 {
 		return
 	}
-	use := v.globalScheduler.EngineUse(now)
+	use, waiting := v.globalScheduler.EngineUse(now), v.globalScheduler.Waiting(now)
 	for _, priority := range slices.Sorted(maps.Keys(counts)) {
 		c := counts[priority]
 		v.log.Info("calls scheduled", zap.Int("priority", priority), zap.Int("assigned", c.Assigned), zap.Int("full-by-prefill", c.FullPrefill),
-			zap.Int("full-by-slots", c.FullSlots), zap.Int("limited", c.Limited), zap.Int("no-engine", c.NoEngine), zap.Int("engines", use.Engines), zap.Int("engines-full", use.Full),
+			zap.Int("full-by-slots", c.FullSlots), zap.Int("limited", c.Limited), zap.Int("no-engine", c.NoEngine),
+			zap.Int("late", c.Late), zap.Int("deferred", c.Deferred), zap.Int("returned", c.Returned), zap.Int("waiting", waiting[min(priority, len(waiting)-1)]), zap.Int("engines", use.Engines), zap.Int("engines-full", use.Full),
 			zap.Int("calls", use.Calls), zap.Duration("prefill-left", use.Backlog), zap.Int("deep-queues", use.DeepQueue))
 	}
 }
