--- a/deployment.go
+++ b/deployment.go
@@ -63,6 +63,27 @@
 	return priorities
 }
 
+// RanksCalls reports whether the calls for an engine service differ in priority.
+func (d *Deployment) RanksCalls(service *Service) bool {
+	if service.Engine == nil {
+		return false
+	}
+	seen := map[int]bool{}
+	for i := range d.Routes {
+		if !d.Routes[i].uses(service.Name) {
+			continue
+		}
+		for _, priority := range d.Priorities(&d.Routes[i]) {
+			seen[priority] = true
+		}
+	}
+	return len(seen) > 1
+}
+
+func (r *DeploymentRoute) uses(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share ServiceShare) bool { return share.Service == service })
+}
+
 // ServiceShare is a service that a route sends calls to, with its weight.
 type ServiceShare struct {
 	Service string
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -33,6 +33,7 @@
 	Deployment *kumquathitch.Deployment
 	routes     map[routeKey]*kumquathitch.DeploymentRoute
 	tenants    map[string]*kumquathitch.Tenant // By API key.
+	ranked     map[string]bool                 // Services whose calls differ in priority.
 }
 
 type routeKey struct {
@@ -89,6 +90,10 @@
 		Deployment: d,
 		routes:     make(map[routeKey]*kumquathitch.DeploymentRoute, len(d.Routes)),
 		tenants:    map[string]*kumquathitch.Tenant{},
+		ranked:     map[string]bool{},
+	}
+	for i := range d.Services {
+		s.ranked[d.Services[i].Name] = d.RanksCalls(&d.Services[i])
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -123,6 +128,11 @@
 	return s.tenants[key]
 }
 
+// RanksCalls reports whether the calls for an engine service differ in priority.
+func (s *Snapshot) RanksCalls(service string) bool {
+	return s.ranked[service]
+}
+
 // RequiresKey reports whether routes that are not open require an API key.
 func (s *Snapshot) RequiresKey() bool {
 	return len(s.Deployment.Tenants) > 0
--- a/dispatch.go
+++ b/dispatch.go
@@ -102,7 +102,6 @@
 	ExpectedTTFB  time.Duration // From SendAt to the first event.
 	Limited       bool          // The call was counted against a limit of the engine.
 	SendAt        time.Time     // An earlier send would delay the engine's running streams.
-	Ranked        bool          // The scheduler has ranked the call; engines need not.
 	Yields        bool          // The engine runs the call after those that do not yield.
 }
 
--- a/exchange.go
+++ b/exchange.go
@@ -131,7 +131,6 @@
 	PrefillTokens    int64         `json:"missing"`            // Prompt tokens that are not in the engine's prefix cache.
 	EnginesFull      bool          `json:"full,omitempty"`     // No engine would start the response in time.
 	Deferred         bool          `json:"deferred,omitempty"` // The call waits for its turn, and asks again after Wait.
-	Ranked           bool          `json:"ranked,omitempty"`   // The scheduler has ranked the call; engines need not.
 	Yields           bool          `json:"yields,omitempty"`   // The engine runs the call after those that do not yield.
 	Wait             time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has capacity again.
 	ExpectedTTFB     time.Duration `json:"expected"`           // From the end of Wait to the first event.
--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -51,19 +52,17 @@
 
 // serviceRules are what the configuration says of the calls of one service.
 type serviceRules struct {
-	memory     int64                   // KV cache of an engine, in tokens; 0 if not stated.
-	objectives [maxRanks]time.Duration // Shortest objective of routes with a priority below the index; 0 if there are none.
+	memory     int64                       // KV cache of an engine, in tokens; 0 if not stated.
+	objectives [maxRanks + 1]time.Duration // Shortest objective of routes with a priority below the index; 0 if there are none.
 }
 
-// Configure applies a deployment, unless a later version was applied. Calls of a service are ranked if its engines serve routes
-// with different priorities, or accounts with different priorities.
+// Configure applies a deployment, unless a later version was applied. Calls of a service
+// are ranked if its engines serve calls of different priorities.
 func (gs *GlobalScheduler) Configure(deployment *kumquathitch.Deployment) {
 	rules := &admissionRules{version: deployment.Version, services: map[string]*serviceRules{}}
 	for i := range deployment.Services {
-		if service := &deployment.Services[i]; service.Engine != nil {
-			if found := rulesOf(deployment, service); found != nil {
-				rules.services[service.Name] = found
-			}
+		if service := &deployment.Services[i]; deployment.RanksCalls(service) {
+			rules.services[service.Name] = rulesOf(deployment, service)
 		}
 	}
 	for {
@@ -74,38 +73,22 @@
 	}
 }
 
-// rulesOf returns the rules of a service, or nil if all its calls have the same priority.
+// rulesOf returns the rules of a service.
 func rulesOf(deployment *kumquathitch.Deployment, service *kumquathitch.Service) *serviceRules {
-	shortest := [maxRanks]time.Duration{}
-	priorities := 0
+	rules := &serviceRules{memory: service.Engine.KVCapacityTokens}
 	for i := range deployment.Routes {
 		route := &deployment.Routes[i]
-		for _, share := range route.Shares {
-			if share.Service != service.Name {
-				continue
-			}
-			for _, priority := range deployment.Priorities(route) {
-				rank := min(max(0, priority), maxRanks-1)
-				if shortest[rank] == 0 {
-					priorities++
-				}
-				if shortest[rank] == 0 || route.LatencyObjective < shortest[rank] {
-					shortest[rank] = route.LatencyObjective
+		if !slices.ContainsFunc(route.Shares, func(share kumquathitch.ServiceShare) bool { return share.Service == service.Name }) {
+			continue
+		}
+		for _, priority := range deployment.Priorities(route) {
+			for rank := min(max(0, priority), maxRanks-1) + 1; rank <= maxRanks; rank++ {
+				if rules.objectives[rank] == 0 || route.LatencyObjective < rules.objectives[rank] {
+					rules.objectives[rank] = route.LatencyObjective
 				}
 			}
 		}
 	}
-	if priorities < 2 {
-		return nil
-	}
-	rules := &serviceRules{memory: service.Engine.KVCapacityTokens}
-	least := time.Duration(0)
-	for rank, objective := range shortest {
-		rules.objectives[rank] = least
-		if objective > 0 && (least == 0 || objective < least) {
-			least = objective
-		}
-	}
 	return rules
 }
 
@@ -141,7 +124,7 @@
 // within a part of their objective.
 func (r *serviceRules) reserve(option *engineOption, engine *engineState, below, present int, now time.Time) float64 {
 	needed := engine.calls.arrivalRate(below, now) * option.runMS / 1000
-	freed := option.perSecond * crowdFraction * r.objectives[min(below, maxRanks-1)].Seconds()
+	freed := option.perSecond * crowdFraction * r.objectives[below].Seconds()
 	return max(0, needed+math.Sqrt(needed)-float64(present)-freed)
 }
 
@@ -171,7 +154,7 @@
 			gs.counts.add(request.Priority, ScheduleCounts{Returned: 1})
 			gs.turns.forget(key, request.Content)
 		}
-		return kumquathitch.ScheduleResponse{Ranked: true}, best
+		return kumquathitch.ScheduleResponse{}, best
 	}
 	ahead, waits := gs.turns.ahead(key, request.Ticket, rank, now.Add(-request.Waited), now)
 	if !patient && !waits {
@@ -179,7 +162,7 @@
 	}
 	if found.free.instance != nil && found.room > ahead {
 		gs.turns.leave(key, request.Ticket)
-		return kumquathitch.ScheduleResponse{Ranked: true, Yields: !patient}, &found.free
+		return kumquathitch.ScheduleResponse{Yields: !patient}, &found.free
 	}
 	poll := min(maxPoll, max(minPoll, duration(pollFraction*milliseconds(request.LatencyObjective))))
 	turn := duration(float64(ahead+1) * 1000 / max(found.spare, 0.001))
@@ -193,7 +176,7 @@
 		return kumquathitch.ScheduleResponse{Deferred: true, Wait: poll}, nil
 	}
 	if patient { // The queue is full, but an engine can still start the call in time.
-		return kumquathitch.ScheduleResponse{Ranked: true}, best
+		return kumquathitch.ScheduleResponse{}, best
 	}
 	gs.turns.leave(key, request.Ticket)
 	gs.countFull(request.Priority, best, start-limit)
--- a/fleet/engine_calls.go
+++ b/fleet/engine_calls.go
@@ -11,7 +11,7 @@
 const (
 	// reportGrace is how long an assigned call counts although the report of its VM does
 	// not contain it: the report may have been sent before the assignment arrived.
-	reportGrace = 100 * time.Millisecond
+	reportGrace = 20 * time.Millisecond
 	// arrivalTimeConstant is the time constant of the arrival rates. Bursts rise within
 	// a second or two.
 	arrivalTimeConstant = 1500 * time.Millisecond
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -387,6 +387,8 @@
 		}
 		reported.byInstance[option.instance.id]++
 		engine.inFlight++
+	}
+	if v.loads[request.From] != nil && gs.rules.Load().services[request.Service] != nil {
 		engine.calls.add(engineCall{
 			vm: request.From, rank: rankOf(request), tokens: request.Tokens + request.OutputTokens, yields: yields,
 			waits: option.slotWaitMS > 0, assigned: now, run: duration(option.prefillMS + option.ownRunMS), endsAt: now.Add(duration(option.waitMS + option.ttfbMS + option.ownRunMS)),
--- a/fleet/global_scheduler_test.go
+++ b/fleet/global_scheduler_test.go
@@ -123,6 +123,6 @@
 	must.Eq(t, map[int]fleet.ScheduleCounts{0: {Assigned: 1, NoEngine: 1}, 1: {FullSlots: 1}}, scheduler.TakeCounts())
 	must.MapLen(t, 0, scheduler.TakeCounts())
 	use := scheduler.EngineUse(start)
-	must.Eq(t, fleet.EngineUse{Engines: 1, Full: 1, Calls: 31, Backlog: use.Backlog}, use) // The assigned call is not reported yet.
+	must.Eq(t, fleet.EngineUse{Engines: 1, Full: 1, Calls: 30, Backlog: use.Backlog}, use)
 	must.Greater(t, 0, use.Backlog)
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -59,6 +59,7 @@
 	deploymentVersion uint64               // Version of the deployment that the call was admitted under.
 	criteria          kumquathitch.InstanceCriteria
 	assignment        kumquathitch.Assignment // Of the present choice; zero if this VM chose the instance itself.
+	ranked            bool                    // The scheduler ranks the calls of the service by priority.
 	modelListed       bool                    // The service configures the model; demand for other names is not recorded.
 	body              []byte
 	held              heldBody // Holds body.
@@ -99,6 +100,7 @@
 		return refusal
 	}
 	rc.prepare(snapshot.Deployment.Services)
+	rc.ranked = snapshot.RanksCalls(rc.criteria.Service)
 	if refusal := rc.crashRefusal(rc.received); refusal != nil {
 		return refusal
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -32,7 +32,7 @@
 	minHeadTimeoutFraction = 0.6
 	// rankedPriority and yieldingPriority are the priorities for engines of calls that
 	// the scheduler has ranked, and of those among them that are late in any case.
-	rankedPriority, yieldingPriority = 4, 6
+	rankedPriority, yieldingPriority = 4, 4
 )
 
 // sendStatus is the result of one send with regard to the caller.
@@ -362,11 +362,11 @@
 }
 
 // enginePriority returns the priority that the engine is told. Engines preempt running calls
-// for more urgent ones, and read their prompts anew. Among calls that the scheduler has ranked
-// this only makes other calls late, so that engines see two ranks of them.
+// for more urgent ones, and read their prompts anew, which makes other calls late. Where the
+// scheduler ranks calls, engines see one rank, and another one of calls that are late in any case.
 func (a *attempt) enginePriority() int {
 	switch {
-	case !a.assignment.Ranked:
+	case !a.ranked:
 		return a.criteria.Priority
 	case a.assignment.Yields:
 		return yieldingPriority
