Learn paces from events, and let calls wait for a share of the slots

The lengths of responses differ by more than ten times, so that neither the end of a single run nor the speed of an engine follows from run times: the wait for a slot was estimated at twice its length and more. It now follows the time per event and the mean number of events. The prefill rate is a quantile of all VMs' samples: its average followed waits for slots, and held calls back. Adds tests of waiting calls, promised turns and an engine's memory.

--- a/dispatch.go
+++ b/dispatch.go
@@ -61,7 +61,8 @@
 	Ended     time.Time
 	Load      LoadCount
 	HasLoad   bool
-	Pause     time.Duration // Longest time between two events of a stream.
+	Events    int           // Of a stream, as far as they were forwarded.
+	Pause     time.Duration // Longest time between two of them.
 }
 
 // Chooser chooses instances. Implementations are safe for concurrent use.
@@ -102,7 +103,6 @@
 	ExpectedTTFB  time.Duration // From SendAt to the first event.
 	Limited       bool          // The call was counted against a limit of the engine.
 	SendAt        time.Time     // An earlier send would delay the engine's running streams.
-	Yields        bool          // The engine runs the call after those that do not yield.
 }
 
 // Scheduler distributes the calls of all VMs over engines. Implementations are
--- a/exchange.go
+++ b/exchange.go
@@ -117,8 +117,9 @@
 	Instance      string        `json:"id"`
 	Service       string        `json:"service"`
 	Model         string        `json:"model"`
-	PrefillTokens int64         `json:"read"`             // Prompt tokens that were expected not to be in the prefix cache.
-	OutputTokens  int64         `json:"output,omitempty"` // Most tokens that the call allowed.
+	PrefillTokens int64         `json:"read"` // Prompt tokens that were expected not to be in the prefix cache.
+	Priority      int           `json:"priority,omitempty"`
+	Events        int           `json:"events,omitempty"` // Of the stream.
 	FirstEvent    time.Duration `json:"first"`            // From the send to the first event.
 	Run           time.Duration `json:"run"`              // From the first event to the last.
 	Expected      time.Duration `json:"expected"`         // FirstEvent as the scheduler expected it.
@@ -131,7 +132,6 @@
 	PrefillTokens    int64         `json:"missing"`            // Prompt tokens that are not in the engine's prefix cache.
 	EnginesFull      bool          `json:"full,omitempty"`     // No engine would start the response in time.
 	Deferred         bool          `json:"deferred,omitempty"` // The call waits for its turn, and asks again after Wait.
-	Yields           bool          `json:"yields,omitempty"`   // The engine runs the call after those that do not yield.
 	Wait             time.Duration `json:"wait"`               // Until the call may be sent, or until an engine has capacity again.
 	ExpectedTTFB     time.Duration `json:"expected"`           // From the end of Wait to the first event.
 	Blocked          time.Duration `json:"blocked,omitempty"`  // Time for which calls with the content or a part of the prompt are blocked; 0 if they are not.
--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -21,9 +21,12 @@
 	minSlack = 400 * time.Millisecond
 	// slackFraction is the same as a fraction of its objective. The greater one applies.
 	slackFraction = 0.25
+	// slotWaitMargin is added to the wait for a slot, as a fraction of it. Runs differ in length,
+	// so that without it two of five calls that wait at an engine until the last moment are late.
+	slotWaitMargin = 0.5
 	// crowdFraction is the part of their objective for which more urgent calls can wait
 	// for a slot. The rest is left for their prompts.
-	crowdFraction = 0.4
+	crowdFraction = 0.5
 	// crowdRate is the least rate of more urgent calls on an engine, per second, for which
 	// slots are kept.
 	crowdRate = 0.2
@@ -35,6 +38,8 @@
 	pollFraction = 0.125
 	// minPoll and maxPoll bound the pause before a waiting call asks again.
 	minPoll, maxPoll = 100 * time.Millisecond, time.Second
+	// maxLatePoll is the longest pause of a call that is late in any case.
+	maxLatePoll = 400 * time.Millisecond
 	// promisedShare is the fraction of the ends of runs that refused callers are promised
 	// while no room is expected for them. A late response counts for less than one in
 	// time, so that most room is left for new callers.
@@ -97,93 +102,125 @@
 func (r *serviceRules) weigh(option *engineOption, engine *engineState, request *kumquathitch.ScheduleRequest, pace estimatedPace, now time.Time) {
 	rank, slots := rankOf(request), engine.slots
 	load := engine.calls.load(rank, engine.inFlight)
-	free := slots - float64(load.ahead)
+	free := slots - float64(engine.inFlight)
 	if r.memory > 0 {
 		// Memory that is short makes the call wait for the end of a run, as a slot does.
 		need := max(1, request.Tokens+request.OutputTokens)
 		free = min(free, math.Floor(float64(r.memory-load.tokens)/float64(need)))
 	}
 	option.slots, option.runMS, option.perSecond = int(slots), pace.runMS, slots*1000/pace.runMS
-	option.ownRunMS = pace.runMS
-	if request.OutputTokens > 0 && pace.tokenMS > 0 {
-		option.ownRunMS = pace.tokenMS * float64(request.OutputTokens)
-	}
-	option.slotWaitMS = engine.calls.wait(int(math.Ceil(1-free)), pace.runMS/slots, now)
-	unused := min(free, slots-float64(engine.inFlight)) // Yielding calls take slots from those that are as urgent.
-	shared := unused >= 1 && float64(load.patient) < max(1, math.Floor(patientShare*slots))
-	option.room = int(max(0, math.Floor(unused-r.reserve(option, engine, rank+1, load.urgentOrSame, now))))
-	option.crowds = free-r.reserve(option, engine, rank, load.urgent, now) < 1 && engine.calls.arrivalRate(rank, now) > crowdRate && !shared
+	// Runs differ so much in length that the ends of single ones say little: half of them take less
+	// than half of the mean.
+	option.slotWaitMS = max(0, 0.5-free) * pace.runMS / slots
+	shared := free >= 1 && float64(load.patient) < max(1, math.Floor(patientShare*slots))
+	margin := r.margin(engine, pace, option.perSecond, rank+1, load.urgentOrSame, now)
+	option.room = int(max(0, math.Floor(free+min(0, margin))))
 	if option.room == 0 && shared {
 		option.room = 1
 	}
+	margin = r.margin(engine, pace, option.perSecond, rank, load.urgent, now)
+	option.crowds = !shared && free+margin < 1 && engine.calls.arrivalRate(rank, now) > crowdRate
 	option.spare = max(0, option.perSecond-engine.calls.arrivalRate(rank+1, now))
 }
 
-// reserve returns the slots that calls of ranks below a limit are expected to need
-// beside those that they have. They can wait for the slots that become free
-// within a part of their objective.
-func (r *serviceRules) reserve(option *engineOption, engine *engineState, below, present int, now time.Time) float64 {
-	needed := engine.calls.arrivalRate(below, now) * option.runMS / 1000
-	freed := option.perSecond * crowdFraction * r.objectives[below].Seconds()
-	return max(0, needed+math.Sqrt(needed)-float64(present)-freed)
+// margin returns the slots that become free while calls of ranks below a limit can wait for
+// them, less those that such calls are expected to need beside the ones that they have.
+func (r *serviceRules) margin(engine *engineState, pace estimatedPace, perSecond float64, below, present int, now time.Time) float64 {
+	needed := 0.0
+	for rank := range below {
+		needed += engine.calls.rate(rank, now) * pace.rankMS[rank] / 1000
+	}
+	freed := perSecond * crowdFraction * r.objectives[below].Seconds()
+	return freed - max(0, needed+math.Sqrt(needed)-float64(present))
 }
 
-// admit decides on a call to a ranked service with at least one engine.
-func (gs *GlobalScheduler) admit(request *kumquathitch.ScheduleRequest, found *survey, now time.Time) (kumquathitch.ScheduleResponse, *engineOption) {
-	key := group{service: request.Service, model: request.Model}
-	best, rank := &found.best, rankOf(request)
-	limit := request.FirstByteLimit
-	var refused, returned bool
-	if limit > 0 && request.Content != 0 {
-		refused, returned = gs.turns.returned(key, request.Content, now)
+// assessment is what decides on a call to a ranked service with at least one engine.
+type assessment struct {
+	key      group
+	rank     int
+	limit    time.Duration // Time within which the response must start; 0 if it is not bounded.
+	start    time.Duration // Time to the first event at the best engine.
+	slack    time.Duration // Time that a patient call has left beside its start.
+	returned bool          // The caller comes back for a promised turn.
+	inTime   bool          // The best engine starts the response in time, and more urgent calls do not need the slot.
+	patient  bool          // So it will for a while.
+}
+
+func (gs *GlobalScheduler) assess(request *kumquathitch.ScheduleRequest, best *engineOption, now time.Time) assessment {
+	a := assessment{
+		key: group{service: request.Service, model: request.Model}, rank: rankOf(request), limit: request.FirstByteLimit,
+		start: duration(best.waitMS + best.ttfbMS + slotWaitMargin*best.slotWaitMS),
+		slack: max(minSlack, duration(slackFraction*milliseconds(request.LatencyObjective))),
+	}
+	var refused bool
+	if a.limit > 0 && request.Content != 0 {
+		refused, a.returned = gs.turns.returned(a.key, request.Content, now)
 	}
 	switch {
-	case returned && request.Patience > 0:
-		limit = max(limit, request.Patience/2) // Late in any case, and served before new callers.
+	case a.returned && request.Patience > 0:
+		a.limit = max(a.limit, request.Patience/2) // Late in any case, and served before new callers.
 	case refused && request.LatencyObjective < minPromiseDelay:
-		limit = min(limit, time.Millisecond) // Late in any case, and yields to new callers.
-	}
-	start := duration(best.waitMS + best.ttfbMS)
-	inTime := limit <= 0 || (start <= limit && !best.crowds)
-	slack := max(minSlack, duration(slackFraction*milliseconds(request.LatencyObjective)))
-	patient := inTime && limit > 0 && !returned && request.Ticket != 0 && limit-start > slack
-	if inTime && !patient {
-		gs.recordArrival(best, rank, now)
-		gs.turns.leave(key, request.Ticket)
-		if returned {
+		a.limit = min(a.limit, time.Millisecond) // Late in any case, and yields to new callers.
+	}
+	a.inTime = a.limit <= 0 || (a.start <= a.limit && !best.crowds)
+	a.patient = a.inTime && a.limit > 0 && !a.returned && request.Ticket != 0 && a.limit-a.start > a.slack
+	return a
+}
+
+// admit decides on a call to a ranked service with at least one engine. It returns the option
+// for the call, which may be late in any case, or none and the response.
+func (gs *GlobalScheduler) admit(request *kumquathitch.ScheduleRequest, found *survey, now time.Time) (kumquathitch.ScheduleResponse, *engineOption) {
+	best := &found.best
+	a := gs.assess(request, best, now)
+	if a.inTime && !a.patient {
+		gs.recordArrival(best, a.rank, now)
+		gs.turns.leave(a.key, request.Ticket)
+		if a.returned {
 			gs.counts.add(request.Priority, ScheduleCounts{Returned: 1})
-			gs.turns.forget(key, request.Content)
+			gs.turns.forget(a.key, request.Content)
 		}
 		return kumquathitch.ScheduleResponse{}, best
 	}
-	ahead, waits := gs.turns.ahead(key, request.Ticket, rank, now.Add(-request.Waited), now)
-	if !patient && !waits {
-		gs.recordArrival(best, rank, now)
+	ahead, waits := gs.turns.ahead(a.key, request.Ticket, a.rank, now.Add(-request.Waited), now)
+	if !a.patient && !waits {
+		gs.recordArrival(best, a.rank, now)
 	}
 	if found.free.instance != nil && found.room > ahead {
-		gs.turns.leave(key, request.Ticket)
-		return kumquathitch.ScheduleResponse{Yields: !patient}, &found.free
-	}
-	poll := min(maxPoll, max(minPoll, duration(pollFraction*milliseconds(request.LatencyObjective))))
-	turn := duration(float64(ahead+1) * 1000 / max(found.spare, 0.001))
-	if patient {
-		poll = min(poll, max(minPoll, limit-start-slack))
+		gs.turns.leave(a.key, request.Ticket)
+		found.free.late = !a.patient
+		return kumquathitch.ScheduleResponse{}, &found.free
 	}
-	mayWait := request.Ticket != 0 && (patient || turn+start < request.Patience)
-	call := waitingCall{rank: rank, arrivedAt: now.Add(-request.Waited), expiresAt: now.Add(poll + ticketGrace)}
-	if mayWait && gs.turns.wait(key, request.Ticket, call, max(1, int(queueFraction*float64(found.slots)))) {
+	if poll, ok := gs.enqueue(request, found, &a, ahead, now); ok {
 		gs.counts.add(request.Priority, ScheduleCounts{Deferred: 1})
 		return kumquathitch.ScheduleResponse{Deferred: true, Wait: poll}, nil
 	}
-	if patient { // The queue is full, but an engine can still start the call in time.
+	if a.patient { // The queue is full, but an engine can still start the call in time.
 		return kumquathitch.ScheduleResponse{}, best
 	}
-	gs.turns.leave(key, request.Ticket)
-	gs.countFull(request.Priority, best, start-limit)
-	at := gs.turns.promise(key, request.Content, max(found.spare, promisedShare*found.perSecond), request.ReturnIn, now)
+	gs.turns.leave(a.key, request.Ticket)
+	gs.countFull(request.Priority, best, a.start-a.limit)
+	at := gs.turns.promise(a.key, request.Content, max(found.spare, promisedShare*found.perSecond), request.ReturnIn, now)
 	return kumquathitch.ScheduleResponse{EnginesFull: true, Wait: at.Sub(now)}, nil
 }
 
+// enqueue has a call wait at its VM, and returns when it asks again. It reports false if the
+// queue is full, or if the caller leaves before its turn.
+func (gs *GlobalScheduler) enqueue(request *kumquathitch.ScheduleRequest, found *survey, a *assessment, ahead int, now time.Time) (time.Duration, bool) {
+	// Bursts end, and waiting calls get a share of the slots until then.
+	turn := duration(float64(ahead+1) * 1000 / max(found.spare, patientShare*found.perSecond))
+	if request.Ticket == 0 || (!a.patient && turn+a.start >= request.Patience) {
+		return 0, false
+	}
+	poll := min(maxPoll, max(minPoll, duration(pollFraction*milliseconds(request.LatencyObjective))))
+	if a.patient {
+		poll = min(poll, max(minPoll, a.limit-a.start-a.slack))
+	} else {
+		poll = max(poll, min(maxLatePoll, turn/2))
+	}
+	call := waitingCall{rank: a.rank, arrivedAt: now.Add(-request.Waited), expiresAt: now.Add(poll + ticketGrace)}
+	return poll, gs.turns.wait(a.key, request.Ticket, call, max(1, int(queueFraction*float64(found.slots))))
+}
+
 // recordArrival counts a call that cannot wait for the forecast of its engine.
 func (gs *GlobalScheduler) recordArrival(option *engineOption, rank int, now time.Time) {
 	s := gs.shard(option.instance.id)
--- a/fleet/admission_test.go
+++ b/fleet/admission_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,7 +19,7 @@
 	priority  int
 	objective time.Duration
 	deadline  time.Duration
-	run       time.Duration
+	run       time.Duration // On average; runs differ as they do on engines.
 	model     string
 	rate      func(at time.Duration) float64 // Calls per second.
 }
@@ -27,11 +29,11 @@
 
 func (s served) share() float64 { return float64(s.inTime) / float64(max(1, s.calls)) }
 
-// playedEngine runs calls in the order in which they arrive, those that yield last.
+// playedEngine runs calls in the order in which they arrive.
 type playedEngine struct {
 	slots, running int
 	speed          float64
-	queue, yields  []func()
+	queue          []func()
 }
 
 // play is a load in virtual time: VMs ask the scheduler for engines with few slots.
@@ -97,9 +99,9 @@
 	if change != nil {
 		change(p)
 	}
-	for name, kind := range kinds {
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
 		p.served[name] = &served{}
-		p.at(0, func() { p.arrive(name, kind) })
+		p.at(0, func() { p.arrive(name, kinds[name]) })
 	}
 	for at := time.Duration(0); at < 40*time.Second; at += 2 * time.Second {
 		p.at(at, func() {
@@ -126,7 +128,7 @@
 	if rate > 0 {
 		p.served[name].calls++
 		p.nextTicket++
-		p.schedule(&playedCall{kind: kind, result: p.served[name], ticket: p.nextTicket, vm: p.random.IntN(len(p.vms)), first: p.now, received: p.now})
+		p.schedule(&playedCall{kind: kind, result: p.served[name], ticket: p.nextTicket, vm: p.random.IntN(len(p.vms)), run: time.Duration(p.random.ExpFloat64() * float64(kind.run)), first: p.now, received: p.now})
 	}
 }
 
@@ -135,6 +137,7 @@
 	result          *served
 	ticket          uint64
 	vm              int
+	run             time.Duration
 	first, received time.Duration // First arrival at the fleet, and arrival at the VM.
 	refusals        int
 }
@@ -142,7 +145,7 @@
 func (p *play) schedule(c *playedCall) {
 	patience := max(2*time.Second, 4*c.kind.objective)
 	request := &kumquathitch.ScheduleRequest{
-		From: string(rune('A' + c.vm)), DataCentre: "a", Service: "llm", Model: c.kind.model, Tokens: 200, OutputTokens: int64(c.kind.run / (10 * time.Millisecond)),
+		From: string(rune('A' + c.vm)), DataCentre: "a", Service: "llm", Model: c.kind.model, Tokens: 200, OutputTokens: 200,
 		Priority: c.kind.priority, LatencyObjective: c.kind.objective, FirstByteLimit: max(time.Millisecond, c.received+c.kind.objective-p.now), InFlight: p.vms[c.vm],
 		Ticket: c.ticket, Content: c.ticket, Waited: p.now - c.received, Patience: c.received + min(patience, c.kind.deadline*6/10) - p.now, ReturnIn: c.kind.deadline / 3,
 		Observed: p.observed[c.vm],
@@ -180,35 +183,27 @@
 		} else {
 			c.result.late++
 		}
-		p.at(begun-p.now+time.Duration(float64(c.kind.run)/engine.speed), func() {
+		p.at(begun-p.now+time.Duration(float64(c.run)/engine.speed), func() {
 			engine.running--
 			if p.vms[c.vm][response.Instance]--; p.vms[c.vm][response.Instance] == 0 {
 				delete(p.vms[c.vm], response.Instance)
 			}
 			p.observed[c.vm] = append(p.observed[c.vm], kumquathitch.EngineResponse{
 				Instance: response.Instance, Service: "llm", Model: c.kind.model, PrefillTokens: response.PrefillTokens,
-				OutputTokens: int64(c.kind.run / (10 * time.Millisecond)), FirstEvent: begun - sent, Run: p.now - begun, Expected: response.ExpectedTTFB,
+				Priority: c.kind.priority, Events: int(c.run / (20 * time.Millisecond)), FirstEvent: begun - sent, Run: p.now - begun, Expected: response.ExpectedTTFB,
 			})
 			engine.next()
 		})
 	}
-	if response.Yields {
-		engine.yields = append(engine.yields, run)
-	} else {
-		engine.queue = append(engine.queue, run)
-	}
+	engine.queue = append(engine.queue, run)
 	engine.next()
 }
 
 // next starts the calls for which the engine has slots.
 func (e *playedEngine) next() {
-	for e.running < e.slots && len(e.queue)+len(e.yields) > 0 {
-		from := &e.queue
-		if len(e.queue) == 0 {
-			from = &e.yields
-		}
-		run := (*from)[0]
-		*from = (*from)[1:]
+	for e.running < e.slots && len(e.queue) > 0 {
+		run := e.queue[0]
+		e.queue = e.queue[1:]
 		run()
 	}
 }
@@ -276,3 +271,55 @@
 		must.Less(t, 0.05*float64(s.calls), float64(s.refused))
 	}
 }
+
+// TestRefusedCallersComeBackInTurn guards against callers who all come back at once, and
+// against one who comes back in time and finds that new callers took the turn.
+func TestRefusedCallersComeBackInTurn(t *testing.T) {
+	f := fleet.NewFleet("entry-0", "a")
+	f.Put(newEngine("one", 1, "m1"), start)
+	scheduler := fleet.NewGlobalScheduler(f)
+	scheduler.Configure(rankedDeployment(competingKinds(steady(1), 1)))
+	ask := func(content uint64, at time.Time) kumquathitch.ScheduleResponse {
+		request := scheduleRequest("entry-1", map[string]int{"one": 12}) // Eight slots.
+		request.Content, request.Ticket, request.Tokens, request.Patience, request.ReturnIn = content, content, 10, 2*time.Second, 5*time.Second
+		request.LatencyObjective, request.FirstByteLimit = 500*time.Millisecond, 500*time.Millisecond
+		return scheduler.Schedule(request, at)
+	}
+	turns := map[time.Duration]int{}
+	returning, returnsAt := uint64(0), time.Duration(0)
+	for content := uint64(1); content <= 200; content++ {
+		if response := ask(content, start); response.EnginesFull {
+			must.Between(t, 2*time.Second, response.Wait, 5*time.Second)
+			turns[response.Wait.Truncate(100*time.Millisecond)]++
+			if returning == 0 {
+				returning, returnsAt = content, response.Wait
+			}
+		}
+	}
+	must.Greater(t, 10, len(turns))
+	must.Eq(t, "", ask(1000, start.Add(returnsAt)).Instance)
+	must.Eq(t, "one", ask(returning, start.Add(returnsAt)).Instance)
+}
+
+// TestMemoryOfEngineIsCounted guards against calls that an engine has slots for, but no
+// memory: it would preempt one of them and read its prompt anew.
+func TestMemoryOfEngineIsCounted(t *testing.T) {
+	f := fleet.NewFleet("entry-0", "a")
+	f.Put(newEngine("one", 1, "m1"), start)
+	scheduler := fleet.NewGlobalScheduler(f)
+	deployment := rankedDeployment(competingKinds(steady(1), 1))
+	deployment.Services[0].Engine.KVCapacityTokens = 5000
+	scheduler.Configure(deployment)
+	large := func(loads map[string]int, at time.Time) kumquathitch.ScheduleResponse {
+		request := scheduleRequest("entry-1", loads)
+		request.Tokens, request.OutputTokens = 1000, 500
+		return scheduler.Schedule(request, at)
+	}
+	for n := range 3 {
+		must.Eq(t, "one", large(map[string]int{"one": n}, start.Add(time.Duration(n)*time.Second)).Instance)
+	}
+	f.Put(newEngine("two", 2, "m1"), start)
+	later := start.Add(10 * time.Second)
+	scheduler.SetVMLoads("entry-2", map[string]int{"two": 6}, later)
+	must.Eq(t, "two", large(map[string]int{"one": 3}, later).Instance)
+}
--- a/fleet/engine_calls.go
+++ b/fleet/engine_calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -24,11 +23,9 @@
 	vm       string
 	rank     int
 	tokens   int64 // Of the prompt and the response.
-	yields   bool
-	waits    bool // For a slot of the engine.
+	late     bool  // In any case.
 	assigned time.Time
-	run      time.Duration // Estimated.
-	endsAt   time.Time     // Estimated.
+	endsAt   time.Time // Estimated.
 }
 
 // engineCalls tracks the calls of one engine by priority. VMs report how many calls they
@@ -64,35 +61,17 @@
 		if first < 0 {
 			break
 		}
-		started := !ec.assigned[first].waits
 		last := len(ec.assigned) - 1
 		ec.assigned[first] = ec.assigned[last]
 		ec.assigned = ec.assigned[:last]
-		if started {
-			ec.startNext(now)
-		}
 	}
 	return max(count, reported)
 }
 
-// startNext records that the engine starts the first of the calls that wait for a slot.
-func (ec *engineCalls) startNext(now time.Time) {
-	var next *engineCall
-	for i := range ec.assigned {
-		if c := &ec.assigned[i]; c.waits && (next == nil || (next.yields && !c.yields) || (next.yields == c.yields && c.assigned.Before(next.assigned))) {
-			next = c
-		}
-	}
-	if next != nil {
-		next.waits, next.endsAt = false, now.Add(next.run)
-	}
-}
-
 // engineLoad is what an engine has to do before and beside a call of a certain rank.
 type engineLoad struct {
-	ahead        int   // Calls that do not yield to it.
 	urgent       int   // Calls of a more urgent rank.
-	urgentOrSame int   // Calls of a more urgent rank or the same one, without those that yield.
+	urgentOrSame int   // Calls of a more urgent rank or the same one, without those that are late.
 	patient      int   // Assigned calls that are neither.
 	tokens       int64 // Memory of all assigned calls.
 }
@@ -101,17 +80,14 @@
 // that the scheduler did not assign count as more urgent.
 func (ec *engineCalls) load(rank, inFlight int) engineLoad {
 	unassigned := max(0, inFlight-len(ec.assigned))
-	load := engineLoad{ahead: inFlight, urgent: unassigned, urgentOrSame: unassigned}
+	load := engineLoad{urgent: unassigned, urgentOrSame: unassigned}
 	for i := range ec.assigned {
 		c := &ec.assigned[i]
 		load.tokens += c.tokens
-		if c.yields {
-			load.ahead--
-		}
 		if c.rank < rank {
 			load.urgent++
 		}
-		if c.rank < rank || (c.rank == rank && !c.yields) {
+		if c.rank < rank || (c.rank == rank && !c.late) {
 			load.urgentOrSame++
 		} else {
 			load.patient++
@@ -120,34 +96,6 @@
 	return load
 }
 
-// wait returns the time until so many of the calls that do not yield have ended, in
-// milliseconds. Calls that run for longer than estimated are taken to end one after the
-// other, as those of a full engine do on average.
-func (ec *engineCalls) wait(ends int, intervalMS float64, now time.Time) float64 {
-	if ends <= 0 {
-		return 0
-	}
-	remaining := make([]float64, 0, 64)
-	overdue := 0
-	for i := range ec.assigned {
-		c := &ec.assigned[i]
-		left := milliseconds(c.endsAt.Sub(now))
-		switch {
-		case c.yields || c.waits:
-			continue
-		case left <= 0:
-			overdue++
-			left = float64(overdue) * intervalMS
-		}
-		remaining = append(remaining, left)
-	}
-	slices.Sort(remaining)
-	if ends <= len(remaining) {
-		return remaining[ends-1]
-	}
-	return float64(ends) * intervalMS
-}
-
 // recordArrival counts a call that would go to this engine, whether it is assigned or not.
 func (ec *engineCalls) recordArrival(rank int, now time.Time) {
 	ec.decay(now)
@@ -164,13 +112,21 @@
 	}
 }
 
+// rate returns the arrivals of a rank, per second.
+func (ec *engineCalls) rate(rank int, now time.Time) float64 {
+	if ec.arrivals[rank] == 0 {
+		return 0
+	}
+	return ec.arrivals[rank] * math.Exp(-max(0, now.Sub(ec.arrivedAt).Seconds())/arrivalTimeConstant.Seconds()) / arrivalTimeConstant.Seconds()
+}
+
 // arrivalRate returns the arrivals of ranks below a limit, per second.
 func (ec *engineCalls) arrivalRate(below int, now time.Time) float64 {
 	total := 0.0
-	for _, sum := range ec.arrivals[:min(below, maxRanks)] {
-		total += sum
+	for rank := range min(below, maxRanks) {
+		total += ec.rate(rank, now)
 	}
-	return total * math.Exp(-max(0, now.Sub(ec.arrivedAt).Seconds())/arrivalTimeConstant.Seconds()) / arrivalTimeConstant.Seconds()
+	return total
 }
 
 // rankOf returns the rank of a call's priority.
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -198,11 +198,11 @@
 			continue
 		}
 		counts := ScheduleCounts{Assigned: 1}
-		if response.Yields {
+		if option.late {
 			counts.Late = 1
 		}
 		gs.counts.add(request.Priority, counts)
-		gs.assign(request, option, chain, response.Yields, now)
+		gs.assign(request, option, chain, now)
 		response.Instance, response.PrefillTokens, response.Limited = option.instance.id, option.prefillTokens, limited
 		response.Wait, response.ExpectedTTFB = duration(option.waitMS), duration(option.ttfbMS)
 		return response
@@ -305,10 +305,10 @@
 	// The following are set on services whose calls differ in priority.
 	slots     int
 	room      int     // Calls of this rank that no more urgent call leaves without a slot.
-	runMS     float64 // Expected run of a call of usual length.
-	ownRunMS  float64 // Expected run of this call.
+	runMS     float64 // Expected run.
 	perSecond float64 // Ends of runs.
 	spare     float64 // Ends of runs that no more urgent call needs, per second.
+	late      bool    // The response starts after the objective.
 	crowds    bool    // The call would make more urgent ones wait for too long.
 }
 
@@ -373,7 +373,7 @@
 
 // assign adds a call to the load of its VM, and its prompt to the prefill and the
 // prefix cache of the engine.
-func (gs *GlobalScheduler) assign(request *kumquathitch.ScheduleRequest, option *engineOption, chain promptChain, yields bool, now time.Time) {
+func (gs *GlobalScheduler) assign(request *kumquathitch.ScheduleRequest, option *engineOption, chain promptChain, now time.Time) {
 	v := &gs.vms[kumquathitch.ShardOf(request.From, shardCount)]
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -390,8 +390,8 @@
 	}
 	if v.loads[request.From] != nil && gs.rules.Load().services[request.Service] != nil {
 		engine.calls.add(engineCall{
-			vm: request.From, rank: rankOf(request), tokens: request.Tokens + request.OutputTokens, yields: yields,
-			waits: option.slotWaitMS > 0, assigned: now, run: duration(option.prefillMS + option.ownRunMS), endsAt: now.Add(duration(option.waitMS + option.ttfbMS + option.ownRunMS)),
+			vm: request.From, rank: rankOf(request), tokens: request.Tokens + request.OutputTokens, late: option.late,
+			assigned: now, endsAt: now.Add(duration(option.waitMS + option.ttfbMS + option.runMS)),
 		})
 	}
 	begin := now.Add(duration(option.waitMS))
--- a/fleet/pace_book.go
+++ b/fleet/pace_book.go
@@ -15,13 +15,16 @@
 	engineWeight, modelWeight, serviceWeight = 0.1, 0.05, 0.02
 	// maxPaceError bounds the factor by which one response can differ from its estimate.
 	maxPaceError = 4
+	// prefillQuantile and prefillStep determine how the prefill rate is learned.
+	prefillQuantile, prefillStep = 0.2, 0.02
 	// minPacedTokens is the shortest prompt from which the prefill rate is learned.
-	minPacedTokens = 100
+	minPacedTokens = 300
 )
 
 // paceBook holds the learned run times of engines. The run of a call is estimated as the
-// usual time per token of output of its service, times a factor of its model and one of
-// its engine. Both factors are 1 at first. It is safe for concurrent use.
+// mean number of events of its service, times the usual time per event, a factor of its model
+// and one of its engine. Both factors are 1 at first. The lengths of responses differ too much
+// to learn the speed of an engine from run times alone. It is safe for concurrent use.
 type paceBook struct {
 	shards [shardCount]paceShard
 }
@@ -34,10 +37,10 @@
 
 // servicePace is the pace of the engines of one service.
 type servicePace struct {
-	runMS      float64 // Mean run.
-	tokenMS    float64 // Time per token of output; 0 before the first response.
-	tokens     float64 // Mean tokens of output.
-	prefillMS  float64 // Time per token of prompt, without time in queues; 0 before the first response.
+	eventMS    float64           // Time per event of a stream; 0 before the first response.
+	events     float64           // Mean number of events.
+	rankEvents [maxRanks]float64 // The same by rank; 0 before the first response.
+	prefillMS  float64           // Time per token of prompt, without time in queues; 0 before the first response.
 	models     map[string]float64
 	engines    map[string]*enginePace
 	lastPruned time.Time
@@ -45,10 +48,9 @@
 
 // enginePace is the pace of one engine.
 type enginePace struct {
-	factor    float64 // Of run times.
-	prefillMS float64 // Time per token of prompt, without time in queues.
-	pauses    float64 // Fraction of streams with a longer pause than their route allows.
-	updated   time.Time
+	factor  float64 // Of run and prefill times.
+	pauses  float64 // Fraction of streams with a longer pause than their route allows.
+	updated time.Time
 }
 
 // paceTTL is how long the pace of an engine without responses is kept.
@@ -56,10 +58,10 @@
 
 // estimatedPace is the pace that is expected of a call on an engine.
 type estimatedPace struct {
-	runMS       float64 // Of a call of usual length.
-	tokenMS     float64 // Time per token of output; 0 if unknown.
-	tokensPerMS float64 // Prefill rate; 0 if unknown.
-	pauses      float64 // Fraction of streams with long pauses.
+	runMS       float64
+	rankMS      [maxRanks]float64 // Run by rank.
+	tokensPerMS float64           // Prefill rate; 0 if unknown.
+	pauses      float64           // Fraction of streams with long pauses.
 }
 
 func newPaceBook() *paceBook {
@@ -77,7 +79,7 @@
 	defer s.mutex.Unlock()
 	service := s.services[response.Service]
 	if service == nil {
-		service = &servicePace{runMS: milliseconds(initialRunTime), models: map[string]float64{}, engines: map[string]*enginePace{}}
+		service = &servicePace{models: map[string]float64{}, engines: map[string]*enginePace{}}
 		s.services[response.Service] = service
 	}
 	engine := service.engine(response.Instance, now)
@@ -89,29 +91,42 @@
 	engine.pauses += engineWeight * (paused - engine.pauses)
 	service.learnRun(engine, response)
 	if first := milliseconds(response.FirstEvent); response.PrefillTokens >= minPacedTokens && first > 0 {
-		service.prefillMS = unqueued(service.prefillMS, first/float64(response.PrefillTokens))
-		engine.prefillMS = unqueued(engine.prefillMS, first/float64(response.PrefillTokens))
+		service.learnPrefill(first / (float64(response.PrefillTokens) * engine.factor))
+	}
+}
+
+// learnPrefill moves the time per token to the quantile prefillQuantile of the samples: most
+// responses also waited for a slot or for other prompts, some of them for seconds.
+func (sp *servicePace) learnPrefill(sampleMS float64) {
+	if sp.prefillMS == 0 {
+		sp.prefillMS = 1 / initialTokensPerMS
+	}
+	if sampleMS < sp.prefillMS {
+		sp.prefillMS *= 1 - prefillStep*(1-prefillQuantile)
+	} else {
+		sp.prefillMS *= 1 + prefillStep*prefillQuantile
 	}
 }
 
 func (sp *servicePace) learnRun(engine *enginePace, response *kumquathitch.EngineResponse) {
-	runMS, tokens := milliseconds(response.Run), float64(response.OutputTokens)
-	if runMS <= 0 {
+	runMS, events := milliseconds(response.Run), float64(response.Events)
+	if runMS <= 0 || events < 2 {
 		return
 	}
-	sp.runMS += serviceWeight * (runMS - sp.runMS)
-	if tokens <= 0 {
-		return
+	if sp.eventMS == 0 {
+		sp.eventMS, sp.events = runMS/events, events
 	}
-	if sp.tokenMS == 0 {
-		sp.tokenMS, sp.tokens = runMS/tokens, tokens
+	sp.events += serviceWeight * (events - sp.events)
+	mean := &sp.rankEvents[min(max(0, response.Priority), maxRanks-1)]
+	if *mean == 0 {
+		*mean = sp.events
 	}
-	sp.tokens += serviceWeight * (tokens - sp.tokens)
+	*mean += serviceWeight * (events - *mean)
 	model := sp.modelFactor(response.Model)
-	deviation := math.Log(min(maxPaceError, max(1.0/maxPaceError, runMS/(tokens*sp.tokenMS*model*engine.factor))))
+	deviation := math.Log(min(maxPaceError, max(1.0/maxPaceError, runMS/(events*sp.eventMS*model*engine.factor))))
 	engine.factor *= math.Exp(engineWeight * deviation)
 	sp.models[response.Model] = model * math.Exp(modelWeight*deviation)
-	sp.tokenMS *= math.Exp(serviceWeight * deviation)
+	sp.eventMS *= math.Exp(serviceWeight * deviation)
 }
 
 func (sp *servicePace) modelFactor(model string) float64 {
@@ -125,7 +140,7 @@
 func (sp *servicePace) engine(id string, now time.Time) *enginePace {
 	engine := sp.engines[id]
 	if engine == nil {
-		engine = &enginePace{factor: 1, prefillMS: sp.prefillMS}
+		engine = &enginePace{factor: 1}
 		sp.engines[id] = engine
 	}
 	if now.Sub(sp.lastPruned) > paceTTL {
@@ -139,19 +154,7 @@
 	return engine
 }
 
-// unqueued adds a time per token to an average that follows the fastest ones: most slower
-// responses waited for a slot or for other prompts.
-func unqueued(mean, sample float64) float64 {
-	switch {
-	case mean == 0:
-		return sample
-	case sample < mean:
-		return mean + averageWeight*(sample-mean)
-	}
-	return mean + slowerResponseWeight*(min(sample, maxPaceError*mean)-mean)
-}
-
-// estimate returns the pace of calls for a model on an engine, and what a call of usual length takes there.
+// estimates appends the pace of calls for a model on each engine.
 func (b *paceBook) estimates(service, model string, engines []*instanceState, paces []estimatedPace) []estimatedPace {
 	s := &b.shards[kumquathitch.ShardOf(service, shardCount)]
 	s.mutex.Lock()
@@ -168,17 +171,23 @@
 }
 
 func (sp *servicePace) estimate(model, engine string) estimatedPace {
-	pace := estimatedPace{runMS: sp.runMS}
-	factor, prefillMS := 1.0, sp.prefillMS
+	pace := estimatedPace{runMS: milliseconds(initialRunTime)}
+	factor := 1.0
 	if known := sp.engines[engine]; known != nil {
-		factor, prefillMS, pace.pauses = known.factor, known.prefillMS, known.pauses
+		factor, pace.pauses = known.factor, known.pauses
 	}
-	if sp.tokenMS > 0 {
-		pace.tokenMS = sp.tokenMS * sp.modelFactor(model) * factor
-		pace.runMS = pace.tokenMS * sp.tokens
+	if sp.eventMS > 0 {
+		eventMS := sp.eventMS * sp.modelFactor(model) * factor
+		pace.runMS = eventMS * sp.events
+		for rank, events := range sp.rankEvents {
+			pace.rankMS[rank] = eventMS * events
+			if events == 0 {
+				pace.rankMS[rank] = pace.runMS
+			}
+		}
 	}
-	if prefillMS > 0 {
-		pace.tokensPerMS = 1 / prefillMS
+	if sp.prefillMS > 0 {
+		pace.tokensPerMS = 1 / (sp.prefillMS * factor)
 	}
 	return pace
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -58,9 +58,8 @@
 	tenant            *kumquathitch.Tenant // Nil on open routes, and if the deployment has no accounts.
 	deploymentVersion uint64               // Version of the deployment that the call was admitted under.
 	criteria          kumquathitch.InstanceCriteria
-	assignment        kumquathitch.Assignment // Of the present choice; zero if this VM chose the instance itself.
-	ranked            bool                    // The scheduler ranks the calls of the service by priority.
-	modelListed       bool                    // The service configures the model; demand for other names is not recorded.
+	ranked            bool // The scheduler ranks the calls of the service by priority.
+	modelListed       bool // The service configures the model; demand for other names is not recorded.
 	body              []byte
 	held              heldBody // Holds body.
 	deadline          time.Time
@@ -329,7 +328,6 @@
 // instance holds a configured model, the call waits as long as the model may
 // still load in time.
 func (rc *relayedCall) choose(ctx context.Context) (kumquathitch.InstanceChoice, error) {
-	rc.assignment = kumquathitch.Assignment{}
 	choice, err := rc.chooseScheduled(ctx)
 	var full *kumquathitch.EnginesFullError
 	var blocked *kumquathitch.CallBlockedError
@@ -396,7 +394,6 @@
 	if !ok || !rc.admitByLimit(ctx, choice) {
 		return kumquathitch.InstanceChoice{}, errNotScheduled
 	}
-	rc.assignment = assignment
 	clock.Pause(ctx, assignment.SendAt.Sub(rc.Clock.Now())) // If ctx ends meanwhile, the send reports SendCancelled.
 	return choice, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -45,6 +45,7 @@
 	stopping      atomic.Bool
 	cancelBase    context.CancelFunc // Cancels the handler's BaseContext.
 	placeRequests atomic.Int64       // Number of requests to the leader to place an adapter.
+	schedule      func() error       // Instead of scheduleError.
 	scheduleError error              // Returned by Schedule; nil for that of a VM without a leader.
 	instances     []*standin.Instance
 }
@@ -57,6 +58,9 @@
 
 // Schedule returns an error, by default that of a VM that has no leader.
 func (vm *testVM) Schedule(context.Context, kumquathitch.InstanceCriteria) (kumquathitch.Assignment, error) {
+	if vm.schedule != nil {
+		return kumquathitch.Assignment{}, vm.schedule()
+	}
 	if vm.scheduleError != nil {
 		return kumquathitch.Assignment{}, vm.scheduleError
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -30,9 +30,8 @@
 	// objective. A response after the objective counts for little, and the other
 	// instance needs the remaining time.
 	minHeadTimeoutFraction = 0.6
-	// rankedPriority and yieldingPriority are the priorities for engines of calls that
-	// the scheduler has ranked, and of those among them that are late in any case.
-	rankedPriority, yieldingPriority = 4, 4
+	// rankedPriority is the priority for engines of calls that the scheduler ranks.
+	rankedPriority = 4
 )
 
 // sendStatus is the result of one send with regard to the caller.
@@ -315,7 +314,7 @@
 }
 
 func (a *attempt) sendResult(outcome kumquathitch.SendOutcome) kumquathitch.SendResult {
-	return kumquathitch.SendResult{Outcome: outcome, FirstByte: a.headAt, Load: a.head.Load, HasLoad: a.head.HasLoad, Pause: a.stream.longestGap}
+	return kumquathitch.SendResult{Outcome: outcome, FirstByte: a.headAt, Load: a.head.Load, HasLoad: a.head.HasLoad, Events: a.stream.events, Pause: a.stream.longestGap}
 }
 
 // relayBuffered reads a response that is not a stream to its end, and forwards it.
@@ -363,15 +362,12 @@
 
 // enginePriority returns the priority that the engine is told. Engines preempt running calls
 // for more urgent ones, and read their prompts anew, which makes other calls late. Where the
-// scheduler ranks calls, engines see one rank, and another one of calls that are late in any case.
+// scheduler ranks calls, engines see one rank only.
 func (a *attempt) enginePriority() int {
-	switch {
-	case !a.ranked:
-		return a.criteria.Priority
-	case a.assignment.Yields:
-		return yieldingPriority
+	if a.ranked {
+		return rankedPriority
 	}
-	return rankedPriority
+	return a.criteria.Priority
 }
 
 // impliesNotRun reports whether callers conclude from a status that the call did not run.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -40,6 +40,7 @@
 	lastEventID string // ID of the last event forwarded, at first of the one that the caller resumes after.
 	forwarded   bool   // At least one event was forwarded.
 	lastEventAt time.Time
+	events      int           // Forwarded events, comments included.
 	longestGap  time.Duration // Longest time between two writes to the caller.
 }
 
@@ -185,6 +186,7 @@
 		a.Pool.paces.record(a.choice.Instance.ID, gap, now)
 	}
 	a.stream.forwarded, a.stream.lastEventAt = true, now
+	a.stream.events += bytes.Count(events, eventEnd)
 	if a.route.RetryMode != kumquathitch.RetryResume {
 		return nil
 	}
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -74,7 +74,7 @@
 		return kumquathitch.Assignment{}, errNoEngineNamed
 	}
 	return kumquathitch.Assignment{
-		InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt, Yields: response.Yields,
+		InstanceID: response.Instance, PrefillTokens: response.PrefillTokens, ExpectedTTFB: response.ExpectedTTFB, Limited: response.Limited, SendAt: sendAt,
 	}, nil
 }
 
