--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -118,6 +118,9 @@
 	if option.room == 0 && shared {
 		option.room = 1
 	}
+	if option.paced { // One more prompt would delay the streams and the more urgent calls.
+		option.room = 0
+	}
 	margin = r.margin(engine, pace, option.perSecond, rank, load.urgent, now)
 	option.crowds = !shared && free+margin < 1 && engine.calls.arrivalRate(rank, now) > crowdRate
 	option.spare = max(0, option.perSecond-engine.calls.arrivalRate(rank+1, now))
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -309,6 +309,7 @@
 	perSecond float64 // Ends of runs.
 	spare     float64 // Ends of runs that no more urgent call needs, per second.
 	late      bool    // The response starts after the objective.
+	paced     bool    // Prompts that are still to be read leave no time for that of the call yet.
 	crowds    bool    // The call would make more urgent ones wait for too long.
 }
 
@@ -334,6 +335,7 @@
 	gapLimitMS, objectiveMS := milliseconds(request.GapLimit), milliseconds(request.LatencyObjective)
 	if gapLimitMS > 0 {
 		option.waitMS = min(max(0, backlogMS+option.prefillMS-prefillBurstFraction*gapLimitMS), backlogMS) / prefillShare
+		option.paced = option.waitMS > 0
 		option.waitMS = min(option.waitMS, milliseconds(request.MaxHold))
 	}
 	backlogAtSendMS := max(0, backlogMS-prefillShare*option.waitMS)
