--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -17,8 +17,9 @@
 // again; until then it waits at its VM. A late call waits only if its turn comes
 // before its caller leaves. Otherwise the caller is refused at once, and told when to come back.
 const (
-	// minSlack is the time that a call must have left beside its start to be patient.
-	minSlack = 400 * time.Millisecond
+	// minSlack is the time that a call must have left beside its start to be patient. Room
+	// becomes free within a run, which takes a second or two.
+	minSlack = time.Second
 	// slackFraction is the same as a fraction of its objective. The greater one applies.
 	slackFraction = 0.25
 	// slotWaitMargin is added to the wait for a slot, as a fraction of it. Runs differ in length,
@@ -118,6 +119,7 @@
 	if option.room == 0 && shared {
 		option.room = 1
 	}
+	option.reserved = option.room == 0 && free >= 1
 	if option.paced { // One more prompt would delay the streams and the more urgent calls.
 		option.room = 0
 	}
@@ -193,6 +195,9 @@
 		found.free.late = !a.patient
 		return kumquathitch.ScheduleResponse{}, &found.free
 	}
+	if found.reserved {
+		gs.counts.add(request.Priority, ScheduleCounts{Reserved: 1})
+	}
 	if poll, ok := gs.enqueue(request, found, &a, ahead, now); ok {
 		gs.counts.add(request.Priority, ScheduleCounts{Deferred: 1})
 		return kumquathitch.ScheduleResponse{Deferred: true, Wait: poll}, nil
--- a/fleet/admission_test.go
+++ b/fleet/admission_test.go
@@ -323,3 +323,21 @@
 	scheduler.SetVMLoads("entry-2", map[string]int{"two": 6}, later)
 	must.Eq(t, "two", large(map[string]int{"one": 3}, later).Instance)
 }
+
+// TestLateCallsWaitForPrompts guards against calls that are late in any case and delay
+// those in time, because their prompts are read first.
+func TestLateCallsWaitForPrompts(t *testing.T) {
+	f := fleet.NewFleet("entry-0", "a")
+	f.Put(newEngine("one", 1, "m1"), start)
+	scheduler := fleet.NewGlobalScheduler(f)
+	scheduler.Configure(rankedDeployment(competingKinds(steady(1), 1)))
+	late := func(at time.Time) kumquathitch.ScheduleResponse {
+		request := scheduleRequest("entry-1", map[string]int{"one": 2})
+		request.Ticket, request.FirstByteLimit, request.MaxHold, request.Patience = 9, time.Millisecond, 0, 2*time.Second
+		return scheduler.Schedule(request, at)
+	}
+	must.Eq(t, "one", scheduler.Schedule(scheduleRequest("entry-1", nil), start).Instance)
+	must.Eq(t, "one", scheduler.Schedule(scheduleRequest("entry-1", nil), start).Instance)
+	must.True(t, late(start.Add(30*time.Millisecond)).Deferred) // 100 ms of prompts are to be read.
+	must.Eq(t, "one", late(start.Add(time.Second)).Instance)
+}
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -197,7 +197,7 @@
 		if !admitted {
 			continue
 		}
-		counts := ScheduleCounts{Assigned: 1}
+		counts := ScheduleCounts{Assigned: 1, Waited: request.Waited}
 		if option.late {
 			counts.Late = 1
 		}
@@ -217,6 +217,7 @@
 	slots      int
 	perSecond  float64   // Ends of runs.
 	spare      float64   // Ends of runs that no more urgent call needs, per second.
+	reserved   bool      // An engine has a free slot that is kept for more urgent calls.
 	admittedAt time.Time // Earliest time at which the limit of an engine admits a call, if none does now.
 }
 
@@ -241,7 +242,7 @@
 			continue
 		}
 		found.slots, found.perSecond, found.spare = found.slots+option.slots, found.perSecond+option.perSecond, found.spare+option.spare
-		found.room += option.room
+		found.room, found.reserved = found.room+option.room, found.reserved || option.reserved
 		if option.costMS >= found.best.costMS && (option.room <= 0 || option.costMS >= found.free.costMS) {
 			continue
 		}
@@ -310,6 +311,7 @@
 	spare     float64 // Ends of runs that no more urgent call needs, per second.
 	late      bool    // The response starts after the objective.
 	paced     bool    // Prompts that are still to be read leave no time for that of the call yet.
+	reserved  bool    // A slot is free, and kept for more urgent calls.
 	crowds    bool    // The call would make more urgent ones wait for too long.
 }
 
--- a/fleet/schedule_counts.go
+++ b/fleet/schedule_counts.go
@@ -8,13 +8,15 @@
 // ScheduleCounts counts the scheduler's decisions on the calls of one priority.
 type ScheduleCounts struct {
 	Assigned    int
-	Late        int // Of those assigned: the response starts after the objective.
-	Deferred    int // Told to ask again, since more urgent calls need the room.
-	Returned    int // Of those assigned: the caller came back at the time that it was told.
-	FullPrefill int // Refused: the prefill that was assigned before would take too long.
-	FullSlots   int // Refused: the wait for a slot would take too long.
-	Limited     int // Refused: all engines have reached the limits that they name.
-	NoEngine    int // No engine holds the model, or all that do are excluded.
+	Late        int           // Of those assigned: the response starts after the objective.
+	Deferred    int           // Told to ask again, since more urgent calls need the room.
+	Returned    int           // Of those assigned: the caller came back at the time that it was told.
+	Reserved    int           // Of those deferred or refused: a slot was free, and kept for more urgent calls.
+	Waited      time.Duration // Of those assigned, in sum, at their VMs.
+	FullPrefill int           // Refused: the prefill that was assigned before would take too long.
+	FullSlots   int           // Refused: the wait for a slot would take too long.
+	Limited     int           // Refused: all engines have reached the limits that they name.
+	NoEngine    int           // No engine holds the model, or all that do are excluded.
 }
 
 // EngineUse is the use of the engines to which the scheduler assigned calls.
@@ -46,6 +48,8 @@
 	total.Late += counts.Late
 	total.Deferred += counts.Deferred
 	total.Returned += counts.Returned
+	total.Reserved += counts.Reserved
+	total.Waited += counts.Waited
 	total.FullPrefill += counts.FullPrefill
 	total.FullSlots += counts.FullSlots
 	total.Limited += counts.Limited
--- a/vm/scheduler_role.go
+++ b/vm/scheduler_role.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/election"
+	"kumquathitch.example/kumquathitch/fleet"
 )
 
 // schedulerSilence is the time without an exchange after which the leader names another
@@ -67,7 +69,21 @@
 		c := counts[priority]
 		v.log.Info("calls scheduled", zap.Int("priority", priority), zap.Int("assigned", c.Assigned), zap.Int("full-by-prefill", c.FullPrefill),
 			zap.Int("full-by-slots", c.FullSlots), zap.Int("limited", c.Limited), zap.Int("no-engine", c.NoEngine),
-			zap.Int("late", c.Late), zap.Int("deferred", c.Deferred), zap.Int("returned", c.Returned), zap.Int("waiting", waiting[min(priority, len(waiting)-1)]), zap.Int("engines", use.Engines), zap.Int("engines-full", use.Full),
+			zap.Int("late", c.Late), zap.Int("deferred", c.Deferred), zap.Int("returned", c.Returned), zap.Int("slot-reserved", c.Reserved),
+			zap.Duration("waited", c.Waited), zap.Int("waiting", waiting[min(priority, len(waiting)-1)]), zap.Int("engines", use.Engines), zap.Int("engines-full", use.Full),
 			zap.Int("calls", use.Calls), zap.Duration("prefill-left", use.Backlog), zap.Int("deep-queues", use.DeepQueue))
+		v.countSchedules(priority, &c, waiting[min(priority, len(waiting)-1)])
 	}
 }
+
+// countSchedules adds decisions on the calls of one priority to the metrics.
+func (v *VM) countSchedules(priority int, counts *fleet.ScheduleCounts, waiting int) {
+	decisions := map[string]int{
+		"assigned": counts.Assigned, "late": counts.Late, "deferred": counts.Deferred, "returned": counts.Returned, "reserved": counts.Reserved,
+		"full": counts.FullPrefill + counts.FullSlots, "limited": counts.Limited, "no-engine": counts.NoEngine,
+	}
+	for decision, count := range decisions {
+		v.set.GetOrCreateCounter(fmt.Sprintf(`kumquathitch_schedule_decisions_total{priority="%d",decision=%q}`, priority, decision)).Add(count)
+	}
+	v.set.GetOrCreateGauge(fmt.Sprintf(`kumquathitch_waiting_calls{priority="%d"}`, priority), nil).Set(float64(waiting))
+}
