--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -123,6 +123,7 @@
 	if option.paced { // One more prompt would delay the streams and the more urgent calls.
 		option.room = 0
 	}
+	option.contended = r.objectives[rank+1] < request.LatencyObjective && engine.calls.arrivalRate(rank+1, now) > crowdRate
 	margin = r.margin(engine, pace, option.perSecond, rank, load.urgent, now)
 	option.crowds = !shared && free+margin < 1 && engine.calls.arrivalRate(rank, now) > crowdRate
 	option.spare = max(0, option.perSecond-engine.calls.arrivalRate(rank+1, now))
@@ -148,7 +149,7 @@
 	slack    time.Duration // Time that a patient call has left beside its start.
 	returned bool          // The caller comes back for a promised turn.
 	inTime   bool          // The best engine starts the response in time, and more urgent calls do not need the slot.
-	patient  bool          // So it will for a while.
+	patient  bool          // So it will for a while, and there are calls that cannot wait.
 }
 
 func (gs *GlobalScheduler) assess(request *kumquathitch.ScheduleRequest, best *engineOption, now time.Time) assessment {
@@ -168,7 +169,7 @@
 		a.limit = min(a.limit, time.Millisecond) // Late in any case, and yields to new callers.
 	}
 	a.inTime = a.limit <= 0 || (a.start <= a.limit && !best.crowds)
-	a.patient = a.inTime && a.limit > 0 && !a.returned && request.Ticket != 0 && a.limit-a.start > a.slack
+	a.patient = a.inTime && best.contended && a.limit > 0 && !a.returned && request.Ticket != 0 && a.limit-a.start > a.slack
 	return a
 }
 
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -312,6 +312,7 @@
 	late      bool    // The response starts after the objective.
 	paced     bool    // Prompts that are still to be read leave no time for that of the call yet.
 	reserved  bool    // A slot is free, and kept for more urgent calls.
+	contended bool    // Calls that are as urgent and can wait for less time come to the engine.
 	crowds    bool    // The call would make more urgent ones wait for too long.
 }
 
