--- a/relay/call.go
+++ b/relay/call.go
@@ -332,7 +332,8 @@
 	var full *kumquathitch.EnginesFullError
 	var blocked *kumquathitch.CallBlockedError
 	var refused *kumquathitch.RefusalError
-	if err == nil || errors.As(err, &full) || errors.As(err, &blocked) || errors.As(err, &refused) {
+	var deferred *kumquathitch.CallDeferredError // The call ended while it waited.
+	if err == nil || errors.As(err, &full) || errors.As(err, &blocked) || errors.As(err, &refused) || errors.As(err, &deferred) {
 		return choice, err
 	}
 	until := rc.modelWaitEnd()
@@ -399,7 +400,8 @@
 }
 
 // scheduleInTurn asks the scheduler for an engine. While the call has to wait for its turn,
-// it waits here, and asks again at the time that the scheduler names.
+// it waits here, and asks again at the time that the scheduler names. It returns a
+// *CallDeferredError if the call ends meanwhile.
 func (rc *relayedCall) scheduleInTurn(ctx context.Context) (kumquathitch.Assignment, error) {
 	for {
 		assignment, err := rc.Scheduler.Schedule(ctx, rc.criteria)
