--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -38,10 +38,10 @@
 	// pollFraction is the pause before a patient call asks again, as a fraction of its objective.
 	pollFraction = 0.125
 	// minPoll and maxPoll bound the pause before a waiting call asks again.
-	minPoll, maxPoll = 100 * time.Millisecond, time.Second
+	minPoll, maxPoll = 150 * time.Millisecond, time.Second
 	// maxLatePoll is the longest pause of a call that is late in any case.
 	maxLatePoll = 400 * time.Millisecond
-	// promisedShare is the fraction of the ends of runs that refused callers are promised
+	// promisedShare is the fraction of the calls a second that refused callers are promised
 	// while no room is expected for them. A late response counts for less than one in
 	// time, so that most room is left for new callers.
 	promisedShare = 0.1
@@ -109,35 +109,36 @@
 		need := max(1, request.Tokens+request.OutputTokens)
 		free = min(free, math.Floor(float64(r.memory-load.tokens)/float64(need)))
 	}
-	option.slots, option.runMS, option.perSecond = int(slots), pace.runMS, slots*1000/pace.runMS
+	option.slots, option.runMS = int(slots), pace.runMS
+	freed := slots * 1000 / pace.runMS
+	option.perSecond = min(freed, prefillShare*1000/max(1, option.prefillMS)) // As many prompts can be read.
 	// Runs differ so much in length that the ends of single ones say little: half of them take less
 	// than half of the mean.
 	option.slotWaitMS = max(0, 0.5-free) * pace.runMS / slots
 	shared := free >= 1 && float64(load.patient) < max(1, math.Floor(patientShare*slots))
-	margin := r.margin(engine, pace, option.perSecond, rank+1, load.urgentOrSame, now)
+	margin := r.margin(engine, pace, freed, rank+1, load.urgentOrSame, now)
 	option.room = int(max(0, math.Floor(free+min(0, margin))))
 	if option.room == 0 && shared {
 		option.room = 1
 	}
 	option.reserved = option.room == 0 && free >= 1
-	if option.paced { // One more prompt would delay the streams and the more urgent calls.
+	if option.pacedMS > 0 { // One more prompt would delay the streams and the more urgent calls.
 		option.room = 0
 	}
 	option.contended = r.objectives[rank+1] < request.LatencyObjective && engine.calls.arrivalRate(rank+1, now) > crowdRate
-	margin = r.margin(engine, pace, option.perSecond, rank, load.urgent, now)
+	margin = r.margin(engine, pace, freed, rank, load.urgent, now)
 	option.crowds = !shared && free+margin < 1 && engine.calls.arrivalRate(rank, now) > crowdRate
 	option.spare = max(0, option.perSecond-engine.calls.arrivalRate(rank+1, now))
 }
 
-// margin returns the slots that become free while calls of ranks below a limit can wait for
+// margin returns the slots, freed per second, that become free while calls of ranks below a limit can wait for
 // them, less those that such calls are expected to need beside the ones that they have.
-func (r *serviceRules) margin(engine *engineState, pace estimatedPace, perSecond float64, below, present int, now time.Time) float64 {
+func (r *serviceRules) margin(engine *engineState, pace estimatedPace, freed float64, below, present int, now time.Time) float64 {
 	needed := 0.0
 	for rank := range below {
 		needed += engine.calls.rate(rank, now) * pace.rankMS[rank] / 1000
 	}
-	freed := perSecond * crowdFraction * r.objectives[below].Seconds()
-	return freed - max(0, needed+math.Sqrt(needed)-float64(present))
+	return freed*crowdFraction*r.objectives[below].Seconds() - max(0, needed+math.Sqrt(needed)-float64(present))
 }
 
 // assessment is what decides on a call to a ranked service with at least one engine.
@@ -224,7 +225,7 @@
 	if a.patient {
 		poll = min(poll, max(minPoll, a.limit-a.start-a.slack))
 	} else {
-		poll = max(poll, min(maxLatePoll, turn/2))
+		poll = max(poll, min(maxLatePoll, turn/2), min(maxPoll, duration(found.best.pacedMS)))
 	}
 	call := waitingCall{rank: a.rank, arrivedAt: now.Add(-request.Waited), expiresAt: now.Add(poll + ticketGrace)}
 	return poll, gs.turns.wait(a.key, request.Ticket, call, max(1, int(queueFraction*float64(found.slots))))
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -215,8 +215,8 @@
 	free       engineOption // Least cost of those with room that no more urgent call needs.
 	room       int          // Calls that have such room, on all engines.
 	slots      int
-	perSecond  float64   // Ends of runs.
-	spare      float64   // Ends of runs that no more urgent call needs, per second.
+	perSecond  float64   // Calls that the engines can take.
+	spare      float64   // The same without those that more urgent calls need.
 	reserved   bool      // An engine has a free slot that is kept for more urgent calls.
 	admittedAt time.Time // Earliest time at which the limit of an engine admits a call, if none does now.
 }
@@ -307,10 +307,10 @@
 	slots     int
 	room      int     // Calls of this rank that no more urgent call leaves without a slot.
 	runMS     float64 // Expected run.
-	perSecond float64 // Ends of runs.
-	spare     float64 // Ends of runs that no more urgent call needs, per second.
+	perSecond float64 // Calls that the engine can take.
+	spare     float64 // The same without those that more urgent calls need.
 	late      bool    // The response starts after the objective.
-	paced     bool    // Prompts that are still to be read leave no time for that of the call yet.
+	pacedMS   float64 // Until the prompts that are still to be read leave time for that of the call.
 	reserved  bool    // A slot is free, and kept for more urgent calls.
 	contended bool    // Calls that are as urgent and can wait for less time come to the engine.
 	crowds    bool    // The call would make more urgent ones wait for too long.
@@ -338,7 +338,7 @@
 	gapLimitMS, objectiveMS := milliseconds(request.GapLimit), milliseconds(request.LatencyObjective)
 	if gapLimitMS > 0 {
 		option.waitMS = min(max(0, backlogMS+option.prefillMS-prefillBurstFraction*gapLimitMS), backlogMS) / prefillShare
-		option.paced = option.waitMS > 0
+		option.pacedMS = option.waitMS
 		option.waitMS = min(option.waitMS, milliseconds(request.MaxHold))
 	}
 	backlogAtSendMS := max(0, backlogMS-prefillShare*option.waitMS)
