--- a/exchange.go
+++ b/exchange.go
@@ -122,7 +122,6 @@
 	Events        int           `json:"events,omitempty"` // Of the stream.
 	FirstEvent    time.Duration `json:"first"`            // From the send to the first event.
 	Run           time.Duration `json:"run"`              // From the first event to the last.
-	Expected      time.Duration `json:"expected"`         // FirstEvent as the scheduler expected it.
 	Paused        bool          `json:"paused,omitempty"` // A pause between events exceeded the limit of the route.
 }
 
--- a/fleet/admission_test.go
+++ b/fleet/admission_test.go
@@ -190,7 +190,7 @@
 			}
 			p.observed[c.vm] = append(p.observed[c.vm], kumquathitch.EngineResponse{
 				Instance: response.Instance, Service: "llm", Model: c.kind.model, PrefillTokens: response.PrefillTokens,
-				Priority: c.kind.priority, Events: int(c.run / (20 * time.Millisecond)), FirstEvent: begun - sent, Run: p.now - begun, Expected: response.ExpectedTTFB,
+				Priority: c.kind.priority, Events: int(c.run / (20 * time.Millisecond)), FirstEvent: begun - sent, Run: p.now - begun,
 			})
 			engine.next()
 		})
--- a/fleet/engine_responses.go
+++ b/fleet/engine_responses.go
@@ -27,7 +27,7 @@
 	}
 	f.responses.list = append(f.responses.list, kumquathitch.EngineResponse{
 		Instance: choice.Instance.ID, Service: criteria.Service, Model: criteria.Model, PrefillTokens: choice.PrefillTokens, Priority: criteria.Priority, Events: result.Events,
-		FirstEvent: result.FirstByte.Sub(choice.Sent), Run: result.Ended.Sub(result.FirstByte), Expected: choice.ExpectedTTFB,
+		FirstEvent: result.FirstByte.Sub(choice.Sent), Run: result.Ended.Sub(result.FirstByte),
 		Paused: criteria.GapLimit > 0 && result.Pause > criteria.GapLimit,
 	})
 }
--- a/relay/turn_test.go
+++ b/relay/turn_test.go
@@ -75,3 +75,15 @@
 	must.Eq(t, http.StatusServiceUnavailable, (<-results).status)
 	must.Eq(t, 0, vm.runCount("left")+vm.runCount("revoked")+vm.runCount("stopped"))
 }
+
+// TestResponsesAreMeasured guards against a scheduler that never learns how fast engines are.
+func TestResponsesAreMeasured(t *testing.T) {
+	vm := newTestVM(t, standin.NewInstance("i-1", "llm", "m"))
+	must.Eq(t, 200, vm.callModel("a", "/stream/plan/a", "m").status)
+	measured := vm.fleet.TakeResponses()
+	must.Len(t, 1, measured)
+	must.Eq(t, "i-1", measured[0].Instance)
+	must.Greater(t, 1, measured[0].Events)
+	must.Positive(t, measured[0].Run)
+	must.SliceEmpty(t, vm.fleet.TakeResponses())
+}
