--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -392,6 +392,7 @@
 	}
 	if v.deployments.Apply(decoded, document) {
 		v.fleet.SetColdRates(decoded.Services, v.environment.ColdOverage, v.environment.ColdSlack)
+		v.globalScheduler.Configure(decoded)
 		v.log.Info("configuration in force", zap.Uint64("version", decoded.Version), zap.String("source", source),
 			zap.Int("routes", len(decoded.Routes)), zap.Int("accounts", len(decoded.Tenants)))
 	}
--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -68,12 +68,7 @@
 	if address == "" && !self {
 		return kumquathitch.Assignment{}, errNoEngineNamed
 	}
-	request := kumquathitch.ScheduleRequest{
-		From: v.environment.Name, DataCentre: v.environment.DataCentre, Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
-		Prompt: criteria.Prompt, Content: criteria.Content, Tokens: criteria.Tokens, Priority: criteria.Priority, LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit,
-		MaxHold: max(0, criteria.HoldUntil.Sub(now)), FirstByteLimit: firstByteLimit(criteria, now), FullEngineRunTime: v.fleet.FullEngineRunTime(criteria.Service), Exclude: v.fleet.AvoidedInstances(criteria, now), Partition: partition, InFlight: v.fleet.LocalLoadsIn(partition),
-		Homes: criteria.Homes,
-	}
+	request := s.request(&criteria, partition, now)
 	authority := address
 	if self {
 		authority = v.environment.PeerAddress
@@ -96,6 +91,8 @@
 	switch {
 	case response.Blocked > 0:
 		return kumquathitch.Assignment{}, &kumquathitch.CallBlockedError{Until: time.Now().Add(response.Blocked), ByContent: response.BlockedByContent}
+	case response.Deferred:
+		return kumquathitch.Assignment{}, &kumquathitch.CallDeferredError{Service: criteria.Service, Model: criteria.Model, AskAt: sendAt}
 	case response.EnginesFull:
 		return kumquathitch.Assignment{}, &kumquathitch.EnginesFullError{Service: criteria.Service, Model: criteria.Model, AvailableAt: sendAt}
 	case response.Instance == "":
@@ -108,6 +105,23 @@
 	return assignment, nil
 }
 
+// request returns the request for a call, without the limits that this VM has learned.
+func (s *scheduler) request(criteria *kumquathitch.InstanceCriteria, partition kumquathitch.Partition, now time.Time) kumquathitch.ScheduleRequest {
+	v := s.vm
+	request := kumquathitch.ScheduleRequest{
+		From: v.environment.Name, DataCentre: v.environment.DataCentre, Service: criteria.Service, Model: criteria.Model, Adapter: criteria.Adapter,
+		Prompt: criteria.Prompt, Content: criteria.Content, Tokens: criteria.Tokens, OutputTokens: criteria.OutputTokens, Priority: criteria.Priority,
+		LatencyObjective: criteria.LatencyObjective, GapLimit: criteria.GapLimit, MaxHold: max(0, criteria.HoldUntil.Sub(now)), FirstByteLimit: firstByteLimit(criteria, now),
+		FullEngineRunTime: v.fleet.FullEngineRunTime(criteria.Service), Exclude: v.fleet.AvoidedInstances(*criteria, now),
+		Partition: partition, InFlight: v.fleet.LocalLoadsIn(partition), Homes: criteria.Homes,
+		Ticket: criteria.Ticket, Waited: max(0, now.Sub(criteria.Received)), Patience: max(0, criteria.LeaveAt.Sub(now)), Observed: v.fleet.TakeResponses(partition),
+	}
+	if !criteria.ReturnBy.IsZero() {
+		request.ReturnIn = max(time.Millisecond, criteria.ReturnBy.Sub(now))
+	}
+	return request
+}
+
 // Admit counts a call against the limit that an instance names. The scheduler counts the
 // calls of all VMs; while none answers, each VM keeps to an equal share.
 func (s *scheduler) Admit(ctx context.Context, instance *kumquathitch.Instance) (time.Time, bool) {
@@ -145,7 +159,7 @@
 
 // firstByteLimit returns the time within which the response must start for the call to be
 // admitted, or 0 when the call is admitted in any case.
-func firstByteLimit(criteria kumquathitch.InstanceCriteria, now time.Time) time.Duration {
+func firstByteLimit(criteria *kumquathitch.InstanceCriteria, now time.Time) time.Duration {
 	if criteria.FirstByteDeadline.IsZero() {
 		return 0
 	}
