--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,17 +52,6 @@
 	fullEngine map[string]float64
 }
 
-// vmShard holds the loads that VMs reported, by VM.
-type vmShard struct {
-	mutex sync.Mutex
-	loads map[string]*vmLoads
-}
-
-type vmLoads struct {
-	byInstance map[string]int
-	expiresAt  time.Time
-}
-
 // engineShard holds the scheduler's state of engines, by ID.
 type engineShard struct {
 	mutex   sync.Mutex
@@ -92,67 +80,6 @@
 	return gs
 }
 
-// SetVMLoads replaces the calls in flight of a VM, by instance.
-func (gs *GlobalScheduler) SetVMLoads(vm string, loads map[string]int, now time.Time) {
-	s := &gs.vms[kumquathitch.ShardOf(vm, shardCount)]
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	reported := s.loads[vm]
-	if reported == nil {
-		reported = &vmLoads{}
-		s.loads[vm] = reported
-	}
-	reported.byInstance, reported.expiresAt = gs.replaceLoads(vm, reported.byInstance, loads, now), now.Add(vmLoadTTL)
-}
-
-// ExpireVMs drops the loads of VMs that have not reported for vmLoadTTL.
-func (gs *GlobalScheduler) ExpireVMs(now time.Time) {
-	for i := range gs.vms {
-		s := &gs.vms[i]
-		s.mutex.Lock()
-		for name, reported := range s.loads {
-			if now.After(reported.expiresAt) {
-				gs.replaceLoads(name, reported.byInstance, nil, now)
-				delete(s.loads, name)
-			}
-		}
-		s.mutex.Unlock()
-	}
-}
-
-// replaceLoads applies the difference between two loads of one VM to the engines, and
-// returns the load that counts: calls that were just assigned may not be reported yet.
-func (gs *GlobalScheduler) replaceLoads(vm string, before, after map[string]int, now time.Time) map[string]int {
-	counted := make(map[string]int, len(after))
-	for id, count := range before {
-		if after[id] == count {
-			counted[id] = count
-		} else if settled := gs.settleCalls(vm, id, count, after[id], now); settled > 0 {
-			counted[id] = settled
-		}
-	}
-	for id, count := range after {
-		if _, ok := before[id]; !ok {
-			counted[id] = gs.settleCalls(vm, id, 0, count, now)
-		}
-	}
-	return counted
-}
-
-// settleCalls replaces the number of a VM's calls on an engine by the reported one, and
-// returns the number that counts.
-func (gs *GlobalScheduler) settleCalls(vm, id string, before, reported int, now time.Time) int {
-	s := gs.shard(id)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	engine := s.engine(id)
-	counted := engine.calls.settle(vm, reported, now)
-	if engine.inFlight += counted - before; engine.inFlight <= 0 && gs.fleet.instanceState(id) == nil {
-		delete(s.engines, id)
-	}
-	return counted
-}
-
 func (gs *GlobalScheduler) shard(id string) *engineShard {
 	return &gs.engines[kumquathitch.ShardOf(id, shardCount)]
 }
@@ -230,15 +157,6 @@
 	}
 }
 
-// loadReporter returns the name under which the loads of a request are kept. A VM reports
-// those of each partition separately.
-func loadReporter(request *kumquathitch.ScheduleRequest) string {
-	if request.Partition.Count <= 1 {
-		return request.From
-	}
-	return request.From + "#" + strconv.Itoa(request.Partition.Index)
-}
-
 func oneIf(condition bool) int {
 	if condition {
 		return 1
@@ -350,98 +268,6 @@
 	}
 }
 
-// engineOption is an engine that can take a call, with its estimated times.
-type engineOption struct {
-	instance      *instanceState
-	incarnation   string
-	prefillTokens int64
-	prefillMS     float64 // Prefill of prefillTokens.
-	waitMS        float64 // From now until the call may be sent.
-	slotWaitMS    float64 // Part of ttfbMS until a slot is free.
-	ttfbMS        float64 // From the send to the first event.
-	costMS        float64
-	coldPerSecond float64 // Calls a second that the engine takes while it is cold; 0 if it is not.
-	// The following are set on services whose calls differ in priority.
-	slots     int
-	room      int     // Calls of this rank that no more urgent call leaves without a slot.
-	runMS     float64 // Expected run.
-	perSecond float64 // Calls that the engine can take.
-	spare     float64 // The same without those that more urgent calls need.
-	late      bool    // The response starts after the objective.
-	pacedMS   float64 // Until the prompts that are still to be read leave time for that of the call.
-	reserved  bool    // A slot is free, and kept for more urgent calls.
-	contended bool    // Calls that are as urgent and can wait for less time come to the engine.
-	crowds    bool    // The call would make more urgent ones wait for too long.
-}
-
-// holdForLimit adds the wait until the limit admits the call, if the engine is cold. Otherwise,
-// and if the call may not be held so long, it returns when the limit may admit it. The same
-// goes for a call that would be sent long after its admission, and arrive with later ones.
-func (o *engineOption) holdForLimit(at time.Time, longest time.Duration, now time.Time) (time.Time, bool) {
-	if o.coldPerSecond <= 0 {
-		return at, at.IsZero()
-	}
-	wait := max(0, at.Sub(now))
-	if wait > longest {
-		return at, false
-	}
-	if pacing := duration(o.waitMS) - wait; pacing > maxColdPacing {
-		return now.Add(pacing - maxColdPacing), false
-	}
-	if waitMS := milliseconds(wait); waitMS > o.waitMS {
-		o.costMS += waitMS - o.waitMS
-		o.waitMS = waitMS
-	}
-	return time.Time{}, true
-}
-
-func (gs *GlobalScheduler) evaluate(inst *instanceState, request *kumquathitch.ScheduleRequest, chain promptChain, rules *serviceRules, pace estimatedPace, rate coldRate, now time.Time) (engineOption, bool) {
-	snapshot, ok := inst.engineSnapshot(request.Model, request.Adapter, rate, now)
-	if !ok || !gs.fleet.restrictions.allow(snapshot.dataCentre, request.Homes, now) {
-		return engineOption{}, false
-	}
-	s := gs.shard(inst.id)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	engine := s.engine(inst.id)
-	if !engine.started.Equal(snapshot.started) {
-		engine.started, engine.prefillUntil, engine.prompts = snapshot.started, time.Time{}, newPrefixCache()
-	}
-	tokensPerMS := snapshot.tokensPerMS
-	if pace.tokensPerMS > 0 {
-		tokensPerMS = pace.tokensPerMS
-	}
-	option := engineOption{instance: inst, incarnation: snapshot.incarnation, prefillTokens: max(0, request.Tokens-engine.prompts.cachedTokens(chain))}
-	option.prefillMS = float64(option.prefillTokens) / max(tokensPerMS, minTokensPerMS)
-	backlogMS := prefillShare * max(0, milliseconds(engine.prefillUntil.Sub(now)))
-	gapLimitMS, objectiveMS := milliseconds(request.GapLimit), milliseconds(request.LatencyObjective)
-	if gapLimitMS > 0 {
-		option.waitMS = min(max(0, backlogMS+option.prefillMS-prefillBurstFraction*gapLimitMS), backlogMS) / prefillShare
-		option.pacedMS = option.waitMS
-		option.waitMS = min(option.waitMS, milliseconds(request.MaxHold))
-	}
-	backlogAtSendMS := max(0, backlogMS-prefillShare*option.waitMS)
-	engine.slots = snapshot.slots
-	if rules == nil {
-		option.slotWaitMS = max(0, float64(engine.inFlight+1)-snapshot.slots) * pace.runMS / snapshot.slots
-	} else {
-		rules.weigh(&option, engine, request, pace, now)
-	}
-	option.ttfbMS = backlogAtSendMS + option.prefillMS + option.slotWaitMS
-	option.costMS = option.waitMS + option.ttfbMS + fullBatchCostFraction*objectiveMS*float64(engine.inFlight)/snapshot.slots + pace.pauses*objectiveMS
-	if gapLimitMS > 0 && backlogAtSendMS+option.prefillMS > (1-prefillShare)*gapLimitMS {
-		option.costMS += delayedStreamCost * objectiveMS * min(float64(engine.inFlight), snapshot.slots)
-	}
-	if snapshot.dataCentre != request.DataCentre {
-		option.costMS += remoteCostMS
-	}
-	if snapshot.cold {
-		option.coldPerSecond = rate.perSecond
-		option.costMS += coldCostFraction * objectiveMS / float64(1+max(0, request.Priority))
-	}
-	return option, true
-}
-
 // updateRunTime adds the run time on full engines that a VM reported to the moving
 // average of all VMs for the service, and returns the average. A report of 0 is ignored. The
 // first report of a plain service is its start: its calls take milliseconds.
@@ -498,28 +324,3 @@
 func duration(milliseconds float64) time.Duration {
 	return time.Duration(milliseconds * float64(time.Millisecond))
 }
-
-// engineSnapshot is the part of an instance's state that the scheduler uses.
-type engineSnapshot struct {
-	slots       float64
-	tokensPerMS float64
-	started     time.Time
-	incarnation string
-	dataCentre  string
-	cold        bool
-}
-
-// engineSnapshot returns the instance as an engine. It reports false if the
-// instance takes no calls for the model and adapter.
-func (inst *instanceState) engineSnapshot(model, adapter string, rate coldRate, now time.Time) (engineSnapshot, bool) {
-	inst.mutex.Lock()
-	defer inst.mutex.Unlock()
-	if !inst.serves(model, adapter, now) {
-		return engineSnapshot{}, false
-	}
-	return engineSnapshot{
-		slots: float64(max(1, inst.description.Slots)), tokensPerMS: inst.unqueuedPrefillRate,
-		started: inst.description.Started, incarnation: inst.description.Incarnation(), dataCentre: inst.description.DataCentre,
-		cold: inst.cold.isCold(rate, now),
-	}, true
-}
