Bound the reports that a new leader asks for at a time

A leader that starts asks each of 2,571 engines for two reports, in one round.

Change: at most 192 reports in a round. The list of the instances of a service is appended to instead of copied for each of them.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,8 +72,8 @@
 	removedTTL = 10 * time.Minute
 )
 
-// groupShard holds lists of instances by service and resident model. The lists are
-// replaced, never changed.
+// groupShard holds lists of instances by service and resident model. The elements of a list
+// never change: it is appended to, or replaced.
 type groupShard struct {
 	mutex  sync.RWMutex
 	groups map[group][]*instanceState
@@ -326,7 +326,7 @@
 		s := f.groupShard(g)
 		s.mutex.Lock()
 		if !slices.Contains(s.groups[g], inst) {
-			s.groups[g] = append(slices.Clone(s.groups[g]), inst)
+			s.groups[g] = append(s.groups[g], inst) // Readers of an earlier list do not see the element.
 		}
 		s.mutex.Unlock()
 	}
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -27,6 +27,10 @@
 	// maxParallelRequests bounds the instances that are sent orders, or asked for
 	// reports, at the same time.
 	maxParallelRequests = 32
+	// maxReportsPerRound bounds the instances that are asked for reports in one round. A leader
+	// that has just started asks all of them twice: in a fleet of 2,600 it had no time for the
+	// other VMs for seconds.
+	maxReportsPerRound = 192
 )
 
 // FenceFunc returns the fencing token for orders, and whether this VM may send
@@ -195,6 +199,7 @@
 			})
 		}
 	}
+	due = due[:min(len(due), maxReportsPerRound)]
 	c.inParallel(len(due), func(i int) { c.requestReport(ctx, due[i]) })
 }
 
