Play drawn orders of faults to whole VMs in virtual time

Change: vm.FollowFleet runs the watcher, candidate, exchanges and quota of a VM without listeners; the calls between VMs and the clock of terms can be replaced. standin.KeyspaceLink is one VM's link to the store, with faults. The checker draws orders of faults for 3 to 9 VMs and checks rules at each step.

--- /dev/null
+++ b/checker/checker_test.go
@@ -0,0 +1,257 @@
+// Package checker_test plays drawn orders of faults to a fleet of VMs in virtual time, and
+// checks what the VMs believe of the store.
+package checker_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kumquathitch.example/kumquathitch/standin"
+	"kumquathitch.example/kumquathitch/telemetry"
+)
+
+const (
+	// leaseTime is the longest lease that runs out in an outage.
+	leaseTime = 3 * time.Second
+	// calmTime is the time after the last fault in which all VMs must agree with the store: a lease
+	// of 3 s, the time until instances register again, a call at its timeout and an election.
+	calmTime = 8 * time.Second
+	// startTime is the time before the first fault.
+	startTime = 3 * time.Second
+)
+
+// event is a fault or change of a drawn order.
+type event struct {
+	Kind     string
+	After    time.Duration // Since the start of the event before.
+	For      time.Duration
+	VMs      []int // Those concerned.
+	Instance int
+	Count    int
+	Lapse    bool // Leases run out in an outage; otherwise they pause.
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("+%v %s for %v, VMs %v, instance %d, count %d, lapse %t", e.After, e.Kind, e.For, e.VMs, e.Instance, e.Count, e.Lapse)
+}
+
+// order is a drawn order of events.
+type order struct {
+	VMs    int
+	Events []event
+}
+
+func (o order) String() string {
+	lines := []string{fmt.Sprintf("%d VMs", o.VMs)}
+	for _, e := range o.Events {
+		lines = append(lines, e.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+var kinds = []string{
+	"store-silent", "store-refusing", "lose-history", "lose-answers", "late-writes", "late-answers", "end-watches",
+	"freeze", "power-off", "cut-peers", "configure", "entry-returns", "instance-restarts",
+}
+
+func drawOrder(t *rapid.T) order {
+	o := order{VMs: rapid.IntRange(3, 9).Draw(t, "VMs")}
+	millis := func(most int, name string) time.Duration {
+		return time.Duration(rapid.IntRange(0, most/50).Draw(t, name)) * 50 * time.Millisecond
+	}
+	for range rapid.IntRange(1, 8).Draw(t, "events") {
+		e := event{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), After: millis(4000, "after"), For: 50*time.Millisecond + millis(6000, "for"),
+			Instance: rapid.IntRange(0, instanceCount-1).Draw(t, "instance"), Count: rapid.IntRange(1, 3).Draw(t, "count"), Lapse: rapid.Bool().Draw(t, "lapse"),
+		}
+		if all := rapid.Bool().Draw(t, "all"); all {
+			for i := range o.VMs {
+				e.VMs = append(e.VMs, i)
+			}
+		} else {
+			e.VMs = rapid.SliceOfNDistinct(rapid.IntRange(0, o.VMs-1), 1, o.VMs, rapid.ID[int]).Draw(t, "some")
+		}
+		o.Events = append(o.Events, e)
+	}
+	return o
+}
+
+// action is what happens at one moment.
+type action struct {
+	at time.Duration
+	do func()
+}
+
+// actions returns the actions of an order, by time.
+func (w *world) actions(o order) []action {
+	var list []action
+	at := startTime
+	for _, e := range o.Events {
+		at += e.After
+		list = append(list, w.eventActions(e, at)...)
+	}
+	slices.SortStableFunc(list, func(a, b action) int { return int(a.at - b.at) })
+	return list
+}
+
+// forNodes returns a function that changes each VM of an event.
+func (w *world) forNodes(e event, change func(n *node)) func() {
+	return func() {
+		for _, i := range e.VMs {
+			n := w.nodes[i]
+			w.mutex.Lock()
+			change(n)
+			w.mutex.Unlock()
+			if n.running != nil {
+				w.applyFaults(n)
+			}
+		}
+	}
+}
+
+// holding returns the start and end of a fault that is counted in a field of the VMs.
+func (w *world) holding(e event, at time.Duration, counter func(n *node) *int) []action {
+	return []action{
+		{at, w.forNodes(e, func(n *node) { *counter(n)++ })},
+		{at + e.For, w.forNodes(e, func(n *node) { *counter(n)-- })},
+	}
+}
+
+func (w *world) eventActions(e event, at time.Duration) []action {
+	switch e.Kind {
+	case "store-silent":
+		return append(w.holding(e, at, func(n *node) *int { return &n.silent }), w.outageActions(e, at)...)
+	case "store-refusing":
+		return append(w.holding(e, at, func(n *node) *int { return &n.refuse }), w.outageActions(e, at)...)
+	case "freeze":
+		return w.holding(e, at, func(n *node) *int { return &n.frozen })
+	case "cut-peers":
+		return w.holding(e, at, func(n *node) *int { return &n.cut })
+	case "power-off":
+		return []action{{at, func() { w.power(e, 1) }}, {at + e.For, func() { w.power(e, -1) }}}
+	case "lose-history":
+		return []action{{at, w.loseHistory}}
+	case "configure":
+		return []action{{at, w.configure}}
+	case "instance-restarts":
+		return []action{{at, func() { w.describe(e.Instance, e.Count) }}}
+	case "entry-returns":
+		return []action{{at, func() { w.store.Delete(instanceKey(e.Instance)) }}, {at + min(e.For, 2*time.Second), func() { w.describe(e.Instance, 0) }}}
+	default:
+		return w.linkActions(e, at)
+	}
+}
+
+// outageActions returns what an outage does to leases: they pause, or entries of instances run
+// out and return unchanged after it.
+func (w *world) outageActions(e event, at time.Duration) []action {
+	end := at + e.For
+	if !e.Lapse {
+		return []action{{at, func() { w.clock.pause(1) }}, {end, func() { w.clock.pause(-1) }}}
+	}
+	if e.For <= leaseTime || len(e.VMs) < len(w.nodes) {
+		return nil
+	}
+	return []action{
+		{at + leaseTime, func() { w.store.Delete(instanceKey(e.Instance)) }},
+		{end + time.Duration(e.Count)*500*time.Millisecond, func() { w.describe(e.Instance, 0) }},
+	}
+}
+
+// linkActions returns the actions of events that concern single calls of the VMs.
+func (w *world) linkActions(e event, at time.Duration) []action {
+	change := func(set func(f *standin.LinkFaults)) func() {
+		return func() {
+			for _, i := range e.VMs {
+				w.nodes[i].link.ChangeFaults(set)
+			}
+		}
+	}
+	end := action{at + e.For, change(func(f *standin.LinkFaults) { f.LoseAnswers, f.LateWrites, f.AnswerDelay = 0, 0, 0 })}
+	switch e.Kind {
+	case "lose-answers":
+		return []action{{at, change(func(f *standin.LinkFaults) { f.LoseAnswers = e.Count })}, end}
+	case "late-writes":
+		end.at += e.For // The last write may take effect then.
+		return []action{{at, change(func(f *standin.LinkFaults) { f.LateWrites, f.LateBy = e.Count, e.For })}, end}
+	case "late-answers":
+		return []action{{at, change(func(f *standin.LinkFaults) { f.AnswerDelay = time.Duration(e.Count) * 250 * time.Millisecond })}, end}
+	case "end-watches":
+		return []action{{at, func() {
+			for _, i := range e.VMs {
+				w.nodes[i].link.EndWatches()
+			}
+		}}}
+	}
+	panic("unknown kind of event " + e.Kind)
+}
+
+// power turns VMs off, or on again as new processes.
+func (w *world) power(e event, change int) {
+	for _, i := range e.VMs {
+		n := w.nodes[i]
+		n.off += change
+		switch {
+		case n.off > 0 && n.running != nil:
+			w.powerOff(n)
+		case n.off == 0 && n.running == nil:
+			w.startVM(n, false)
+			w.wait(3 * time.Millisecond)
+		}
+	}
+}
+
+// loseHistory makes the store forget all changes so far.
+func (w *world) loseHistory() {
+	w.faults.CompactedBefore = w.store.Put("other/key", []byte("{}"))
+	w.store.SetFaults(w.faults)
+}
+
+// play plays an order to its end and returns the first rule that was broken.
+func play(o order, tracing *telemetry.Tracing) (steps int, err error) {
+	begun := time.Now()
+	w := newWorld(o.VMs, tracing)
+	defer w.stopAll()
+	list := w.actions(o)
+	end := startTime
+	for _, a := range list {
+		end = max(end, a.at)
+	}
+	for next := 0; time.Since(begun) < end+calmTime; w.wait(step) {
+		for ; next < len(list) && list[next].at <= time.Since(begun); next++ {
+			list[next].do()
+		}
+		if err := w.check(begun); err != nil {
+			return w.steps, err
+		}
+	}
+	return w.steps, w.checkCalm()
+}
+
+// TestVMsBelieveTheStore guards against VMs that disagree with the store, or with each other, after
+// an order of faults that no other test plays.
+func TestVMsBelieveTheStore(t *testing.T) {
+	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	orders, steps := 0, 0
+	begun := time.Now()
+	rapid.Check(t, func(rt *rapid.T) {
+		o := drawOrder(rt)
+		var played int
+		var broken error
+		synctest.Test(t, func(*testing.T) { played, broken = play(o, tracing) })
+		orders, steps = orders+1, steps+played
+		if broken != nil {
+			rt.Fatalf("%v\n%v", broken, o)
+		}
+	})
+	t.Logf("%d orders of events, %d steps in %v", orders, steps, time.Since(begun).Round(time.Millisecond))
+}
--- a/environment.go
+++ b/environment.go
@@ -1,6 +1,9 @@
 package kumquathitch
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Environment holds what an entry VM needs from the platform that it runs on:
 // settings, and implementations for the platform's interfaces.
@@ -43,6 +46,15 @@
 	Dialect Dialect
 	Control EngineControl
 	Codec   PlatformCodec
+	Peers   PeerCaller // Calls to other entry VMs; nil for connections to their peer addresses.
+	Clock   Clock      // Judges the end of leases; nil for the clock that also counts suspension.
+}
+
+// PeerCaller calls methods of other entry VMs. It is safe for concurrent use.
+type PeerCaller interface {
+	// Call calls a method of the VM with a peer address and decodes the response into result.
+	Call(ctx context.Context, address, method string, params, result any) error
+	Close()
 }
 
 // PlatformCodec decodes the documents that the platform keeps in its store.
--- /dev/null
+++ b/standin/keyspace_link.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
+)
+
+// LinkFaults are the faults of one VM's link to a keyspace.
+type LinkFaults struct {
+	Refusing bool // Calls fail at once.
+	Silent   bool // Calls are lost, and fail at their deadline.
+	Frozen   bool // Calls neither begin nor return, as while the VM is suspended.
+
+	AnswerDelay time.Duration // Responses arrive later by this time.
+	LoseAnswers int           // Number of writing calls that take effect and get no response.
+	LateWrites  int           // Number of writing calls that get no response and take effect after LateBy.
+	LateBy      time.Duration
+}
+
+// KeyspaceLink is one VM's link to a keyspace. It is safe for concurrent use.
+type KeyspaceLink struct {
+	store   *Keyspace
+	latency time.Duration // Of a call.
+	timeout time.Duration // Of a call; watches have it in addition to their wait.
+
+	mutex     sync.Mutex
+	faults    LinkFaults
+	changed   chan struct{} // Closed when the faults change.
+	watchOver chan struct{} // Closed when watches end.
+}
+
+// NewKeyspaceLink returns a link without faults.
+func NewKeyspaceLink(store *Keyspace, latency, timeout time.Duration) *KeyspaceLink {
+	return &KeyspaceLink{store: store, latency: latency, timeout: timeout, changed: make(chan struct{}), watchOver: make(chan struct{})}
+}
+
+// ChangeFaults changes the faults by a function.
+func (l *KeyspaceLink) ChangeFaults(change func(faults *LinkFaults)) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	change(&l.faults)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// EndWatches ends the watches that are waiting, with an error.
+func (l *KeyspaceLink) EndWatches() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	close(l.watchOver)
+	l.watchOver = make(chan struct{})
+}
+
+// Read reads through the link.
+func (l *KeyspaceLink) Read(ctx context.Context, key string) (item kumquathitch.KeyItem, err error) {
+	err = l.call(ctx, "Read", l.timeout, false, func(ctx context.Context) (err error) {
+		item, err = l.store.Read(ctx, key)
+		return err
+	})
+	return item, err
+}
+
+// Scan scans through the link.
+func (l *KeyspaceLink) Scan(ctx context.Context, prefix string, stale bool) (found kumquathitch.KeyRange, err error) {
+	err = l.call(ctx, "Scan", l.timeout, false, func(ctx context.Context) (err error) {
+		found, err = l.store.Scan(ctx, prefix, stale)
+		return err
+	})
+	return found, err
+}
+
+// Follow watches through the link.
+func (l *KeyspaceLink) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes kumquathitch.KeyChanges, err error) {
+	l.mutex.Lock()
+	over := l.watchOver
+	l.mutex.Unlock()
+	err = l.call(ctx, "Follow", wait+l.timeout, false, func(ctx context.Context) (err error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			select {
+			case <-over:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		changes, err = l.store.Follow(ctx, prefix, after, wait)
+		return err
+	})
+	return changes, err
+}
+
+// Write writes through the link.
+func (l *KeyspaceLink) Write(ctx context.Context, write kumquathitch.KeyWrite) (revision uint64, err error) {
+	err = l.call(ctx, "Write", l.timeout, true, func(ctx context.Context) (err error) {
+		revision, err = l.store.Write(ctx, write)
+		return err
+	})
+	return revision, err
+}
+
+// Grant creates a lease through the link.
+func (l *KeyspaceLink) Grant(ctx context.Context, ttl time.Duration) (lease kumquathitch.Lease, err error) {
+	err = l.call(ctx, "Grant", l.timeout, true, func(ctx context.Context) (err error) {
+		lease, err = l.store.Grant(ctx, ttl)
+		return err
+	})
+	return lease, err
+}
+
+// Renew extends a lease through the link.
+func (l *KeyspaceLink) Renew(ctx context.Context, lease kumquathitch.Lease) (renewed kumquathitch.Lease, err error) {
+	err = l.call(ctx, "Renew", l.timeout, true, func(ctx context.Context) (err error) {
+		renewed, err = l.store.Renew(ctx, lease)
+		return err
+	})
+	return renewed, err
+}
+
+// Release ends a lease through the link.
+func (l *KeyspaceLink) Release(ctx context.Context, lease kumquathitch.Lease) error {
+	return l.call(ctx, "Release", l.timeout, true, func(ctx context.Context) error { return l.store.Release(ctx, lease) })
+}
+
+// call makes one call with the faults of the link at its start and at its end.
+func (l *KeyspaceLink) call(ctx context.Context, operation string, limit time.Duration, writes bool, do func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	failed := func(unknown bool) error {
+		return &kumquathitch.StoreError{Operation: operation, Unknown: unknown, Cause: eris.New("the link failed")}
+	}
+	l.awaitThaw()
+	faults := l.takeFaults(writes)
+	switch {
+	case faults.Refusing || !clock.Pause(ctx, l.latency):
+		return failed(false)
+	case faults.Silent:
+		<-ctx.Done()
+		return failed(writes)
+	case faults.LateWrites > 0:
+		go func() {
+			<-time.NewTimer(faults.LateBy).C
+			_ = do(context.WithoutCancel(ctx)) // The caller has stopped to wait.
+		}()
+		<-ctx.Done()
+		return failed(true)
+	}
+	err := do(ctx)
+	l.awaitThaw()
+	l.mutex.Lock()
+	refusing, silent := l.faults.Refusing, l.faults.Silent
+	l.mutex.Unlock()
+	if refusing {
+		return failed(writes)
+	}
+	if silent || faults.LoseAnswers > 0 {
+		<-ctx.Done()
+		return failed(writes)
+	}
+	if !clock.Pause(ctx, l.latency+faults.AnswerDelay) {
+		return failed(writes)
+	}
+	return err
+}
+
+// takeFaults returns the faults of a new call, with those that apply to a number of calls
+// set in one call only.
+func (l *KeyspaceLink) takeFaults(writes bool) LinkFaults {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	faults := l.faults
+	if !writes {
+		faults.LoseAnswers, faults.LateWrites = 0, 0
+		return faults
+	}
+	l.faults.LoseAnswers = max(0, l.faults.LoseAnswers-1)
+	l.faults.LateWrites = max(0, l.faults.LateWrites-1)
+	return faults
+}
+
+// awaitThaw waits while the VM is frozen.
+func (l *KeyspaceLink) awaitThaw() {
+	for {
+		l.mutex.Lock()
+		frozen, changed := l.faults.Frozen, l.changed
+		l.mutex.Unlock()
+		if !frozen {
+			return
+		}
+		<-changed
+	}
+}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -98,7 +98,7 @@
 	forecast        *placement.Forecast
 	candidate       *election.Candidate
 	placer          *placement.Controller
-	peers           *peer.Client
+	peers           kumquathitch.PeerCaller
 	watcher         *storeWatcher
 	leadership      leadership
 	schedulerRole   schedulerRole
@@ -132,10 +132,17 @@
 		crashGuard:  retry.NewCrashGuard(environment.Name),
 		demand:      model.NewDemandWithDecay(placement.DemandTimeConstant),
 		forecast:    placement.NewForecast(),
-		peers:       peer.NewClient(tracing),
+		peers:       environment.Peers,
 		panics:      telemetry.NewPanicGuard(log, set),
 		roleLoad:    newRoleLoad(set),
 	}
+	if v.peers == nil {
+		v.peers = peer.NewClient(tracing)
+	}
+	leaseClock := environment.Clock
+	if leaseClock == nil {
+		leaseClock = clock.NewBoot()
+	}
 	v.promptGuard = retry.NewPromptGuard(environment.Name, v.crashGuard)
 	v.crashDetector = retry.NewCrashDetector(v.crashGuard, v.promptGuard)
 	v.fleet.Restrict(v.evacuations, environment.Regions)
@@ -146,7 +153,7 @@
 	if environment.ChecksFencing {
 		timing.HandoverDelay = fencedHandoverDelay
 	}
-	v.candidate = election.NewCandidate(environment.Store, clock.NewBoot(), v.self, timing, log)
+	v.candidate = election.NewCandidate(environment.Store, leaseClock, v.self, timing, log)
 	v.placer = placement.NewController(environment.Control, environment.Name, v.orderFence, clock.Monotonic{}, log, v.set, v.panics)
 	v.placer.UseEvacuations(v.evacuations)
 	v.set.NewGauge("kumquathitch_evacuated_data_centres", func() float64 { return float64(v.evacuations.Count()) })
@@ -208,15 +215,11 @@
 	if err != nil {
 		return err
 	}
-	ends := []<-chan error{
-		v.candidate.Run(leading),
-		v.watcher.run(background),
+	ends := append(v.followFleet(leading, background),
 		v.runEvery(leading, planInterval, v.reconcile),
-		v.runEvery(background, housekeepingInterval, v.keepHouse),
 		v.runEvery(background, pingInterval, v.pingDataCentres),
-		v.runExchanges(background),
 		v.runSuspectReports(background),
-	}
+	)
 	select {
 	case <-ctx.Done():
 	case err = <-servers.failed:
