--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -57,7 +57,7 @@
 
 var kinds = []string{
 	"store-silent", "store-refusing", "lose-history", "lose-answers", "late-writes", "late-answers", "end-watches",
-	"freeze", "power-off", "cut-peers", "configure", "entry-returns", "instance-restarts",
+	"freeze", "power-off", "cut-peers", "configure", "entry-returns", "instance-restarts", "store-down", "press", "press",
 }
 
 func drawOrder(t *rapid.T) order {
@@ -135,6 +135,11 @@
 		return w.holding(e, at, func(n *node) *int { return &n.cut })
 	case "power-off":
 		return []action{{at, func() { w.power(e, 1) }}, {at + e.For, func() { w.power(e, -1) }}}
+	case "store-down": // For all VMs and until all leases have run out.
+		e.VMs, e.For, e.Lapse = w.allVMs(), e.For+leaseTime, true
+		return append(w.holding(e, at, func(n *node) *int { return &n.refuse }), w.outageActions(e, at)...)
+	case "press":
+		return []action{{at, func() { w.pressing++ }}, {at + e.For, func() { w.pressing-- }}}
 	case "lose-history":
 		return []action{{at, w.loseHistory}}
 	case "configure":
@@ -148,6 +153,14 @@
 	}
 }
 
+func (w *world) allVMs() []int {
+	var all []int
+	for i := range w.nodes {
+		all = append(all, i)
+	}
+	return all
+}
+
 // outageActions returns what an outage does to leases: they pause, or entries of instances run
 // out and return unchanged after it.
 func (w *world) outageActions(e event, at time.Duration) []action {
--- a/checker/rules_test.go
+++ b/checker/rules_test.go
@@ -40,7 +40,11 @@
 			}
 			w.fence = belief.Term.Fence
 		}
-		for i := 0; i < callsPerStep && n.frozen == 0 && n.running.TakeTokens(context.Background(), "crew", callTokens); i++ {
+		calls := callsPerStep
+		if w.pressing == 0 {
+			calls = max(0, 1-w.steps%idleSteps)
+		}
+		for i := 0; i < calls && n.frozen == 0 && n.running.TakeTokens(context.Background(), "crew", callTokens); i++ {
 			spent += callTokens
 		}
 	}
--- a/checker/world_test.go
+++ b/checker/world_test.go
@@ -27,7 +27,8 @@
 	quotaSlack    = 11_000.0
 	quotaWindow   = 8 * time.Second
 	callTokens    = 500.0
-	callsPerStep  = 4 // At most, of each VM.
+	callsPerStep  = 4  // At most, of each VM, while the account presses.
+	idleSteps     = 10 // Steps between the calls of a VM at other times.
 	step          = 50 * time.Millisecond
 	callTimeout   = time.Second // Of a call to the store.
 	instanceCount = 4
@@ -97,6 +98,8 @@
 	fence   uint64 // Highest fence of a term so far.
 	spent   []spending
 	steps   int
+
+	pressing int // Number of events that make the account press.
 }
 
 func newWorld(vms int, tracing *telemetry.Tracing) *world {
