--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -22,6 +22,10 @@
 	// calmTime is the time after the last fault in which all VMs must agree with the store: a lease
 	// of 3 s, the time until instances register again, a call at its timeout and an election.
 	calmTime = 8 * time.Second
+	// slowReturnTime is the time for which the store may be slow after an outage, and pressTime the
+	// least time for which an account asks for more than its rate.
+	slowReturnTime = 3 * time.Second
+	pressTime      = 4 * time.Second
 	// startTime is the time before the first fault.
 	startTime = 3 * time.Second
 )
@@ -137,9 +141,11 @@
 		return []action{{at, func() { w.power(e, 1) }}, {at + e.For, func() { w.power(e, -1) }}}
 	case "store-down": // For all VMs and until all leases have run out.
 		e.VMs, e.For, e.Lapse = w.allVMs(), e.For+leaseTime, true
-		return append(w.holding(e, at, func(n *node) *int { return &n.refuse }), w.outageActions(e, at)...)
+		list := append(w.holding(e, at, func(n *node) *int { return &n.refuse }), w.outageActions(e, at)...)
+		slow := event{Kind: "late-answers", For: slowReturnTime, VMs: e.VMs, Count: e.Count - 1}
+		return append(list, w.linkActions(slow, at+e.For)...)
 	case "press":
-		return []action{{at, func() { w.pressing++ }}, {at + e.For, func() { w.pressing-- }}}
+		return []action{{at, func() { w.pressing++ }}, {at + e.For + pressTime, func() { w.pressing-- }}}
 	case "lose-history":
 		return []action{{at, w.loseHistory}}
 	case "configure":
--- a/checker/world_test.go
+++ b/checker/world_test.go
@@ -21,12 +21,12 @@
 
 const (
 	// Rate and burst of the account, and what the platform allows beyond them in a window.
-	accountRate   = 20_000.0
-	accountBurst  = 20_000.0
+	accountRate   = 100_000.0
+	accountBurst  = 100_000.0
 	quotaOverage  = 0.1
 	quotaSlack    = 11_000.0
 	quotaWindow   = 8 * time.Second
-	callTokens    = 500.0
+	callTokens    = 2500.0
 	callsPerStep  = 4  // At most, of each VM, while the account presses.
 	idleSteps     = 10 // Steps between the calls of a VM at other times.
 	step          = 50 * time.Millisecond
