Register a member again whose record is gone

Cause: a registration whose write takes effect after the next one overwrites the record of the latter and binds it to its own lease, which nobody renews. The write of a process that has lost power does the same to its successor.

Change: when the list of members has been without this VM for the length of the member's lease after its registration, the VM registers again at the next renewal. It costs no call while the VM is listed.

Measured: TestLateRegistrationLeavesMemberListed fails without the change and passes with it.

--- a/election/election.go
+++ b/election/election.go
@@ -76,6 +76,11 @@
 	storeRetryDelay = 300 * time.Millisecond
 )
 
+// errRecordLost reports that the member's record is gone while its lease runs: the write of an
+// earlier registration, of this process or the one before, took effect late, and the record ended
+// with that registration's lease.
+var errRecordLost = errors.New("the store does not list this member")
+
 // Term is a period of leadership of this VM.
 type Term struct {
 	Fence         uint64    // Fencing token for orders.
@@ -106,6 +111,7 @@
 	mutex        sync.Mutex
 	leaderRecord kumquathitch.KeyItem // Revision 0 when there is none.
 	observed     bool                 // leaderRecord has been observed at least once.
+	unlisted     bool                 // The list of members observed last is without this VM.
 	preferred    int                  // Number of members that campaign before this one.
 	members      int                  // Number of members.
 	strongest    float64              // Highest capacity of a member.
@@ -213,8 +219,8 @@
 }
 
 // renew renews the lease of the member and that of the leader's record, and campaigns
-// while there is no leader. It returns an error when the member's lease has ended, and
-// nil when ctx has. A term goes on while the member registers again.
+// while there is no leader. It returns an error when the member's lease has ended or its
+// record is gone, and nil when ctx has ended. A term goes on while the member registers again.
 func (c *Candidate) renew(ctx context.Context, lease kumquathitch.Lease, record []byte) error {
 	renewal := time.NewTicker(lease.TTL / renewalsPerLease)
 	defer renewal.Stop()
@@ -222,6 +228,7 @@
 	defer termRenewal.Stop()
 	campaign := time.NewTimer(c.untilCampaign())
 	defer campaign.Stop()
+	listedFrom := c.clock.Now().Add(c.timing.MemberTTL)
 	for {
 		select {
 		case <-ctx.Done():
@@ -240,6 +247,9 @@
 			}
 		case <-renewal.C:
 			sent := c.clock.Now()
+			if sent.After(listedFrom) && c.isUnlisted() {
+				return errRecordLost
+			}
 			_, err := c.store.Renew(ctx, lease)
 			var ended *kumquathitch.LeaseEndedError
 			if errors.As(err, &ended) {
@@ -254,6 +264,13 @@
 	}
 }
 
+// isUnlisted reports whether the list of members observed last is without this VM.
+func (c *Candidate) isUnlisted() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.unlisted
+}
+
 // untilCampaign returns the time until this candidate campaigns.
 func (c *Candidate) untilCampaign() time.Duration {
 	c.mutex.Lock()
@@ -265,8 +282,9 @@
 func (c *Candidate) ObserveMembers(members []kumquathitch.Member) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.preferred, c.members, c.strongest = 0, len(members), 0
+	c.preferred, c.members, c.strongest, c.unlisted = 0, len(members), 0, true
 	for _, m := range members {
+		c.unlisted = c.unlisted && m.Name != c.member.Name
 		c.strongest = max(c.strongest, m.Capacity)
 		if m.Capacity > c.member.Capacity || (m.Capacity == c.member.Capacity && m.Started.After(c.member.Started)) {
 			c.preferred++
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -299,3 +299,19 @@
 func advance(wait time.Duration) {
 	<-time.NewTimer(wait).C
 }
+
+// TestLateRegistrationLeavesMemberListed delays the write of a registration until the next one is
+// done. The record then ended with the lease of the first one, while the VM renewed the second.
+func TestLateRegistrationLeavesMemberListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewKeyspace(clock.NewSystem())
+		link := standin.NewKeyspaceLink(store, time.Millisecond, time.Second)
+		link.ChangeFaults(func(f *standin.LinkFaults) { f.LateWrites, f.LateBy, f.Only = 1, 2*time.Second, "Write" })
+		late := fleetCandidate(t.Context(), link, kumquathitch.Member{Name: "late"}, 50*time.Millisecond)
+		advance(2 * timing.MemberTTL)
+		item, err := store.Read(t.Context(), election.MemberPrefix+"late")
+		stopAll(late)
+		must.NoError(t, err)
+		must.Positive(t, item.Revision)
+	})
+}
