--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -28,6 +28,8 @@
 	// least time for which an account asks for more than its rate.
 	slowReturnTime = 3 * time.Second
 	pressTime      = 4 * time.Second
+	// minVMs is the least number of VMs that stay.
+	minVMs = 2
 	// startTime is the time before the first fault.
 	startTime = 3 * time.Second
 )
@@ -67,7 +69,7 @@
 var kinds = []string{
 	"store-silent", "store-refusing", "lose-history", "lose-answers", "late-writes", "late-answers", "end-watches",
 	"freeze", "power-off", "cut-peers", "configure", "entry-returns", "instance-restarts", "store-down", "press", "press",
-	"watches-hang", "slow-peers",
+	"watches-hang", "slow-peers", "instance-gone", "vm-gone",
 }
 
 func drawOrder(t *rapid.T) order {
@@ -152,16 +154,23 @@
 	case "power-off":
 		return []action{{at, func() { w.power(e, 1) }}, {at + e.For, func() { w.power(e, -1) }}}
 	case "store-down": // For all VMs and until all leases have run out.
+		forgets := e.Lapse
 		e.VMs, e.For, e.Lapse = w.allVMs(), e.For+leaseTime, true
 		list := append(w.holding(e, at, func(n *node) *int { return &n.refuse }), w.outageActions(e, at)...)
-		slow := event{Kind: "late-answers", For: slowReturnTime, VMs: e.VMs, Count: e.Count - 1}
-		return append(list, w.linkActions(slow, at+e.For)...)
+		if forgets {
+			list = append(list, action{at + e.For, w.loseHistory})
+		}
+		return append(list, w.returnActions(e, at+e.For)...)
 	case "press":
 		return []action{{at, func() { w.pressing++ }}, {at + e.For + pressTime, func() { w.pressing-- }}}
 	case "lose-history":
 		return []action{{at, w.loseHistory}}
 	case "configure":
 		return []action{{at, w.configure}}
+	case "instance-gone":
+		return []action{{at, func() { w.store.Delete(instanceKey(e.Instance)) }}}
+	case "vm-gone":
+		return []action{{at, func() { w.removeVM(w.nodes[e.VMs[0]]) }}}
 	case "instance-restarts":
 		return []action{{at, func() { w.describe(e.Instance, e.Count) }}}
 	case "entry-returns":
@@ -195,6 +204,18 @@
 	}
 }
 
+// returnActions returns how the store comes back from an outage: sound, slow, or with late writes.
+func (w *world) returnActions(e event, at time.Duration) []action {
+	switch e.Count {
+	case 2:
+		return w.linkActions(event{Kind: "late-answers", For: slowReturnTime, VMs: e.VMs, Count: 1 + e.Instance%2}, at)
+	case 3:
+		lateBy := callTimeout + time.Duration(e.Instance)*200*time.Millisecond
+		return w.linkActions(event{Kind: "late-writes", For: lateBy, VMs: e.VMs, Count: 1, Only: e.Only}, at)
+	}
+	return nil
+}
+
 // linkActions returns the actions of events that concern single calls of the VMs.
 func (w *world) linkActions(e event, at time.Duration) []action {
 	change := func(set func(f *standin.LinkFaults)) func() {
@@ -229,6 +250,7 @@
 		n := w.nodes[i]
 		n.off += change
 		switch {
+		case n.gone:
 		case n.off > 0 && n.running != nil:
 			w.powerOff(n)
 		case n.off == 0 && n.running == nil:
@@ -238,6 +260,23 @@
 	}
 }
 
+// removeVM turns a VM off for good, unless few are left.
+func (w *world) removeVM(n *node) {
+	left := 0
+	for _, other := range w.nodes {
+		if !other.gone {
+			left++
+		}
+	}
+	if n.gone || left <= minVMs {
+		return
+	}
+	n.gone = true
+	if n.running != nil {
+		w.powerOff(n)
+	}
+}
+
 // loseHistory makes the store forget all changes so far.
 func (w *world) loseHistory() {
 	w.faults.CompactedBefore = w.store.Put("other/key", []byte("{}"))
--- a/checker/rules_test.go
+++ b/checker/rules_test.go
@@ -73,7 +73,7 @@
 	}
 	leader, members, instances := "", map[string]string{}, map[string]string{}
 	for _, n := range w.nodes {
-		if n.running.Belief().Leading {
+		if !n.gone && n.running.Belief().Leading {
 			leader = n.name
 		}
 	}
@@ -92,11 +92,14 @@
 		}
 	}
 	for _, n := range w.nodes {
-		if members[n.name] == "" {
+		if members[n.name] == "" && !n.gone {
 			return fmt.Errorf("calm: the store does not list %s", n.name)
 		}
 	}
 	for _, n := range w.nodes {
+		if n.gone {
+			continue
+		}
 		if err := w.compare(n.name, n.running.Belief(), leader, members, instances); err != nil {
 			return err
 		}
--- a/checker/world_test.go
+++ b/checker/world_test.go
@@ -83,6 +83,7 @@
 	slow    int // Each delays messages between VMs by slowPeers.
 	off     int
 	weak    bool
+	gone    bool // It is not started again.
 }
 
 // spending is a number of tokens spent in a step.
