--- a/checker/world_test.go
+++ b/checker/world_test.go
@@ -119,6 +119,8 @@
 	for i := range o.VMs {
 		n := &node{name: fmt.Sprintf("entry-%d", i), address: fmt.Sprintf("10.0.0.%d:1", i+1), weak: i < o.Weak}
 		w.nodes = append(w.nodes, n)
+	}
+	for _, n := range w.nodes {
 		w.startVM(n, true)
 		w.wait(7 * time.Millisecond)
 	}
--- a/standin/keyspace_link.go
+++ b/standin/keyspace_link.go
@@ -60,29 +60,23 @@
 }
 
 // Read reads through the link.
-func (l *KeyspaceLink) Read(ctx context.Context, key string) (item kumquathitch.KeyItem, err error) {
-	err = l.call(ctx, "Read", l.timeout, false, func(ctx context.Context) (err error) {
-		item, err = l.store.Read(ctx, key)
-		return err
-	})
-	return item, err
+func (l *KeyspaceLink) Read(ctx context.Context, key string) (kumquathitch.KeyItem, error) {
+	return callThrough(ctx, l, "Read", l.timeout, false, func(ctx context.Context) (kumquathitch.KeyItem, error) { return l.store.Read(ctx, key) })
 }
 
 // Scan scans through the link.
-func (l *KeyspaceLink) Scan(ctx context.Context, prefix string, stale bool) (found kumquathitch.KeyRange, err error) {
-	err = l.call(ctx, "Scan", l.timeout, false, func(ctx context.Context) (err error) {
-		found, err = l.store.Scan(ctx, prefix, stale)
-		return err
+func (l *KeyspaceLink) Scan(ctx context.Context, prefix string, stale bool) (kumquathitch.KeyRange, error) {
+	return callThrough(ctx, l, "Scan", l.timeout, false, func(ctx context.Context) (kumquathitch.KeyRange, error) {
+		return l.store.Scan(ctx, prefix, stale)
 	})
-	return found, err
 }
 
 // Follow watches through the link.
-func (l *KeyspaceLink) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes kumquathitch.KeyChanges, err error) {
+func (l *KeyspaceLink) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (kumquathitch.KeyChanges, error) {
 	l.mutex.Lock()
 	over := l.watchOver
 	l.mutex.Unlock()
-	err = l.call(ctx, "Follow", wait+l.timeout, false, func(ctx context.Context) (err error) {
+	return callThrough(ctx, l, "Follow", wait+l.timeout, false, func(ctx context.Context) (kumquathitch.KeyChanges, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() {
@@ -92,50 +86,40 @@
 			case <-ctx.Done():
 			}
 		}()
-		changes, err = l.store.Follow(ctx, prefix, after, wait)
-		return err
+		return l.store.Follow(ctx, prefix, after, wait)
 	})
-	return changes, err
 }
 
 // Write writes through the link.
-func (l *KeyspaceLink) Write(ctx context.Context, write kumquathitch.KeyWrite) (revision uint64, err error) {
-	err = l.call(ctx, "Write", l.timeout, true, func(ctx context.Context) (err error) {
-		revision, err = l.store.Write(ctx, write)
-		return err
-	})
-	return revision, err
+func (l *KeyspaceLink) Write(ctx context.Context, write kumquathitch.KeyWrite) (uint64, error) {
+	return callThrough(ctx, l, "Write", l.timeout, true, func(ctx context.Context) (uint64, error) { return l.store.Write(ctx, write) })
 }
 
 // Grant creates a lease through the link.
-func (l *KeyspaceLink) Grant(ctx context.Context, ttl time.Duration) (lease kumquathitch.Lease, err error) {
-	err = l.call(ctx, "Grant", l.timeout, true, func(ctx context.Context) (err error) {
-		lease, err = l.store.Grant(ctx, ttl)
-		return err
-	})
-	return lease, err
+func (l *KeyspaceLink) Grant(ctx context.Context, ttl time.Duration) (kumquathitch.Lease, error) {
+	return callThrough(ctx, l, "Grant", l.timeout, true, func(ctx context.Context) (kumquathitch.Lease, error) { return l.store.Grant(ctx, ttl) })
 }
 
 // Renew extends a lease through the link.
-func (l *KeyspaceLink) Renew(ctx context.Context, lease kumquathitch.Lease) (renewed kumquathitch.Lease, err error) {
-	err = l.call(ctx, "Renew", l.timeout, true, func(ctx context.Context) (err error) {
-		renewed, err = l.store.Renew(ctx, lease)
-		return err
-	})
-	return renewed, err
+func (l *KeyspaceLink) Renew(ctx context.Context, lease kumquathitch.Lease) (kumquathitch.Lease, error) {
+	return callThrough(ctx, l, "Renew", l.timeout, true, func(ctx context.Context) (kumquathitch.Lease, error) { return l.store.Renew(ctx, lease) })
 }
 
 // Release ends a lease through the link.
 func (l *KeyspaceLink) Release(ctx context.Context, lease kumquathitch.Lease) error {
-	return l.call(ctx, "Release", l.timeout, true, func(ctx context.Context) error { return l.store.Release(ctx, lease) })
+	_, err := callThrough(ctx, l, "Release", l.timeout, true, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, l.store.Release(ctx, lease)
+	})
+	return err
 }
 
-// call makes one call with the faults of the link at its start and at its end.
-func (l *KeyspaceLink) call(ctx context.Context, operation string, limit time.Duration, writes bool, do func(ctx context.Context) error) error {
+// callThrough makes one call with the faults of the link at its start and at its end.
+func callThrough[T any](ctx context.Context, l *KeyspaceLink, operation string, limit time.Duration, writes bool, do func(ctx context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	failed := func(unknown bool) error {
-		return &kumquathitch.StoreError{Operation: operation, Unknown: unknown, Cause: eris.New("the link failed")}
+	var none T
+	failed := func(unknown bool) (T, error) {
+		return none, &kumquathitch.StoreError{Operation: operation, Unknown: unknown, Cause: eris.New("the link failed")}
 	}
 	l.awaitThaw()
 	faults := l.takeFaults(operation, writes)
@@ -148,12 +132,12 @@
 	case faults.LateWrites > 0:
 		go func() {
 			<-time.NewTimer(faults.LateBy).C
-			_ = do(context.WithoutCancel(ctx)) // The caller has stopped to wait.
+			_, _ = do(context.WithoutCancel(ctx)) // The caller no longer waits.
 		}()
 		<-ctx.Done()
 		return failed(true)
 	}
-	err := do(ctx)
+	result, err := do(ctx)
 	l.awaitThaw()
 	l.mutex.Lock()
 	refusing, silent := l.faults.Refusing, l.faults.Silent || (l.faults.Hanging && operation == "Follow")
@@ -168,7 +152,7 @@
 	if !clock.Pause(ctx, l.latency+faults.AnswerDelay) {
 		return failed(writes)
 	}
-	return err
+	return result, err
 }
 
 // takeFaults returns the faults of a new call, with those that apply to a number of calls
