--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -305,7 +305,7 @@
 }
 
 // ordersInCI is the number of orders played unless RAPID_CHECKS or -rapid.checks says otherwise. The
-// faults of two incidents, put back, were found after 14 and 150 orders.
+// faults of two incidents, put back, were found after 14 orders each.
 const ordersInCI = "400"
 
 func TestMain(m *testing.M) {
--- a/checker/rules_test.go
+++ b/checker/rules_test.go
@@ -119,7 +119,7 @@
 	switch {
 	case b.Leader != leader:
 		return fmt.Errorf("calm: %s takes %q for the leader, %s leads", name, b.Leader, leader)
-	case b.DeploymentVersion != uint64(w.version): //nolint:gosec // Versions are small.
+	case b.DeploymentVersion != uint64(w.version):
 		return fmt.Errorf("calm: %s has version %d of the configuration, the store %d", name, b.DeploymentVersion, w.version)
 	case !maps.Equal(knownMembers, members):
 		return fmt.Errorf("calm: %s knows the members %v, the store lists %v", name, knownMembers, members)
--- a/checker/world_test.go
+++ b/checker/world_test.go
@@ -73,7 +73,7 @@
 	link    *standin.KeyspaceLink
 	running *vm.VM // Nil while the VM has no power.
 	stop    context.CancelFunc
-	end     chan struct{}
+	end     chan error
 	version uint64 // Highest configuration version of this process.
 	frozen  int    // Number of faults of each kind that hold now.
 	silent  int
@@ -161,7 +161,7 @@
 		DrainLag: 300 * time.Millisecond, HandoverDelay: 300 * time.Millisecond, ChecksFencing: true,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
 		Store: n.link, Control: platform.NewEngineControl(time.Second), Dialect: platform.Dialect{}, Codec: platform.Codec{},
-		Peers: &peerLink{world: w, from: n}, Clock: clock.NewSystem(), Random: random.NewSeeded(w.seed + uint64(index)), //nolint:gosec // Not negative.
+		Peers: &peerLink{world: w, from: n}, Clock: clock.NewSystem(), Random: random.NewSeeded(w.seed + uint64(index)),
 	}
 	for _, other := range w.nodes {
 		environment.Seeds = append(environment.Seeds, other.address)
@@ -171,15 +171,12 @@
 	}
 	v := vm.New(environment, zap.NewNop(), metrics.NewSet(), w.tracing)
 	ctx, stop := context.WithCancel(context.Background())
-	end := make(chan struct{})
+	end := make(chan error, 1)
 	w.mutex.Lock()
 	n.running, n.stop, n.end, n.version = v, stop, end, 0
 	w.mutex.Unlock()
 	w.applyFaults(n)
-	go func() {
-		v.FollowFleet(ctx)
-		close(end)
-	}()
+	go func() { end <- v.FollowFleet(ctx) }()
 }
 
 // powerOff ends a VM that has no time to tell anyone.
@@ -189,7 +186,9 @@
 	n.running = nil
 	w.mutex.Unlock()
 	n.stop()
-	<-n.end
+	if err := <-n.end; err != nil {
+		panic(err) // The loops of a VM end without an error.
+	}
 }
 
 // applyFaults sets the faults of a VM's link by the faults that hold.
--- a/vm/maintain.go
+++ b/vm/maintain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"kumquathitch.example/kumquathitch"
@@ -31,11 +32,14 @@
 }
 
 // FollowFleet keeps this VM a member, follows the store, campaigns and exchanges state with the
-// leader until ctx ends, without listeners and without orders to engines.
-func (v *VM) FollowFleet(ctx context.Context) {
+// leader until ctx ends, without listeners and without orders to engines. It returns what the
+// loops have failed with.
+func (v *VM) FollowFleet(ctx context.Context) error {
+	var failed []error
 	for _, end := range v.followFleet(ctx, ctx) {
-		<-end
+		failed = append(failed, <-end)
 	}
+	return errors.Join(failed...)
 }
 
 // followFleet starts the loops of FollowFleet. Membership and campaigns end with leading.
