--- a/election/election.go
+++ b/election/election.go
@@ -24,7 +24,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -33,6 +32,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/random"
 )
 
 // Keys and prefixes of keys in the store.
@@ -76,6 +76,11 @@
 	storeRetryDelay = 300 * time.Millisecond
 )
 
+// errRecordLost reports that the member's record is gone while its lease runs: the write of an
+// earlier registration, of this process or the one before, took effect late, and the record ended
+// with that registration's lease.
+var errRecordLost = errors.New("the store does not list this member")
+
 // Term is a period of leadership of this VM.
 type Term struct {
 	Fence         uint64    // Fencing token for orders.
@@ -90,6 +95,7 @@
 	LeaseTTL      time.Duration // Of the leader's record.
 	MemberTTL     time.Duration // Of the member records; at least LeaseTTL.
 	HandoverDelay time.Duration
+	Random        kumquathitch.Random // Spreads campaigns; nil for the source of the process.
 }
 
 // Candidate registers this VM as a member and campaigns for leadership. It is
@@ -105,6 +111,7 @@
 	mutex        sync.Mutex
 	leaderRecord kumquathitch.KeyItem // Revision 0 when there is none.
 	observed     bool                 // leaderRecord has been observed at least once.
+	unlisted     bool                 // The list of members observed last is without this VM.
 	preferred    int                  // Number of members that campaign before this one.
 	members      int                  // Number of members.
 	strongest    float64              // Highest capacity of a member.
@@ -117,6 +124,9 @@
 
 // NewCandidate returns a candidate that is not registered until Run is called.
 func NewCandidate(store kumquathitch.Keyspace, clock kumquathitch.Clock, member kumquathitch.Member, timing Timing, log *zap.Logger) *Candidate {
+	if timing.Random == nil {
+		timing.Random = random.Global{}
+	}
 	return &Candidate{store: store, clock: clock, member: member, timing: timing, log: log, leaderLost: make(chan struct{}, 1)}
 }
 
@@ -209,8 +219,8 @@
 }
 
 // renew renews the lease of the member and that of the leader's record, and campaigns
-// while there is no leader. It returns an error when the member's lease has ended, and
-// nil when ctx has. A term goes on while the member registers again.
+// while there is no leader. It returns an error when the member's lease has ended or its
+// record is gone, and nil when ctx has ended. A term goes on while the member registers again.
 func (c *Candidate) renew(ctx context.Context, lease kumquathitch.Lease, record []byte) error {
 	renewal := time.NewTicker(lease.TTL / renewalsPerLease)
 	defer renewal.Stop()
@@ -218,6 +228,7 @@
 	defer termRenewal.Stop()
 	campaign := time.NewTimer(c.untilCampaign())
 	defer campaign.Stop()
+	listedFrom := c.clock.Now().Add(c.timing.MemberTTL)
 	for {
 		select {
 		case <-ctx.Done():
@@ -236,6 +247,9 @@
 			}
 		case <-renewal.C:
 			sent := c.clock.Now()
+			if sent.After(listedFrom) && c.isUnlisted() {
+				return errRecordLost
+			}
 			_, err := c.store.Renew(ctx, lease)
 			var ended *kumquathitch.LeaseEndedError
 			if errors.As(err, &ended) {
@@ -250,6 +264,13 @@
 	}
 }
 
+// isUnlisted reports whether the list of members observed last is without this VM.
+func (c *Candidate) isUnlisted() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.unlisted
+}
+
 // untilCampaign returns the time until this candidate campaigns.
 func (c *Candidate) untilCampaign() time.Duration {
 	c.mutex.Lock()
@@ -261,8 +282,9 @@
 func (c *Candidate) ObserveMembers(members []kumquathitch.Member) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.preferred, c.members, c.strongest = 0, len(members), 0
+	c.preferred, c.members, c.strongest, c.unlisted = 0, len(members), 0, true
 	for _, m := range members {
+		c.unlisted = c.unlisted && m.Name != c.member.Name
 		c.strongest = max(c.strongest, m.Capacity)
 		if m.Capacity > c.member.Capacity || (m.Capacity == c.member.Capacity && m.Started.After(c.member.Started)) {
 			c.preferred++
@@ -287,7 +309,7 @@
 	if c.preferred >= favourites {
 		spread = min(maxCampaignSpread, max(campaignStep, time.Duration(c.members)*campaignSpread))
 	}
-	delay := time.Duration(min(c.preferred, favourites))*campaignStep + rand.N(spread) //nolint:gosec // Spreads tries; nothing depends on secrecy.
+	delay := time.Duration(min(c.preferred, favourites))*campaignStep + time.Duration(c.timing.Random.Int64N(int64(spread)))
 	if c.isWeak() {
 		delay += weakCampaignDelay
 	}
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,7 +70,7 @@
 	end := make(chan error, 1)
 	go func() {
 		v.guarded("vm.exchange", func() { v.exchange(ctx, false) })
-		next, nextDraw := time.Now().Add(rand.N(exchangeInterval)), time.Now() //nolint:gosec // Nothing depends on secrecy.
+		next, nextDraw := time.Now().Add(time.Duration(v.random.Int64N(int64(exchangeInterval)))), time.Now()
 		for ctx.Err() == nil {
 			if v.awaitExchange(ctx, next, nextDraw) {
 				v.guarded("vm.exchange", func() { v.exchange(ctx, true) })
@@ -176,11 +176,11 @@
 	// A leader that can write to the store, but not read from it, learns of changes from
 	// other VMs.
 	_, leading := v.candidate.CurrentTerm()
-	if leading && (!withoutStore || rand.IntN(2) == 0) { //nolint:gosec // Nothing depends on secrecy.
+	if leading && (!withoutStore || v.random.Int64N(2) == 0) {
 		return "", true
 	}
 	leader, known := v.candidate.Leader()
-	if known && leader.Name != v.environment.Name && (!withoutStore || rand.IntN(2) == 0) { //nolint:gosec // Nothing depends on secrecy.
+	if known && leader.Name != v.environment.Name && (!withoutStore || v.random.Int64N(2) == 0) {
 		return leader.Address, false
 	}
 	if !withoutStore {
@@ -188,15 +188,16 @@
 	}
 	// Without the store this VM may have missed a change of the leader; any other VM
 	// may know it.
-	if hint := v.leadership.leaderHint(); hint != "" && hint != v.environment.PeerAddress && rand.IntN(2) == 0 { //nolint:gosec // Nothing depends on secrecy.
+	if hint := v.leadership.leaderHint(); hint != "" && hint != v.environment.PeerAddress && v.random.Int64N(2) == 0 {
 		return hint, false
 	}
 	addresses := append([]string{}, v.environment.Seeds...)
 	for _, m := range v.watcher.memberList() {
 		addresses = append(addresses, m.Address)
 	}
+	slices.Sort(addresses) // The choice depends on the random number alone.
 	for range addresses {
-		if address = addresses[rand.IntN(len(addresses))]; address != v.environment.PeerAddress { //nolint:gosec // Nothing depends on secrecy.
+		if address = addresses[v.random.Int64N(int64(len(addresses)))]; address != v.environment.PeerAddress {
 			return address, false
 		}
 	}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -42,6 +42,7 @@
 	"kumquathitch.example/kumquathitch/peer"
 	"kumquathitch.example/kumquathitch/placement"
 	"kumquathitch.example/kumquathitch/quota"
+	"kumquathitch.example/kumquathitch/random"
 	"kumquathitch.example/kumquathitch/relay"
 	"kumquathitch.example/kumquathitch/retry"
 	"kumquathitch.example/kumquathitch/telemetry"
@@ -102,7 +103,8 @@
 	candidate       *election.Candidate
 	placer          *placement.Controller
 	nextPlan        time.Time // Earliest time of the next plan. Used by the planning loop only.
-	peers           *peer.Client
+	peers           kumquathitch.PeerCaller
+	random          kumquathitch.Random
 	watcher         *storeWatcher
 	leadership      leadership
 	schedulerRole   schedulerRole
@@ -136,21 +138,32 @@
 		crashGuard:  retry.NewCrashGuard(environment.Name),
 		demand:      model.NewDemandWithDecay(placement.DemandTimeConstant),
 		forecast:    placement.NewForecast(),
-		peers:       peer.NewClient(tracing),
+		peers:       environment.Peers,
+		random:      environment.Random,
 		panics:      telemetry.NewPanicGuard(log, set),
 		roleLoad:    newRoleLoad(set),
 	}
+	if v.peers == nil {
+		v.peers = peer.NewClient(tracing)
+	}
+	if v.random == nil {
+		v.random = random.Global{}
+	}
+	leaseClock := environment.Clock
+	if leaseClock == nil {
+		leaseClock = clock.NewBoot()
+	}
 	v.promptGuard = retry.NewPromptGuard(environment.Name, v.crashGuard)
 	v.crashDetector = retry.NewCrashDetector(v.crashGuard, v.promptGuard)
 	v.fleet.Restrict(v.evacuations, environment.Regions)
 	v.globalScheduler, v.coldCalls = fleet.NewGlobalScheduler(v.fleet), newColdCalls(set, v.fleet)
 	v.updateMemberCount(time.Now())
 	v.self = kumquathitch.Member{Name: environment.Name, Address: environment.PeerAddress, DataCentre: environment.DataCentre, Started: time.Now().Round(0), Capacity: leaderCapacity(environment)}
-	timing := election.Timing{LeaseTTL: leaseTTL, MemberTTL: memberTTL, HandoverDelay: environment.HandoverDelay}
+	timing := election.Timing{LeaseTTL: leaseTTL, MemberTTL: memberTTL, HandoverDelay: environment.HandoverDelay, Random: v.random}
 	if environment.ChecksFencing {
 		timing.HandoverDelay = fencedHandoverDelay
 	}
-	v.candidate = election.NewCandidate(environment.Store, clock.NewBoot(), v.self, timing, log)
+	v.candidate = election.NewCandidate(environment.Store, leaseClock, v.self, timing, log)
 	v.placer = placement.NewController(environment.Control, environment.Name, v.orderFence, clock.Monotonic{}, log, v.set, v.panics)
 	v.placer.UseEvacuations(v.evacuations)
 	v.set.NewGauge("kumquathitch_evacuated_data_centres", func() float64 { return float64(v.evacuations.Count()) })
@@ -213,15 +226,11 @@
 	if err != nil {
 		return err
 	}
-	ends := []<-chan error{
-		v.candidate.Run(leading),
-		v.watcher.run(background),
+	ends := append(v.followFleet(leading, background),
 		v.runEvery(leading, planInterval, v.reconcile),
-		v.runEvery(background, housekeepingInterval, v.keepHouse),
 		v.runEvery(background, pingInterval, v.pingDataCentres),
-		v.runExchanges(background),
 		v.runSuspectReports(background),
-	}
+	)
 	select {
 	case <-ctx.Done():
 	case err = <-servers.failed:
