Take over no entry whose removal has been applied

Cause: a VM keeps the entry of an instance that is removed around an outage for 2.2 s and passes it on to VMs whose calls to the store hang. Such a VM may have applied the removal already, drops the instance, takes the entry over with its old revision in the next exchange, and offers calls to the instance for good: no further change of the store removes it.

Change: entries of other VMs are skipped that are no newer than the changes that this VM has applied, if it knows no such entry or has seen it lapse.

--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -341,3 +341,32 @@
 	})
 	t.Logf("%d orders of events, %d steps in %v", orders, steps, time.Since(begun).Round(time.Millisecond))
 }
+
+// TestRemovedInstanceStaysRemoved plays an order that the checker found. A VM whose watch hung at the
+// end of an outage took over the entry of an instance from a VM that kept it for a return, after it had
+// applied the removal itself, and offered calls to that instance for good.
+func TestRemovedInstanceStaysRemoved(t *testing.T) {
+	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms := time.Millisecond
+	all := []int{0, 1, 2, 3}
+	found := order{VMs: 4, Weak: 3, Seed: 908129, Events: []event{
+		{Kind: "late-writes", After: 750 * ms, For: 3500 * ms, VMs: []int{0, 1, 3, 2}, Instance: 2, Count: 2, Only: "Write", Lapse: true},
+		{Kind: "late-writes", After: 100 * ms, For: 1050 * ms, VMs: []int{0}, Instance: 1, Count: 3},
+		{Kind: "store-silent", After: 1850 * ms, For: 4250 * ms, VMs: all, Instance: 3, Count: 2, Lapse: true},
+		{Kind: "end-watches", After: 4000 * ms, For: 2700 * ms, VMs: []int{3}},
+		{Kind: "late-writes", After: 100 * ms, For: 100 * ms, VMs: all, Count: 2},
+		{Kind: "press", After: 250 * ms, For: 1350 * ms},
+		{Kind: "configure", After: 1600 * ms},
+		{Kind: "instance-gone", After: 150 * ms, Instance: 3},
+	}}
+	for range 10 { // Goroutines that are ready at once run in any order.
+		var broken error
+		synctest.Test(t, func(*testing.T) { _, broken = play(found, tracing) })
+		if broken != nil {
+			t.Fatal(broken)
+		}
+	}
+}
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -455,7 +455,9 @@
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.Key] = true
-		w.putInstance(item)
+		if !w.hasRemoved(item) {
+			w.putInstance(item)
+		}
 	}
 	for _, item := range w.instanceItems() {
 		if !listed[item.Key] {
@@ -463,3 +465,13 @@
 		}
 	}
 }
+
+// hasRemoved reports whether this VM has applied the removal of an entry. Another VM may keep
+// the entry for reregisterTime and pass it on; no further change would remove it here.
+func (w *storeWatcher) hasRemoved(item kumquathitch.KeyItem) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	_, known := w.instances[item.Key]
+	_, lapsed := w.lapsed[item.Key]
+	return item.Revision <= w.revision && (!known || lapsed)
+}
