--- a/vm/schedule.go
+++ b/vm/schedule.go
@@ -41,23 +41,23 @@
 // Schedule asks the scheduler of a partition for the engine of a call, and that of another
 // one when all engines of the first are full. Besides the errors of kumquathitch.Scheduler
 // it returns errNoEngineNamed and errors of the call.
-func (s *scheduler) Schedule(ctx context.Context, criteria kumquathitch.InstanceCriteria) (assignment kumquathitch.Assignment, err error) {
-	var full *kumquathitch.EnginesFullError
+func (s *scheduler) Schedule(ctx context.Context, criteria kumquathitch.InstanceCriteria) (kumquathitch.Assignment, error) {
+	var full *kumquathitch.EnginesFullError // Of the partition whose engines have capacity first.
 	order := s.vm.fleet.PartitionOrder(criteria, len(s.vm.schedulerRole.addresses()))
 	for _, partition := range order[:min(len(order), maxPartitionsAsked)] {
-		var earlier *kumquathitch.EnginesFullError
-		if assignment, err = s.scheduleIn(ctx, criteria, partition); !errors.As(err, &earlier) {
+		assignment, err := s.scheduleIn(ctx, criteria, partition)
+		var refused *kumquathitch.EnginesFullError
+		if !errors.As(err, &refused) {
+			if err == nil || full == nil {
+				return assignment, err
+			}
 			break
 		}
-		if full != nil && full.AvailableAt.Before(earlier.AvailableAt) {
-			earlier = full
+		if full == nil || refused.AvailableAt.Before(full.AvailableAt) {
+			full = refused
 		}
-		full = earlier
 	}
-	if full != nil && err != nil {
-		return kumquathitch.Assignment{}, full
-	}
-	return assignment, err
+	return kumquathitch.Assignment{}, full
 }
 
 // scheduleIn asks the scheduler of a partition for the engine of a call, or another VM when
