Drop what nothing asks of ended evacuations, and test that their instances count as cold

The aggregate told whether an entry is older than the end of an evacuation, for limits of cold instances; these are told of the end itself.

--- a/evacuation.go
+++ b/evacuation.go
@@ -26,8 +26,4 @@
 	// Closed reports whether the instances of a data centre get no calls at a time. From the
 	// start of an evacuation, the VMs have a bounded time until then.
 	Closed(dataCentre string, now time.Time) bool
-	// JustReopened reports whether an entry of the store with a revision was written before
-	// the end of the last evacuation of its data centre. Such an entry says nothing about
-	// what the evacuation has left of the instance's caches.
-	JustReopened(dataCentre string, revision uint64) bool
 }
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -45,7 +45,6 @@
 	revision uint64    // Of the last change.
 	since    time.Time // Start of the last evacuation.
 	closesAt time.Time // From then on, its instances get no calls while it stands.
-	endedAt  time.Time // End of the last evacuation; zero if it stands or there was none.
 }
 
 // Change is the start or the end of an evacuation on this VM.
@@ -89,7 +88,7 @@
 		s.setState(name, state)
 		return nil
 	}
-	state.standing, state.since, state.closesAt, state.endedAt = true, since, closesAt, time.Time{}
+	state.standing, state.since, state.closesAt = true, since, closesAt
 	s.setState(name, state)
 	s.standing.Add(1)
 	return &Change{DataCentre: name, Begun: true, Revision: revision, ClosesAt: closesAt}
@@ -110,7 +109,7 @@
 	if revision <= state.revision || !state.standing {
 		return nil
 	}
-	state.standing, state.revision, state.endedAt = false, revision, now
+	state.standing, state.revision = false, revision
 	s.setState(name, state)
 	s.standing.Add(-1)
 	return &Change{DataCentre: name, Revision: revision, Lasted: now.Sub(state.since)}
@@ -197,20 +196,6 @@
 	return state.standing && !now.Before(state.closesAt)
 }
 
-// JustReopened reports whether an entry with a revision is older than the end of the last
-// evacuation of its data centre.
-func (s *Set) JustReopened(name string, revision uint64) bool {
-	state := s.state(name)
-	return !state.endedAt.IsZero() && revision <= state.revision
-}
-
-// EndedAt returns when this VM learnt of the end of the last evacuation of a data centre. It
-// returns false if the evacuation stands, or there was none.
-func (s *Set) EndedAt(name string) (time.Time, bool) {
-	ended := s.state(name).endedAt
-	return ended, !ended.IsZero()
-}
-
 func (s *Set) state(name string) dataCentre {
 	sh := s.shard(name)
 	sh.mutex.RLock()
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -50,21 +50,6 @@
 	must.False(t, s.Any())
 }
 
-// TestEntryOlderThanEnd guards against taking an entry from before the end of an evacuation
-// for one that tells what the evacuation has left of an instance's caches.
-func TestEntryOlderThanEnd(t *testing.T) {
-	s := evacuation.NewSet()
-	must.False(t, s.JustReopened("a", 5))
-	s.Begin("a", 10, at(0), at(0))
-	must.False(t, s.JustReopened("a", 11))
-	s.End("a", 12, at(5))
-	must.True(t, s.JustReopened("a", 11))
-	must.False(t, s.JustReopened("a", 13))
-	ended, ok := s.EndedAt("a")
-	must.True(t, ok)
-	must.Eq(t, at(5), ended)
-}
-
 // TestOrderOfArrival guards against a state that depends on the order in which changes and
 // lists arrive, or goes back to an older one. The model is the history of the store; of the two sources, one may be behind.
 func TestOrderOfArrival(t *testing.T) {
--- a/vm/evacuation_test.go
+++ b/vm/evacuation_test.go
@@ -124,6 +124,20 @@
 	e.waitFor("the engine gets calls again", func() bool { second.call(t, "k1", "m"); return len(e.emptied.Arrivals()) > before })
 }
 
+// TestInstancesAreTakenForColdAfterEvacuation guards against more calls than a cold instance
+// takes: those of an evacuated data centre may be cold before their entries say so.
+func TestInstancesAreTakenForColdAfterEvacuation(t *testing.T) {
+	e := newEvacuationTest(t, "m")
+	e.store.Put("op/config", bytes.Replace(testDeployment(2, "k1"), []byte(`"max_conns":100`), []byte(`"max_conns":100,"cold_s":30.0,"cold_per_s":10.0`), 1))
+	v := e.startVM("entry-1")
+	e.awaitAnswer(v)
+	e.store.Put("op/evacuate/zone-b", []byte("{}"))
+	e.awaitEvacuations(v, 1)
+	e.store.Delete("op/evacuate/zone-b")
+	e.awaitEvacuations(v, 0)
+	e.waitFor("the instance counts as cold", func() bool { return v.metric(t, "kumquathitch_instances_cold") == 1 })
+}
+
 // TestModelIsLoadedOutsideEvacuatedDataCentre guards against a model that stays unavailable,
 // or is served by the evacuated data centre, because it was only there.
 func TestModelIsLoadedOutsideEvacuatedDataCentre(t *testing.T) {
