--- a/fleet/call_limits.go
+++ b/fleet/call_limits.go
@@ -20,8 +20,8 @@
 )
 
 // CallLimits counts the calls of all VMs against the limits that instances name, and against
-// what cold ones take. Only that
-// of the VM with the role of the scheduler is used. It is safe for concurrent use.
+// what cold ones take. Only those of the VMs with the role of a scheduler are used. It is safe
+// for concurrent use.
 type CallLimits struct {
 	shards [shardCount]callLimitShard
 }
--- a/fleet/global_scheduler.go
+++ b/fleet/global_scheduler.go
@@ -29,8 +29,8 @@
 	vmLoadTTL = 2 * time.Second
 )
 
-// GlobalScheduler assigns the calls of all VMs to engines. Only the leader's
-// instance is used. It tracks the calls that VMs report, and the prompts that it
+// GlobalScheduler assigns the calls of all VMs to engines. Only those of the VMs that are
+// schedulers are used. It tracks the calls that VMs report, and the prompts that it
 // assigned to each engine. It does not judge the health of engines: each VM names
 // the engines that failed for it. It is safe for concurrent use.
 type GlobalScheduler struct {
