Log who ends a caller's connection, and the steps of a shutdown

The log of a VM that stops said 'stopping' and 'drained' only. A call that its caller found lost could not be told apart from one that was answered, that its caller left, or whose connection this VM or its kernel closed: the hypotheses of the incident predict different lines here.

'caller left' and 'answer broken off' now say who ended the connection, and how many bytes were written, not acknowledged and not read. A connection that is closed under a request, or with bytes on the way in both directions, is logged. Each step of the shutdown logs the calls in flight and the connections. A VM that shuts down logs answered calls at level info.

TestEndSaysWhoEndedConnection covers the three causes; tests of intake, relay, trail and the shutdown tests of vm pass.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -112,6 +112,8 @@
 			if r = held.beginRequest(r); r == nil {
 				panic(http.ErrAbortHandler) // The caller has been told that the request has not run.
 			}
+			held.setHandling(true)
+			defer held.setHandling(false)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -160,7 +162,7 @@
 		b.closeConnections(max(1, limit/shedDivisor), false)
 	}
 	boundUnsent(conn)
-	c := &Conn{Conn: conn, budget: b, shard: &b.shards[b.next.Add(1)%shardCount], since: b.now()}
+	c := &Conn{Conn: conn, budget: b, shard: &b.shards[b.next.Add(1)%shardCount], since: b.now(), end: ConnectionEnd{Cause: EndNone}}
 	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
 		c.address = address.AddrPort().Addr()
 	}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -69,7 +69,9 @@
 	bodyBytes int64 // Bytes of the body that were read.
 	writing   int64 // Bytes that are being written; 0 for none.
 	widened   bool  // The kernel may hold bodyBufferBytes.
+	handling  bool  // A handler has the request.
 	closed    bool
+	end       ConnectionEnd
 }
 
 // Read reads bytes of the caller and counts those of heads. A connection whose head is
@@ -112,6 +114,7 @@
 	limit := c.budget.headLimit()
 	c.shard.mutex.Lock()
 	defer c.shard.mutex.Unlock()
+	c.recordEnd(err)
 	if c.phase == phaseBody && len(p) > 0 {
 		c.bodyBytes += int64(len(p))
 		c.since = c.budget.now()
@@ -190,6 +193,16 @@
 	return true
 }
 
+// setHandling records whether a handler has a request of the connection.
+func (c *Conn) setHandling(handling bool) {
+	c.shard.mutex.Lock()
+	defer c.shard.mutex.Unlock()
+	if c.handling = handling; handling {
+		c.end.Requests++
+		c.end.Written = 0
+	}
+}
+
 // awaitHead records that a request and its response have ended.
 func (c *Conn) awaitHead() {
 	c.shard.mutex.Lock()
@@ -219,11 +232,20 @@
 		written += n
 		if err != nil || written == len(p) {
 			c.recordWrite(0)
+			c.recordWritten(int64(written), err)
 			return written, err
 		}
 	}
 }
 
+// recordWritten records what a call of Write has passed to the kernel.
+func (c *Conn) recordWritten(bytes int64, err error) {
+	c.shard.mutex.Lock()
+	defer c.shard.mutex.Unlock()
+	c.end.Written += bytes
+	c.recordEnd(err)
+}
+
 func (c *Conn) recordWrite(bytes int64) {
 	c.shard.mutex.Lock()
 	defer c.shard.mutex.Unlock()
@@ -243,12 +265,16 @@
 
 // Close closes the connection and returns what it holds.
 func (c *Conn) Close() error {
+	unacknowledged, unread := pendingBytes(c.Conn)
 	c.shard.mutex.Lock()
 	if !c.closed {
 		c.closed = true
 		delete(c.shard.conns, c)
 		c.release()
 		c.budget.connections.Add(-1)
+		c.end.Unacknowledged, c.end.Unread = unacknowledged, unread
+		c.recordEnd(net.ErrClosed)
+		defer c.logClose(c.end, c.handling)
 	}
 	c.shard.mutex.Unlock()
 	return c.Conn.Close()
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/intake"
 )
 
 const (
@@ -118,11 +119,13 @@
 func (rc *relayedCall) fail(refusal *kumquathitch.RefusalError) {
 	if rc.request.Context().Err() != nil {
 		rc.Metrics.CallersLeft.Inc()
-		rc.Logger.Info("caller left", rc.logFields()...)
+		rc.Logger.Info("caller left", append(rc.logFields(), rc.connectionFields()...)...)
 		return
 	}
 	if rc.headSent {
-		rc.Logger.Info("answer broken off", append(rc.logFields(), zap.String("code", refusal.Code), zap.String("reason", refusal.Message))...)
+		fields := append(rc.logFields(), zap.String("code", refusal.Code), zap.String("reason", refusal.Message),
+			zap.Duration("after", rc.Clock.Now().Sub(rc.received)), zap.Bool("draining", rc.Draining()))
+		rc.Logger.Info("answer broken off", append(fields, rc.connectionFields()...)...)
 		rc.Metrics.countResponse(0, "broken-off")
 		panic(http.ErrAbortHandler) // Closes the connection, so that the caller sees an incomplete response.
 	}
@@ -153,6 +156,15 @@
 	_, _ = io.Copy(rc.writer, bytes.NewReader([]byte(text))) // An error means that the caller disconnected.
 }
 
+// connectionFields returns the state of the caller's connection, for the log line of a call that ends without a whole answer.
+func (rc *relayedCall) connectionFields() []zap.Field {
+	state, ok := intake.End(rc.request.Context())
+	if !ok {
+		return nil
+	}
+	return state.Fields()
+}
+
 // logFields returns the fields that all log lines about the call have.
 func (rc *relayedCall) logFields() []zap.Field {
 	fields := []zap.Field{
--- a/relay/send.go
+++ b/relay/send.go
@@ -381,12 +381,17 @@
 }
 
 // logSend counts and logs a send. Calls answered by their first send are logged
-// at debug level, to bound the volume of the log.
+// at debug level, to bound the volume of the log, except while the VM shuts down: whether a
+// call that its caller found lost was answered must then be known.
 func (rc *relayedCall) logSend(choice kumquathitch.InstanceChoice, status sendStatus, result kumquathitch.SendResult) {
 	rc.Metrics.countSend(result.Outcome.String())
 	if status.answered && rc.sends == 1 && result.Outcome == kumquathitch.SendAnswered {
-		rc.Logger.Debug("call answered", append(rc.logFields(), zap.String("instance", choice.Instance.ID), zap.Duration("expected", choice.ExpectedTTFB),
-			zap.Duration("took", result.Ended.Sub(choice.Sent)))...)
+		level := zap.DebugLevel
+		if rc.Draining() {
+			level = zap.InfoLevel
+		}
+		rc.Logger.Log(level, "call answered", append(rc.logFields(), zap.String("instance", choice.Instance.ID), zap.Duration("expected", choice.ExpectedTTFB),
+			zap.Duration("took", result.Ended.Sub(choice.Sent)), zap.String("caller", rc.request.RemoteAddr))...)
 		return
 	}
 	fields := append(rc.logFields(), zap.String("outcome", result.Outcome.String()), zap.String("instance", choice.Instance.ID),
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -165,6 +165,12 @@
 	return router
 }
 
+// logStep logs a step of drain, with the calls and the connections that it finds.
+func (s *servers) logStep(step string, started time.Time) {
+	fields := append([]zap.Field{zap.String("step", step), zap.Duration("after", time.Since(started)), zap.Int64("calls", s.calls.inFlight.Load())}, s.vm.intake.Count().Fields()...)
+	s.vm.log.Info("draining", fields...)
+}
+
 // drain waits for the platform to send callers elsewhere and for calls in flight to
 // end, and closes all listeners before the grace period is over. A call that still
 // arrives meanwhile is answered. Server.Shutdown comes last, since net/http closes
@@ -174,15 +180,18 @@
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-graceMargin))
 	defer cancel()
 	clock.Pause(ctx, min(drainDelay, grace/2))
+	s.logStep("refusing calls", started)
 	s.vm.stopping.Store(true)
 	cancelTimer := time.AfterFunc(time.Until(started.Add(grace-graceMargin-cancelMargin)), s.vm.cancelCalls)
 	defer cancelTimer.Stop()
 	s.callers.SetKeepAlivesEnabled(false) // Closes the idle connections.
 	s.calls.awaitQuiet(ctx)
+	s.logStep("closing the listener", started)
 	if err := s.accepts.Close(); err != nil {
 		s.vm.log.Warn("cannot close listener", zap.Error(err))
 	}
 	s.calls.awaitQuiet(ctx)
+	s.logStep("closing connections", started)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.vm.log.Warn("connections closed at the end of the grace period", zap.Error(err))
 		if err := s.callers.Close(); err != nil {
