Show that one lost probe ends a connection that waits

With TCP_USER_TIMEOUT set, Linux ignores TCP_KEEPCNT: it resets a connection once nothing has come from the peer for the user timeout and at least one keep-alive probe is unanswered. The first probe goes out after 1 s without traffic, the next look at the connection is 1 s later (Go rounds the interval of 0.5 s up to TCP_KEEPINTVL 1), so that one lost segment is enough.

A caller whose stream waits more than a second for an event loses it, with a reset and no further event. The VM sees a read error, cancels the call and logs that the caller left.

--- a/link/caller_conn_test.go
+++ b/link/caller_conn_test.go
@@ -45,3 +45,39 @@
 	must.NoError(t, err)
 	must.Eq(t, int64(written), received)
 }
+
+// TestOneLostProbeKeepsConnection guards against a connection that is reset because a single
+// keep-alive probe on it was lost.
+func TestOneLostProbeKeepsConnection(t *testing.T) {
+	accepted, caller := connect(t)
+	_, err := io.WriteString(accepted, "a")
+	must.NoError(t, err)
+	_, err = io.ReadFull(caller, make([]byte, 1))
+	must.NoError(t, err)
+	<-time.NewTimer(800 * time.Millisecond).C // The first probe is due after a second without traffic.
+	dropReceived(t, caller, true)
+	<-time.NewTimer(450 * time.Millisecond).C // One probe is lost.
+	dropReceived(t, caller, false)
+	<-time.NewTimer(1100 * time.Millisecond).C
+	_, err = io.WriteString(accepted, "b")
+	must.NoError(t, err)
+	_, err = io.ReadFull(caller, make([]byte, 1))
+	must.NoError(t, err)
+}
+
+// dropReceived has the kernel drop the segments that arrive at a connection, or no longer.
+func dropReceived(t *testing.T, conn net.Conn, drop bool) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	must.NoError(t, err)
+	var failed error
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		if !drop {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			return
+		}
+		none := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K} // Accepts no byte of a segment.
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &none})
+	}))
+	must.NoError(t, failed)
+}
