Show that a silent stream is given up without a successor

The watchdog ends the read from a silent server if HasAlternative finds another server that could take the call at that moment. The call then goes through the choice as a new one does, where the scheduler may assign none, or have it wait. The connection to the first server is closed by then, and the call polls until its deadline, or until a VM that stops cancels its calls.

Callers get the events so far, then nothing, and an incomplete chunked body at the end. On a VM that stops, all such streams end at the same moment, 650 ms before the end of the grace period, while no server works on them.

Measured: a stream with a pause of 1.5 s between its two events, whose scheduler reports full engines, is broken off 3.98 s after it began, by its deadline of 4 s.

--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -1,6 +1,8 @@
 package relay_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,3 +49,19 @@
 	vm.startPausingPair()
 	vm.mustStreamWhole()
 }
+
+// TestSilentStreamWithoutSuccessorGoesOn guards against a stream that is taken from a silent
+// server before another one has been found for it.
+func TestSilentStreamWithoutSuccessorGoesOn(t *testing.T) {
+	vm := newTestVM(t)
+	vm.handler.Chooser = &schedulingChooser{Chooser: vm.fleet}
+	var asked atomic.Int64
+	vm.schedule = func() error {
+		if asked.Add(1) == 1 {
+			return context.DeadlineExceeded // The VM chooses the server itself.
+		}
+		return &kumquathitch.EnginesFullError{Service: "llm", AvailableAt: time.Now().Add(time.Minute)}
+	}
+	vm.startPausingPair()
+	vm.mustStreamWhole()
+}
