--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,3 +66,55 @@
 	vm.startPausingPair()
 	vm.mustStreamWhole()
 }
+
+// TestHeadAtTimeoutIsNotMoved guards against a call that is taken from its server although the
+// head of the response arrives just when the wait for it ends.
+func TestHeadAtTimeoutIsNotMoved(t *testing.T) {
+	vm := newTestVM(t)
+	asked, heard := make(chan struct{}), make(chan struct{}, 16)
+	vm.handler.Chooser = &signallingChooser{Chooser: vm.fleet, asked: asked, heard: heard}
+	vm.handler.CrashDetector = &signallingDetector{CrashDetector: vm.crashes, heard: heard}
+	var sends atomic.Int64
+	for _, id := range []string{"i-1", "i-2"} {
+		vm.startScripted(id, func(call *standin.ScriptedCall) bool {
+			if sends.Add(1) == 1 {
+				<-asked
+			}
+			call.WriteHead("200 OK", "Content-Type: text/event-stream\r\nConnection: close\r\n")
+			<-time.NewTimer(50 * time.Millisecond).C
+			call.Write("id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n")
+			return false
+		})
+	}
+	got := vm.call("r1", "/stream/plan/1")
+	must.NoError(t, got.err)
+	must.Eq(t, 2, strings.Count(got.body, "data:"))
+	must.Eq(t, 1, sends.Load())
+}
+
+// signallingChooser has the server send the head of its response while the VM looks for an
+// alternative, which it does only when the wait for the head has ended.
+type signallingChooser struct {
+	kumquathitch.Chooser
+	asked, heard chan struct{}
+}
+
+func (c *signallingChooser) HasAlternative(criteria kumquathitch.InstanceCriteria, choice kumquathitch.InstanceChoice, now time.Time) bool {
+	close(c.asked)
+	<-c.heard
+	return c.Chooser.HasAlternative(criteria, choice, now)
+}
+
+// signallingDetector signals that the VM has read bytes of a server.
+type signallingDetector struct {
+	kumquathitch.CrashDetector
+	heard chan struct{}
+}
+
+func (d *signallingDetector) RecordBytes(instance *kumquathitch.Instance, connected, now time.Time) {
+	d.CrashDetector.RecordBytes(instance, connected, now)
+	select {
+	case d.heard <- struct{}{}:
+	default:
+	}
+}
