--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -21,6 +21,13 @@
 
 // startServer starts a server with a budget and returns its address.
 func startServer(t *testing.T, limits kumquathitch.IntakeLimits, handler http.HandlerFunc) string {
+	t.Helper()
+	_, address := serve(t, limits, handler)
+	return address
+}
+
+// serve starts a server with a budget and returns it with its address.
+func serve(t *testing.T, limits kumquathitch.IntakeLimits, handler http.HandlerFunc) (*http.Server, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -33,7 +40,7 @@
 	admitted := budget.Listen(listener)
 	go func() { _ = server.Serve(admitted) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String()
+	return server, listener.Addr().String()
 }
 
 func echo(w http.ResponseWriter, r *http.Request) {
