Show that a refusal before the body is lost by a reset

A refusal for an unknown route or key, or by a VM without a configuration or one that stops, is written before the body is read. If the request has "Connection: close", net/http then closes the connection without reading the rest or waiting: body.Close returns at once, and closeWriteAndWait is used only for bodies that it began to read. The kernel resets the connection, and a caller that still writes its body sees the reset first.

Such callers get a broken connection instead of a status that says that the call has not run. Nothing of the call has reached an instance.

--- a/intake/close_test.go
+++ b/intake/close_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +18,32 @@
 	"kumquathitch.example/kumquathitch"
 )
 
+// TestRefusalBeforeBodyIsDelivered guards against a refusal that is lost because the connection
+// is reset while its caller, who asked for the end of the connection, still sends the body.
+func TestRefusalBeforeBodyIsDelivered(t *testing.T) {
+	address := startServer(t, kumquathitch.IntakeLimits{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	var callers sync.WaitGroup
+	var lost atomic.Int64
+	for range 40 {
+		callers.Go(func() {
+			transport := &http.Transport{DisableKeepAlives: true}
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, strings.NewReader(strings.Repeat("a", 512<<10)))
+			must.NoError(t, err)
+			response, err := transport.RoundTrip(request)
+			if err != nil {
+				lost.Add(1)
+				return
+			}
+			must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+			_ = response.Body.Close()
+		})
+	}
+	callers.Wait()
+	must.Eq(t, 0, lost.Load())
+}
+
 // TestNextRequestDoesNotCutResponse guards against a response whose end is lost because its
 // caller has sent the next request when the server, which stops, closes the connection.
 func TestNextRequestDoesNotCutResponse(t *testing.T) {
