Show that a full successor loses a silent stream

A stream that the watchdog takes from a silent server is sent to another one. If that one turns the call away, the first connection is closed already, and the call polls until its deadline or until a VM that stops cancels its calls. The other server was free as far as the VM knew.

Callers see what they see when the scheduler assigns no server. To choose the successor before the read is ended would not be enough: it has to have accepted the call.

--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -17,22 +17,26 @@
 // stream is moved to another server.
 func (vm *testVM) startPausingPair() {
 	for _, id := range []string{"i-1", "i-2"} {
-		vm.startScripted(id, func(call *standin.ScriptedCall) bool {
-			call.WriteHead("200 OK", "Content-Type: text/event-stream\r\nConnection: close\r\n")
-			call.Write("id: 1\ndata: event 1\n\n")
-			<-time.NewTimer(1500 * time.Millisecond).C
-			call.Write("id: 2\ndata: event 2\n\n")
-			return false
-		})
+		vm.startScripted(id, streamWithPause)
 	}
 }
 
+const pausingStream = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n"
+
+func streamWithPause(call *standin.ScriptedCall) bool {
+	call.WriteHead("200 OK", "Content-Type: text/event-stream\r\nConnection: close\r\n")
+	call.Write("id: 1\ndata: event 1\n\n")
+	<-time.NewTimer(1500 * time.Millisecond).C
+	call.Write("id: 2\ndata: event 2\n\n")
+	return false
+}
+
 // mustStreamWhole calls a stream that may be resumed, and checks that all of it arrives.
 func (vm *testVM) mustStreamWhole() {
 	vm.t.Helper()
 	got := vm.call("r1", "/stream/plan/1")
 	must.NoError(vm.t, got.err)
-	must.Eq(vm.t, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", got.body)
+	must.Eq(vm.t, pausingStream, got.body)
 }
 
 // suspectingGuard suspects all calls, and blocks none.
@@ -67,6 +71,32 @@
 	vm.mustStreamWhole()
 }
 
+// TestSilentStreamWithFullSuccessorGoesOn guards against a stream that is taken from a silent
+// server for another one that turns it away.
+func TestSilentStreamWithFullSuccessorGoesOn(t *testing.T) {
+	vm := newTestVM(t)
+	reject := func(call *standin.ScriptedCall) bool {
+		call.WriteHead("503 Service Unavailable", "Not-Executed: 1\r\nContent-Length: 0\r\n")
+		return true
+	}
+	begun := make(chan struct{})
+	var sends atomic.Int64
+	vm.startScripted("i-1", func(call *standin.ScriptedCall) bool {
+		if sends.Add(1) > 1 {
+			return reject(call)
+		}
+		close(begun)
+		return streamWithPause(call)
+	})
+	result := make(chan callResult, 1)
+	go func() { result <- vm.call("r1", "/stream/plan/1") }()
+	<-begun
+	vm.startScripted("i-2", reject)
+	got := <-result
+	must.NoError(t, got.err)
+	must.Eq(t, pausingStream, got.body)
+}
+
 // TestHeadAtTimeoutIsNotMoved guards against a call that is taken from its server although the
 // head of the response arrives just when the wait for it ends.
 func TestHeadAtTimeoutIsNotMoved(t *testing.T) {
