Keep a silent stream until a successor has begun to answer

Callers of resumable streams got the events so far, then nothing, and a connection that ended without the rest. On VMs that were stopping, all such streams ended at the same moment, 650 ms before the end of the grace period.

Cause: the watchdog ended the read from a silent server as soon as HasAlternative found another one. Whether any server took the call was decided afterwards: the scheduler could assign none, and the server it assigned could turn the call away. The call then polled until its deadline or the end of the VM, while the first server, which was only silent, had been told to stop. The class of fault: giving up what works before its replacement is known to.

Now the watchdog chooses a successor, sends the call to it, and ends the first send when the response of the successor has begun. When the first server answers meanwhile, the successor is dropped. A successor that may have run the call counts against the route's attempts. No lock is held during these calls, and the search ends before the call goes on.

--- a/relay/call.go
+++ b/relay/call.go
@@ -70,6 +70,8 @@
 	runs     int  // Failed attempts that the instance may have run.
 	headSent bool // The caller has the status and header of a response.
 	stream   streamState
+
+	successor *attempt // Attempt that has taken the call over from a silent instance; nil if there is none.
 }
 
 // admit decides whether the call may be sent to an instance.
@@ -276,6 +278,7 @@
 	ctx, cancel := context.WithDeadline(ctx, rc.deadline)
 	defer cancel()
 	defer context.AfterFunc(rc.BaseContext, cancel)()
+	defer rc.abandonSuccessor()
 	rc.RetryBudget.RecordCall(rc.criteria.Service, rc.received)
 	if rc.modelListed {
 		rc.Demand.Add(rc.criteria.Service+"/"+rc.call.Target(), rc.call.PromptTokens+rc.call.MaxOutputTokens, rc.received)
@@ -301,6 +304,14 @@
 	}
 }
 
+// abandonSuccessor ends a successor that the call has not used.
+func (rc *relayedCall) abandonSuccessor() {
+	if rc.successor != nil {
+		rc.successor.abandon()
+		rc.successor = nil
+	}
+}
+
 // sendAndReport sends the call and reports the result to the chooser, also when the
 // send panics: otherwise the instance would count a call that never ends.
 func (rc *relayedCall) sendAndReport(ctx context.Context, choice kumquathitch.InstanceChoice) (result kumquathitch.SendResult, status sendStatus) {
@@ -315,12 +326,16 @@
 // prepareResend reports whether the call is sent again after a failed send. For a
 // stream that has begun, it waits until a resend is possible.
 func (rc *relayedCall) prepareResend(ctx context.Context, choice kumquathitch.InstanceChoice, result kumquathitch.SendResult, status sendStatus) bool {
-	if ctx.Err() != nil || result.Outcome == kumquathitch.SendCancelled || !rc.Clock.Now().Before(rc.deadline) || (status.mayHaveRun && !rc.mayRunAgain()) {
+	if ctx.Err() != nil || result.Outcome == kumquathitch.SendCancelled || !rc.Clock.Now().Before(rc.deadline) || (status.mayHaveRun && rc.successor == nil && !rc.mayRunAgain()) {
 		return false
 	}
 	if result.Outcome != kumquathitch.SendStale { // With SendStale only the reused connection failed, not the instance.
 		rc.criteria.Exclude = append(rc.criteria.Exclude, choice.Instance.ID)
 	}
+	if rc.successor != nil { // It runs the call already.
+		rc.Metrics.Resends.Inc()
+		return true
+	}
 	if rc.sends >= rc.route.MaxAttempts+maxExtraSends && !rc.pauseBeforeResume(ctx) {
 		return false
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -11,8 +11,11 @@
 
 // chooseUnblocked is choose, followed by a check that the call was not blocked during the
 // wait, and that the instance still takes calls. Calls wait for capacity, their model or
-// their turn for seconds.
+// their turn for seconds. A successor has been chosen already.
 func (rc *relayedCall) chooseUnblocked(ctx context.Context) (kumquathitch.InstanceChoice, error) {
+	if rc.successor != nil {
+		return rc.successor.choice, nil
+	}
 	for {
 		choice, err := rc.choose(ctx)
 		if err != nil {
@@ -47,7 +50,7 @@
 	placed := false
 	for {
 		choice, err := rc.Chooser.Choose(rc.criteria, rc.Clock.Now())
-		if err == nil && !rc.admitByLimit(ctx, choice) {
+		if err == nil && !rc.admitByLimit(ctx, rc.criteria, choice) {
 			continue
 		}
 		var none *kumquathitch.NoInstanceError
@@ -99,7 +102,7 @@
 		return kumquathitch.InstanceChoice{}, err
 	}
 	choice, ok := rc.Chooser.ChooseAssigned(rc.criteria, assignment, rc.Clock.Now())
-	if !ok || !rc.admitByLimit(ctx, choice) {
+	if !ok || !rc.admitByLimit(ctx, rc.criteria, choice) {
 		return kumquathitch.InstanceChoice{}, errNotScheduled
 	}
 	clock.Pause(ctx, assignment.SendAt.Sub(rc.Clock.Now())) // If ctx ends meanwhile, the send reports SendCancelled.
@@ -138,7 +141,7 @@
 
 // admitByLimit counts the call against the limit of the chosen instance. It ends the choice
 // and reports false if the limit is reached.
-func (rc *relayedCall) admitByLimit(ctx context.Context, choice kumquathitch.InstanceChoice) bool {
+func (rc *relayedCall) admitByLimit(ctx context.Context, criteria kumquathitch.InstanceCriteria, choice kumquathitch.InstanceChoice) bool {
 	if !choice.Limited {
 		return true
 	}
@@ -149,7 +152,7 @@
 			until = least
 		}
 		rc.Chooser.Defer(choice, until)
-		rc.Chooser.Done(rc.criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled, Ended: now})
+		rc.Chooser.Done(criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled, Ended: now})
 	}
 	return admitted
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -57,31 +57,59 @@
 // errMalformedResponse reports that the response cannot be forwarded as it is.
 var errMalformedResponse = errors.New("the response is malformed")
 
-// send sends the call to an instance and forwards the response.
+// send sends the call to an instance and forwards the response. If the instance is a successor
+// whose response has begun, it only forwards the response.
 func (rc *relayedCall) send(ctx context.Context, choice kumquathitch.InstanceChoice) (kumquathitch.SendResult, sendStatus) {
 	rc.sends++
 	ctx, span := rc.Tracer.Start(ctx, "send")
 	defer span.End()
+	if next := rc.successor; next != nil {
+		rc.successor = nil
+		defer next.cancel()
+		result, status := next.relay(ctx)
+		return next.conclude(ctx, result, status)
+	}
+	a, err := rc.open(ctx, choice, rc.stream.resumeAfter())
+	if err != nil {
+		return kumquathitch.SendResult{Outcome: rc.cancelledOr(ctx, kumquathitch.SendUnreachable)}, sendStatus{err: err}
+	}
+	result, status := a.roundTrip(ctx)
+	return a.conclude(ctx, result, status)
+}
+
+// open returns an attempt with a connection to an instance, which closes when ctx ends.
+func (rc *relayedCall) open(ctx context.Context, choice kumquathitch.InstanceChoice, resumeAfter string) (*attempt, error) {
 	noRetry := rc.route.RetryMode == kumquathitch.RetryNever
 	c, err := rc.Pool.acquire(ctx, &choice.Instance, noRetry, rc.Clock.Now())
 	if err != nil {
-		return kumquathitch.SendResult{Outcome: rc.cancelledOr(ctx, kumquathitch.SendUnreachable)}, sendStatus{err: err}
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	a := &attempt{relayedCall: rc, connection: c, choice: choice}
-	result, status := a.roundTrip(ctx)
-	// If stop reports false, the end of ctx closes the connection.
-	if stop() && a.reusable {
-		rc.Pool.release(c, rc.Clock.Now(), a.head.KeepAliveUntil)
+	return &attempt{relayedCall: rc, connection: c, choice: choice, resumeAfter: resumeAfter, stop: stop}, nil
+}
+
+// close returns the connection to the pool, or closes it.
+func (a *attempt) close() {
+	// If stop reports false, the end of the context closes the connection.
+	if a.stop() && a.reusable {
+		a.Pool.release(a.connection, a.Clock.Now(), a.head.KeepAliveUntil)
 	} else {
-		_ = c.Close()
+		_ = a.connection.Close()
 	}
-	if status.err != nil && (ctx.Err() != nil || rc.callerLeft()) {
+}
+
+// conclude ends an attempt, and takes its successor and what the search for one has used up.
+func (a *attempt) conclude(ctx context.Context, result kumquathitch.SendResult, status sendStatus) (kumquathitch.SendResult, sendStatus) {
+	a.close()
+	if status.err != nil && (ctx.Err() != nil || a.callerLeft()) {
 		result.Outcome = kumquathitch.SendCancelled
 	}
+	sends, runs := a.watchdog.spent()
+	a.sends, a.runs = a.sends+sends, a.runs+runs
 	if status.mayHaveRun && !status.answered {
-		rc.runs++
+		a.runs++
 	}
+	a.successor = a.watchdog.takeSuccessor()
 	a.recordEnd(result.Outcome, status)
 	return result, status
 }
@@ -139,6 +167,10 @@
 	headAt     time.Time
 	reusable   bool
 	watchdog   watchdog
+
+	resumeAfter string             // Event after which the instance resumes the stream; empty for a call from its beginning.
+	stop        func() bool        // Ends the binding of the connection to the context of the call.
+	cancel      context.CancelFunc // Of an attempt that was begun by a search; nil otherwise.
 }
 
 // roundTrip writes the call, reads the response and forwards it.
@@ -148,11 +180,39 @@
 		return a.ended(kumquathitch.SendStale, sendStatus{delivered: false, err: err})
 	}
 	if err == nil {
-		err = a.readHead()
+		err = a.awaitHead(ctx)
+	}
+	if err != nil {
+		return a.ended(a.headFailed(err))
 	}
+	a.recordHead()
+	return a.relay(ctx)
+}
+
+// awaitHead reads the head of the response. While the instance is silent, the watchdog searches for a
+// successor. A head that arrives in spite of one is used.
+func (a *attempt) awaitHead(ctx context.Context) error {
+	a.watchdog.start(ctx, a, a.resumeAfter, a.headTimeout)
+	err := a.readHead()
+	a.watchdog.stop()
 	if err != nil {
-		return a.headFailed(err)
+		return err
 	}
+	if unused := a.watchdog.takeSuccessor(); unused != nil {
+		a.dropSuccessor(unused)
+	}
+	return nil
+}
+
+// dropSuccessor ends a successor that is not needed, since the instance answers again.
+func (a *attempt) dropSuccessor(unused *attempt) {
+	a.watchdog.countUnused()
+	_ = a.connection.SetReadDeadline(a.deadline) // Fails only on a closed connection, like the next read.
+	unused.abandon()
+}
+
+// recordHead records the head of the response, and what it says of the instance.
+func (a *attempt) recordHead() {
 	a.headAt = a.Clock.Now()
 	news := a.Chooser.ResponseStarted(a.choice, a.head)
 	if news.Withdrawn {
@@ -163,13 +223,12 @@
 			zap.Bool("named", a.head.HasLimit), zap.Float64("per-second", a.head.LimitPerSecond))
 	}
 	a.Metrics.FirstByteTime.Update(a.headAt.Sub(a.received).Seconds())
+}
+
+// relay forwards a response that has begun.
+func (a *attempt) relay(ctx context.Context) (kumquathitch.SendResult, sendStatus) {
 	if a.head.NotExecuted {
-		a.reusable = drop(a.response.Body) && !a.response.Close
-		outcome := kumquathitch.SendNotExecuted
-		if a.head.Moved {
-			outcome = kumquathitch.SendMoved
-		}
-		return a.sendResult(outcome), sendStatus{delivered: true}
+		return a.ended(a.rejection(), sendStatus{delivered: true})
 	}
 	if a.route.Stream && a.response.StatusCode/100 == 2 {
 		return a.relayStream(ctx)
@@ -177,6 +236,15 @@
 	return a.relayBuffered()
 }
 
+// rejection returns the outcome of a send that the instance did not run.
+func (a *attempt) rejection() kumquathitch.SendOutcome {
+	a.reusable = drop(a.response.Body) && !a.response.Close
+	if a.head.Moved {
+		return kumquathitch.SendMoved
+	}
+	return kumquathitch.SendNotExecuted
+}
+
 // logWithdrawal counts and logs an instance that takes no more calls from this VM, for a
 // while or for good.
 func (a *attempt) logWithdrawal() {
@@ -194,7 +262,7 @@
 	now := a.Clock.Now()
 	header := a.Dialect.ForwardHeader(a.request.Header, kumquathitch.Dispatch{
 		Account: account, Instance: a.choice.Instance.ID, Priority: a.enginePriority(),
-		Deadline: a.deadline, LastEventID: a.stream.resumeAfter(),
+		Deadline: a.deadline, LastEventID: a.resumeAfter,
 	}, now)
 	if len(a.body) > 0 || a.request.Method == http.MethodPost || a.request.Method == http.MethodPut {
 		header["Content-Length"] = []string{strconv.Itoa(len(a.body))}
@@ -218,8 +286,6 @@
 	if err := a.connection.SetReadDeadline(a.deadline); err != nil {
 		return err
 	}
-	a.watchdog.start(a, a.headTimeout)
-	defer a.watchdog.stop()
 	for range maxMismatchedResponses {
 		a.connection.limiter.limit()
 		// Close would read a body without end. The connection is closed or read on instead.
@@ -280,20 +346,20 @@
 	return a.route.RetryMode != kumquathitch.RetryNever && a.runs+1 < a.route.MaxAttempts
 }
 
-// headFailed returns the result of a send whose response has no readable head.
-func (a *attempt) headFailed(err error) (kumquathitch.SendResult, sendStatus) {
+// headFailed returns the outcome of a send whose response has no readable head.
+func (a *attempt) headFailed(err error) (kumquathitch.SendOutcome, sendStatus) {
 	status := sendStatus{delivered: true, mayHaveRun: true, err: err}
 	switch {
 	case a.watchdog.timedOut():
 		status.retryAllowed = true
-		return a.ended(kumquathitch.SendTimedOut, status)
+		return kumquathitch.SendTimedOut, status
 	case a.callEnded(): // The deadline or the caller's disconnect closed the connection.
-		return a.ended(kumquathitch.SendCancelled, status)
+		return kumquathitch.SendCancelled, status
 	case a.connection.reused && a.connection.reader.Buffered() == 0 && isConnectionClosed(err):
 		// The instance closed a reused connection. The call may still have run.
-		return a.ended(kumquathitch.SendStale, status)
+		return kumquathitch.SendStale, status
 	}
-	return a.ended(kumquathitch.SendBroken, status)
+	return kumquathitch.SendBroken, status
 }
 
 func (a *attempt) callEnded() bool {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -65,7 +65,7 @@
 		a.Logger.Info("stream resumed", zap.String("call", a.call.ID), zap.String("after-event", a.stream.lastEventID),
 			zap.String("instance", a.choice.Instance.ID))
 	}
-	rest, err := a.copyEvents()
+	rest, err := a.copyEvents(ctx)
 	if err == nil && len(rest) > 0 {
 		err = &truncatedStreamError{Bytes: len(rest), Closed: a.endsWithConnection()}
 	}
@@ -128,12 +128,12 @@
 
 // copyEvents forwards whole events until the stream ends. It returns the bytes
 // of an incomplete event at the end.
-func (a *attempt) copyEvents() ([]byte, error) {
+func (a *attempt) copyEvents(ctx context.Context) ([]byte, error) {
 	control := http.NewResponseController(a.writer)
 	pending := make([]byte, 0, streamBufferBytes)
 	reserved := int64(0)
 	defer func() { a.Buffers.Release(reserved) }()
-	a.watchdog.start(a, a.eventTimeout)
+	a.watchdog.start(ctx, a, a.stream.resumeAfter(), a.eventTimeout)
 	defer a.watchdog.stop()
 	for {
 		if size := len(pending); size == cap(pending) {
@@ -169,17 +169,29 @@
 
 // forwardEvents writes whole events to the caller, and records the ID of the last one.
 func (a *attempt) forwardEvents(control *http.ResponseController, events []byte) error {
+	progress, id := hasData(events), "" // Comments keep a connection open, and are no progress of the stream.
+	if progress && a.route.RetryMode == kumquathitch.RetryResume {
+		id, _ = a.lastID(events)
+	}
+	if progress {
+		// A successor would repeat these events.
+		if unused := a.watchdog.recordProgress(a.Clock.Now(), id); unused != nil {
+			a.dropSuccessor(unused)
+		}
+	}
 	if _, err := a.writer.Write(events); err != nil {
 		return &callerWriteError{Cause: err}
 	}
 	if err := control.Flush(); err != nil {
 		return &callerWriteError{Cause: err}
 	}
-	if !hasData(events) {
-		return nil // Comments keep a connection open, and are no progress of the stream.
+	if !progress {
+		return nil
 	}
 	now := a.Clock.Now()
-	a.watchdog.recordProgress(now)
+	if unused := a.watchdog.recordProgress(now, ""); unused != nil { // The caller took long to read.
+		a.dropSuccessor(unused)
+	}
 	if a.stream.forwarded {
 		gap := now.Sub(a.stream.lastEventAt)
 		a.stream.longestGap = max(a.stream.longestGap, gap)
@@ -187,10 +199,7 @@
 	}
 	a.stream.forwarded, a.stream.lastEventAt = true, now
 	a.stream.events += bytes.Count(events, eventEnd)
-	if a.route.RetryMode != kumquathitch.RetryResume {
-		return nil
-	}
-	if id, ok := a.lastID(events); ok {
+	if id != "" {
 		a.stream.lastEventID = id
 	}
 	return nil
--- /dev/null
+++ b/relay/successor.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/clock"
+)
+
+// findSuccessor sends the call of a silent attempt to another instance, if one can take it now,
+// and returns the new attempt once its response has begun. The silent attempt goes on
+// meanwhile: it may still answer, and the other instance may turn the call away.
+func (a *attempt) findSuccessor(ctx context.Context, s *search) *attempt {
+	now := a.Clock.Now()
+	if !a.mayHaveSuccessor() || !a.Chooser.HasAlternative(a.criteria, a.choice, now) || !a.watchdog.needs(s) {
+		return nil
+	}
+	criteria := a.criteria
+	criteria.Exclude = append(slices.Clone(a.criteria.Exclude), a.choice.Instance.ID)
+	criteria.FirstByteDeadline = time.Time{}
+	choice, ok := a.chooseSuccessor(ctx, criteria)
+	if !ok {
+		return nil
+	}
+	if !a.watchdog.needs(s) || !a.RetryBudget.Allow(criteria.Service, a.Clock.Now()) {
+		a.report(criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled})
+		return nil
+	}
+	successor, result, status := a.sendToSuccessor(ctx, s, choice)
+	if successor == nil {
+		s.sends++
+		if status.mayHaveRun {
+			s.runs++
+		}
+		a.report(criteria, choice, result)
+		return nil
+	}
+	a.Logger.Info("instance silent", zap.String("call", a.call.ID), zap.String("instance", a.choice.Instance.ID),
+		zap.Duration("silent", a.Clock.Now().Sub(s.silentSince)), zap.String("successor", choice.Instance.ID))
+	return successor
+}
+
+// mayHaveSuccessor reports whether the call may run on another instance.
+func (a *attempt) mayHaveSuccessor() bool {
+	_, spent := a.watchdog.spent()
+	return a.route.RetryMode != kumquathitch.RetryNever && a.runs+1+spent < a.route.MaxAttempts
+}
+
+// chooseSuccessor chooses an instance that can take the call now. Unlike choose, it does not wait
+// for capacity, a model or a turn.
+func (a *attempt) chooseSuccessor(ctx context.Context, criteria kumquathitch.InstanceCriteria) (kumquathitch.InstanceChoice, bool) {
+	if !a.Chooser.Scheduled(criteria, a.Clock.Now()) {
+		return a.chooseHere(ctx, criteria)
+	}
+	assignment, err := a.Scheduler.Schedule(ctx, criteria)
+	var full *kumquathitch.EnginesFullError
+	var blocked *kumquathitch.CallBlockedError
+	var deferred *kumquathitch.CallDeferredError
+	switch {
+	case errors.As(err, &full), errors.As(err, &blocked), errors.As(err, &deferred), ctx.Err() != nil:
+		return kumquathitch.InstanceChoice{}, false
+	case err != nil:
+		return a.chooseHere(ctx, criteria)
+	}
+	choice, ok := a.Chooser.ChooseAssigned(criteria, assignment, a.Clock.Now())
+	if !ok || !a.admitByLimit(ctx, criteria, choice) {
+		return kumquathitch.InstanceChoice{}, false
+	}
+	clock.Pause(ctx, assignment.SendAt.Sub(a.Clock.Now()))
+	if ctx.Err() != nil || !a.Chooser.Accepts(choice, a.Clock.Now()) {
+		a.report(criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled})
+		return kumquathitch.InstanceChoice{}, false
+	}
+	return choice, true
+}
+
+// chooseHere chooses an instance by what this VM knows.
+func (a *attempt) chooseHere(ctx context.Context, criteria kumquathitch.InstanceCriteria) (kumquathitch.InstanceChoice, bool) {
+	choice, err := a.Chooser.Choose(criteria, a.Clock.Now())
+	return choice, err == nil && a.admitByLimit(ctx, criteria, choice)
+}
+
+// report reports the end of a send to the chooser.
+func (rc *relayedCall) report(criteria kumquathitch.InstanceCriteria, choice kumquathitch.InstanceChoice, result kumquathitch.SendResult) {
+	result.Ended = rc.Clock.Now()
+	rc.Chooser.Done(criteria, choice, result)
+}
+
+// sendToSuccessor sends the call to another instance. It returns the new attempt, or the result
+// if the instance did not take the call.
+func (a *attempt) sendToSuccessor(ctx context.Context, s *search, choice kumquathitch.InstanceChoice) (*attempt, kumquathitch.SendResult, sendStatus) {
+	next, err := a.open(ctx, choice, s.resumeAfter)
+	if err != nil {
+		return nil, kumquathitch.SendResult{Outcome: a.cancelledOr(ctx, kumquathitch.SendUnreachable)}, sendStatus{err: err}
+	}
+	next.cancel = s.cancel
+	written, err := next.write()
+	if err == nil {
+		err = next.readHead()
+	}
+	outcome, status := kumquathitch.SendStale, sendStatus{err: err}
+	switch {
+	case err == nil:
+		next.recordHead()
+		if next.takesOver() {
+			return next, kumquathitch.SendResult{}, status
+		}
+		outcome, status = next.refusal()
+	case written > 0:
+		outcome, status = next.headFailed(err)
+	}
+	next.close()
+	if ctx.Err() != nil {
+		outcome = kumquathitch.SendCancelled
+	}
+	next.recordEnd(outcome, status)
+	return nil, kumquathitch.SendResult{Outcome: outcome, FirstByte: next.headAt, Load: next.head.Load, HasLoad: next.head.HasLoad}, status
+}
+
+// takesOver reports whether the response that has begun can replace that of a silent instance.
+func (a *attempt) takesOver() bool {
+	if a.head.NotExecuted {
+		return false
+	}
+	if a.headSent || a.route.Stream {
+		return a.response.StatusCode/100 == 2
+	}
+	return a.response.StatusCode/100 < 5 && !impliesNotRun(a.response.StatusCode)
+}
+
+// refusal returns the outcome of a send whose response cannot replace that of a silent instance.
+func (a *attempt) refusal() (kumquathitch.SendOutcome, sendStatus) {
+	if a.head.NotExecuted {
+		return a.rejection(), sendStatus{delivered: true}
+	}
+	return kumquathitch.SendFailed, sendStatus{delivered: true, mayHaveRun: true}
+}
+
+// abandon ends an attempt whose response has begun and is not needed.
+func (a *attempt) abandon() {
+	a.close()
+	a.recordEnd(kumquathitch.SendCancelled, sendStatus{mayHaveRun: true})
+	a.report(a.criteria, a.choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled, FirstByte: a.headAt})
+	a.cancel()
+}
