Look for no successor of a call that may not run again

A stream that had begun was broken off after a second of silence, although its server was sound, if its call was suspected of crashing servers: prepareResend does not send such calls again, and the watchdog did not ask.

TestSilentStreamOfSuspectedCallGoesOn failed before, broken off 1.0 s after the first event, and passes.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -17,7 +17,7 @@
 // meanwhile: it may still answer, and the other instance may turn the call away.
 func (a *attempt) findSuccessor(ctx context.Context, s *search) *attempt {
 	now := a.Clock.Now()
-	if !a.mayHaveSuccessor() || !a.Chooser.HasAlternative(a.criteria, a.choice, now) || !a.watchdog.needs(s) {
+	if !a.mayHaveSuccessor(now) || !a.Chooser.HasAlternative(a.criteria, a.choice, now) || !a.watchdog.needs(s) {
 		return nil
 	}
 	criteria := a.criteria
@@ -46,9 +46,10 @@
 }
 
 // mayHaveSuccessor reports whether the call may run on another instance.
-func (a *attempt) mayHaveSuccessor() bool {
+func (a *attempt) mayHaveSuccessor(now time.Time) bool {
 	_, spent := a.watchdog.spent()
-	return a.route.RetryMode != kumquathitch.RetryNever && a.runs+1+spent < a.route.MaxAttempts
+	return a.route.RetryMode != kumquathitch.RetryNever && a.runs+1+spent < a.route.MaxAttempts &&
+		!a.CrashGuard.Suspected(a.criteria.Content, now) && !a.PromptGuard.Suspected(a.call.Prompt, now)
 }
 
 // chooseSuccessor chooses an instance that can take the call now. Unlike choose, it does not wait
