Count the head of a response as progress

A head that arrived while the watchdog ended the wait for it was forwarded, and the stream then taken from its server and sent to another one: the read deadline of the ended wait held on. The call ran twice.

A head now ends the search for a successor like an event does, and a successor that was found at that moment is dropped.

TestHeadAtTimeoutIsNotMoved failed before with two sends, and passes in 5 of 5 runs.

--- a/relay/send.go
+++ b/relay/send.go
@@ -294,6 +294,9 @@
 		if err != nil {
 			return err
 		}
+		if unused := a.watchdog.recordProgress(a.Clock.Now(), ""); unused != nil {
+			a.dropSuccessor(unused)
+		}
 		a.recordBytes()
 		if response.StatusCode/100 == 1 {
 			continue
