Give accepted connections a user timeout of their own

A caller whose stream waited over a second for an event lost the connection if one keep-alive probe was lost, and a caller that read nothing for two seconds lost the end of a response that was larger than its window, also after the VM had written all of it and counted the call as answered. Neither depends on a shutdown; around one, both count as lost calls.

Cause: TCP_USER_TIMEOUT of 1.5 s was set on callers' connections as on those to servers. Linux then resets a connection after the first unanswered probe, and also while the peer acknowledges probes with a closed window. A server that is gone has to be noticed within 3 s; nothing depends on noticing a caller soon, since calls and their writes have deadlines.

Accepted connections now have 10 s, with probes after 5 s and each 2 s. Connections that a VM opens keep their timeouts: one lost probe still ends those, after 2 s without traffic.

--- a/link/link.go
+++ b/link/link.go
@@ -1,5 +1,6 @@
-// Package link opens TCP connections that detect an unresponsive peer within
-// about 1.5 s, such as a VM without power or a broken network path.
+// Package link opens TCP connections that detect an unresponsive peer, such as a VM
+// without power or a broken network path: within about 2 s if this process has opened the
+// connection, and within about 11 s if it has accepted it.
 //
 // # Usage
 //
@@ -19,22 +20,26 @@
 )
 
 const (
-	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged before
-	// the kernel closes the connection. It is well below the 3 s after which the
-	// platform counts a VM as settled again.
-	unacknowledgedTimeout = 1500 * time.Millisecond
-	// The keep-alive settings detect a dead peer on an idle connection after about
-	// unacknowledgedTimeout.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 2
+	// dialedTimeout is how long sent bytes may stay unacknowledged on a connection that
+	// this process has opened before the kernel closes it. It is well below the 3 s after
+	// which the platform counts a VM as settled again.
+	dialedTimeout = 1500 * time.Millisecond
+	// acceptedTimeout is the same for a connection of a caller. Nobody waits for the loss of a caller to
+	// be noticed, as calls and their writes have deadlines, while a caller that pauses, or loses
+	// some segments, still wants its response.
+	acceptedTimeout = 10 * time.Second
 )
 
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+// While a user timeout is set, Linux ignores the count of probes: it resets a connection once
+// nothing has come for that timeout and a probe is unanswered. The kernel takes whole seconds.
+var (
+	dialedKeepAlive   = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+	acceptedKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
+)
 
 // Dial connects to an address. It fails if no connection is open by the deadline.
 func Dial(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
-	dialer := net.Dialer{Deadline: deadline, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	dialer := net.Dialer{Deadline: deadline, KeepAliveConfig: dialedKeepAlive, Control: userTimeout(dialedTimeout)}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
@@ -46,11 +51,11 @@
 	}
 }
 
-// Listen listens on an address. Accepted connections detect unresponsive peers too.
+// Listen listens on an address.
 // When the listener is closed, it first accepts the connections that callers have
 // already opened: the kernel would reset them, with the requests that they carry.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: acceptedKeepAlive, Control: userTimeout(acceptedTimeout)}
 	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -82,15 +87,17 @@
 	return l.SetDeadline(time.Now().Add(acceptDrainTime))
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket. Sockets accepted from a
-// listening socket inherit it.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// userTimeout returns a function that sets TCP_USER_TIMEOUT on a socket. Sockets accepted from a
+// listening socket inherit it. The timeout also applies while the peer's window is closed.
+func userTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var sockErr error
+		err := raw.Control(func(fd uintptr) {
+			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return sockErr
 	}
-	return sockErr
 }
