Soak planned restarts of several VMs under streams

The fault soak could not see them: it checks that what arrives of a stream is right, and lets it end early; its route's timeout is half of the grace period, its streams take milliseconds, and its engines never go on after a silence.

Change: TestSoakRollKeepsStreams stops five of six VMs, the leader included, at once and in series, and starts them again, while configurations change. Callers go on until the processes are gone, over delayed connections that are kept, new, or opened seconds before, and some calls meet each step of drain. The judge applies the rule to each call, by what the caller and the engines saw. TestSoakRollKeepsSilentStreams adds engines that fall silent for 1.1 to 4 s while others reject the resumed call. It fails, and is listed.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -108,22 +108,28 @@
 		c.store.Put("servers/"+engine.ID, engine.Registration(engineProxy.address))
 	}
 	c.writeConfiguration()
+	c.startVMs(vmCount, server.Listener.Addr().String())
+	return c
+}
+
+// startVMs starts entry VMs before a store and waits until they are ready.
+func (c *cluster) startVMs(count int, storeAddress string) {
+	c.t.Helper()
 	seeds := loopback(0) + ":7380," + loopback(1) + ":7380"
-	for i := range vmCount {
-		v := &entryVM{t: t, name: fmt.Sprintf("entry-%d", i), ip: loopback(i), storeProxy: newProxy(t, server.Listener.Addr().String()), log: &bytes.Buffer{}}
-		v.settingsFile = filepath.Join(t.TempDir(), v.name+".conf")
+	for i := range count {
+		v := &entryVM{t: c.t, name: fmt.Sprintf("entry-%d", i), ip: loopback(i), storeProxy: newProxy(c.t, storeAddress), log: &bytes.Buffer{}}
+		v.settingsFile = filepath.Join(c.t.TempDir(), v.name+".conf")
 		text := fmt.Sprintf("node_name=%s\nzone=zone-%d\nip=%s\ninternal_ports=7380,7381\nlisten.front=%s:8080\nlisten.ready=%s:8081\nplatform.address=%s\n"+
 			"seeds=%s\nbootstrap=true\nbounds.grace_s=%d\nbounds.lease_ms=500\nbounds.fencing=true\nbounds.drain_ms=500\nbounds.budget_ratio=0.2\nbounds.budget_slack=60\n",
 			v.name, i, v.ip, v.ip, v.ip, v.storeProxy.address, seeds, int(shutdownGrace.Seconds()))
-		must.NoError(t, os.WriteFile(v.settingsFile, []byte(text), 0o600))
+		must.NoError(c.t, os.WriteFile(v.settingsFile, []byte(text), 0o600))
 		v.start()
-		t.Cleanup(v.kill)
+		c.t.Cleanup(v.kill)
 		c.vms = append(c.vms, v)
 	}
 	for _, v := range c.vms {
 		c.waitFor(v.name+" to become ready", v.isReady)
 	}
-	return c
 }
 
 // writeConfiguration writes the next version of the configuration. Each version has
--- /dev/null
+++ b/soak/roll_engine_test.go
@@ -0,0 +1,156 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"kumquathitch.example/kumquathitch/standin"
+)
+
+const engineSlots = 64
+
+// streamPlan is what engines do with a call.
+type streamPlan struct {
+	events        int
+	first         time.Duration // Until the first event.
+	gap           time.Duration // Between events.
+	earlyHead     bool          // The head of the response does not wait for the first event.
+	silentAfter   int           // Number of events before a silence of the first run; 0 for none.
+	silence       time.Duration
+	refuseResumes bool // Engines reject the resumed call as if they were full.
+}
+
+// planStream draws the plan of a call. It depends on the seed and the call only.
+func planStream(p rollProfile, seed uint64, call string) streamPlan {
+	digest := fnv.New64a()
+	_, _ = digest.Write([]byte(call))
+	random := rand.New(rand.NewPCG(seed, digest.Sum64()))
+	s := streamPlan{events: 3 + random.IntN(25), earlyHead: random.IntN(2) == 0}
+	length := time.Duration(50+random.IntN(600)) * time.Millisecond
+	if random.Float64() < p.long || strings.HasPrefix(call, "long") {
+		length = time.Duration(3000+random.IntN(4300)) * time.Millisecond
+	}
+	s.first = length / 10
+	if random.Float64() < p.lateFirst {
+		s.first = min(length*8/10, time.Duration(1000+random.IntN(5000))*time.Millisecond)
+	}
+	s.gap = (length - s.first) / time.Duration(s.events-1)
+	if random.Float64() < p.silent {
+		s.silentAfter = 1 + random.IntN(s.events-1)
+		s.silence = time.Duration(1100+random.IntN(2900)) * time.Millisecond
+		s.refuseResumes = random.Float64() < p.refuseResumes
+	}
+	return s
+}
+
+// waitBefore returns the wait before an event.
+func (s streamPlan) waitBefore(event, resumedAfter int) time.Duration {
+	wait := s.gap
+	if event == 1 {
+		wait = s.first
+	}
+	if resumedAfter == 0 && s.silentAfter > 0 && event == s.silentAfter+1 {
+		wait += s.silence
+	}
+	return wait
+}
+
+// engineRun is what an engine saw of one arrival of a call.
+type engineRun struct {
+	engine       string
+	began, ended time.Time
+	resumedAfter int
+	events       int  // Events sent.
+	rejected     bool // Not run.
+	complete     bool // False if the VM closed the connection.
+}
+
+// rollEngine is an engine whose streams follow plans. It never breaks a stream off.
+type rollEngine struct {
+	*standin.Instance
+	profile rollProfile
+	seed    uint64
+
+	mutex   sync.Mutex
+	running int
+	runs    map[string][]engineRun // By call.
+}
+
+func (e *rollEngine) registration(address string) []byte {
+	return fmt.Appendf(nil, `{"service":"llm","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"ready","seq":7,"born":1,"models":[{"name":"m","version":1,"adapters":[]}]}`, address, engineSlots)
+}
+
+// ServeHTTP serves streams below /stock/, and the rest as an Instance.
+func (e *rollEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/stock/") || r.Header.Get("Expect-Instance") != e.ID {
+		e.Instance.ServeHTTP(w, r)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	_, _ = io.Copy(io.Discard, r.Body) // A call whose connection broke ends below.
+	plan := planStream(e.profile, e.seed, id)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	run := engineRun{engine: e.ID, began: time.Now(), resumedAfter: after, rejected: after > 0 && plan.refuseResumes}
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Server-Load", e.enter(1))
+	defer func() {
+		e.enter(-1)
+		run.ended = time.Now()
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		e.runs[id] = append(e.runs[id], run)
+	}()
+	if run.rejected {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Response-Signature", "signed-by-"+e.ID)
+	run.events, run.complete = writePlan(r.Context(), w, plan, after)
+	if !run.complete {
+		panic(http.ErrAbortHandler) // Deferred calls have run then.
+	}
+}
+
+// writePlan writes the events after one, until the VM closes the connection.
+func writePlan(ctx context.Context, w http.ResponseWriter, plan streamPlan, after int) (events int, complete bool) {
+	control := http.NewResponseController(w)
+	if plan.earlyHead {
+		w.WriteHeader(http.StatusOK)
+		_ = control.Flush() // An error shows at the first event.
+	}
+	for n := after + 1; n <= plan.events; n++ {
+		if !waitUntil(ctx, time.Now().Add(plan.waitBefore(n, after))) {
+			return events, false
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n); err != nil || control.Flush() != nil {
+			return events, false
+		}
+		events++
+	}
+	return events, true
+}
+
+// enter counts the running calls, and returns the load.
+func (e *rollEngine) enter(change int) string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.running += change
+	return fmt.Sprintf("%d,0,%d", e.running, engineSlots)
+}
+
+// runsOf returns the arrivals of a call that have ended.
+func (e *rollEngine) runsOf(call string) []engineRun {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.runs[call]
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,6 +52,12 @@
 	return first, last
 }
 
+// seedsAreNamed reports whether KUMQUATHITCH_SOAK_SEEDS is set.
+func seedsAreNamed() bool {
+	_, ok := os.LookupEnv("KUMQUATHITCH_SOAK_SEEDS")
+	return ok
+}
+
 // TestSoak checks under random faults that calls are not executed more often than
 // their routes allow, refused calls are not executed, streams have no gaps, and VMs
 // serve again within the recovery limit after the faults.
