--- a/soak/delayed_conn_test.go
+++ b/soak/delayed_conn_test.go
@@ -42,8 +42,9 @@
 	end  error
 }
 
-// dialDelayed opens a connection that delays each direction.
-func dialDelayed(ctx context.Context, address string, delay time.Duration) (*delayedConn, error) {
+// dialDelayed opens a connection that delays each direction. Its caller reads nothing before
+// readFrom.
+func dialDelayed(ctx context.Context, address string, delay time.Duration, readFrom time.Time) (*delayedConn, error) {
 	dialer := net.Dialer{Timeout: time.Second}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -52,7 +53,7 @@
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	c := &delayedConn{Conn: conn, delay: delay, outgoing: make(chan piece, pieceCount), incoming: make(chan piece, pieceCount), stop: stop, closed: make(chan struct{}), ended: make(chan struct{}, 2)}
 	go c.send(ctx)
-	go c.receive(ctx)
+	go c.receive(ctx, readFrom)
 	return c, nil
 }
 
@@ -73,8 +74,11 @@
 	}
 }
 
-func (c *delayedConn) receive(ctx context.Context) {
+func (c *delayedConn) receive(ctx context.Context, from time.Time) {
 	defer func() { c.ended <- struct{}{} }()
+	if !waitUntil(ctx, from) {
+		return
+	}
 	buffer := make([]byte, pieceBytes)
 	for {
 		n, err := c.Conn.Read(buffer)
@@ -177,7 +181,7 @@
 		received <- string(request)
 	}()
 	defer func() { _ = listener.Close() }()
-	conn, err := dialDelayed(t.Context(), listener.Addr().String(), 30*time.Millisecond)
+	conn, err := dialDelayed(t.Context(), listener.Addr().String(), 30*time.Millisecond, time.Now())
 	must.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
--- a/soak/roll_caller_test.go
+++ b/soak/roll_caller_test.go
@@ -28,6 +28,7 @@
 	delay    time.Duration // Of the connection, in each direction.
 	first    bool          // On its connection.
 	opened   time.Time     // Of the connection.
+	readFrom time.Time     // The caller does not read before.
 	sent     time.Time     // First byte.
 	lastByte time.Time
 	ended    time.Time // End of the response or the connection.
@@ -49,6 +50,7 @@
 	conn     *delayedConn
 	reader   *bufio.Reader
 	opened   time.Time
+	readFrom time.Time
 	used     bool // The connection has carried a call.
 	calls    int
 }
@@ -59,11 +61,15 @@
 		return true
 	}
 	delay := time.Duration(3+c.random.IntN(47)) * time.Millisecond
-	conn, err := dialDelayed(ctx, c.vm.ip+":8080", delay)
+	readFrom := time.Now()
+	if c.roll.profile.early {
+		readFrom = readFrom.Add(time.Duration(c.random.IntN(1400)) * time.Millisecond)
+	}
+	conn, err := dialDelayed(ctx, c.vm.ip+":8080", delay, readFrom)
 	if err != nil {
 		return false
 	}
-	c.conn, c.reader, c.opened, c.used = conn, bufio.NewReader(conn), time.Now(), false
+	c.conn, c.reader, c.opened, c.readFrom, c.used = conn, bufio.NewReader(conn), time.Now(), readFrom, false
 	return true
 }
 
@@ -91,14 +97,14 @@
 // call makes one call on the open connection.
 func (c *rollCaller) call(ctx context.Context, prefix string) {
 	c.calls++
-	result := rollCall{id: fmt.Sprintf("%s-%s-%d", prefix, c.name, c.calls), kind: c.name, vm: c.vm, delay: c.conn.delay, first: !c.used, opened: c.opened}
+	result := rollCall{id: fmt.Sprintf("%s-%s-%d", prefix, c.name, c.calls), kind: c.name, vm: c.vm, delay: c.conn.delay, first: !c.used, opened: c.opened, readFrom: c.readFrom}
 	c.used = true
 	leave := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	closes := c.exchange(&result)
 	result.ended = time.Now()
 	result.left = !leave() || errors.Is(result.err, net.ErrClosed)
 	c.roll.record(result)
-	if result.err != nil || !c.kept || (closes && !c.stubborn) {
+	if result.err != nil || !c.kept || c.roll.profile.early || (closes && !c.stubborn) {
 		c.close()
 	}
 }
@@ -116,6 +122,9 @@
 			return true
 		}
 	}
+	if c.roll.profile.early {
+		_, _ = c.conn.Write([]byte("POST /stock/")) // The start of a call that is never sent.
+	}
 	_ = c.conn.SetReadDeadline(result.sent.Add(hangTimeout))
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
--- a/soak/roll_engine_test.go
+++ b/soak/roll_engine_test.go
@@ -15,8 +15,6 @@
 	"kumquathitch.example/kumquathitch/standin"
 )
 
-const engineSlots = 64
-
 // streamPlan is what engines do with a call.
 type streamPlan struct {
 	events        int
@@ -25,7 +23,8 @@
 	earlyHead     bool          // The head of the response does not wait for the first event.
 	silentAfter   int           // Number of events before a silence of the first run; 0 for none.
 	silence       time.Duration
-	refuseResumes bool // Engines reject the resumed call as if they were full.
+	refuseResumes bool          // Engines reject the resumed call as if they were full.
+	queue         time.Duration // Until an engine begins to work on the resumed call.
 }
 
 // planStream draws the plan of a call. It depends on the seed and the call only.
@@ -47,6 +46,9 @@
 		s.silentAfter = 1 + random.IntN(s.events-1)
 		s.silence = time.Duration(1100+random.IntN(2900)) * time.Millisecond
 		s.refuseResumes = random.Float64() < p.refuseResumes
+		if random.Float64() < p.queues {
+			s.queue = time.Duration(1000+random.IntN(5000)) * time.Millisecond
+		}
 	}
 	return s
 }
@@ -60,6 +62,9 @@
 	if resumedAfter == 0 && s.silentAfter > 0 && event == s.silentAfter+1 {
 		wait += s.silence
 	}
+	if resumedAfter > 0 && event == resumedAfter+1 {
+		wait += s.queue
+	}
 	return wait
 }
 
@@ -85,10 +90,10 @@
 }
 
 func (e *rollEngine) registration(address string) []byte {
-	return fmt.Appendf(nil, `{"service":"llm","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"ready","seq":7,"born":1,"models":[{"name":"m","version":1,"adapters":[]}]}`, address, engineSlots)
+	return fmt.Appendf(nil, `{"service":"llm","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"ready","seq":7,"born":1,"models":[{"name":"m","version":1,"adapters":[]}]}`, address, e.profile.slots)
 }
 
-// ServeHTTP serves streams below /stock/, and the rest as an Instance.
+// ServeHTTP serves streams below /stock/, and the rest as an Instance. It rejects calls beyond its slots.
 func (e *rollEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !strings.HasPrefix(r.URL.Path, "/stock/") || r.Header.Get("Expect-Instance") != e.ID {
 		e.Instance.ServeHTTP(w, r)
@@ -98,9 +103,10 @@
 	_, _ = io.Copy(io.Discard, r.Body) // A call whose connection broke ends below.
 	plan := planStream(e.profile, e.seed, id)
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	run := engineRun{engine: e.ID, began: time.Now(), resumedAfter: after, rejected: after > 0 && plan.refuseResumes}
+	running := e.enter(1)
+	run := engineRun{engine: e.ID, began: time.Now(), resumedAfter: after, rejected: running > e.profile.slots || (after > 0 && plan.refuseResumes)}
 	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Load", e.enter(1))
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", min(running, e.profile.slots), e.profile.slots))
 	defer func() {
 		e.enter(-1)
 		run.ended = time.Now()
@@ -115,6 +121,9 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Signature", "signed-by-"+e.ID)
+	if after > 0 {
+		plan.earlyHead = false
+	}
 	run.events, run.complete = writePlan(r.Context(), w, plan, after)
 	if !run.complete {
 		panic(http.ErrAbortHandler) // Deferred calls have run then.
@@ -140,12 +149,12 @@
 	return events, true
 }
 
-// enter counts the running calls, and returns the load.
-func (e *rollEngine) enter(change int) string {
+// enter counts the running calls.
+func (e *rollEngine) enter(change int) int {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.running += change
-	return fmt.Sprintf("%d,0,%d", e.running, engineSlots)
+	return e.running
 }
 
 // runsOf returns the arrivals of a call that have ended.
--- a/soak/roll_judge_test.go
+++ b/soak/roll_judge_test.go
@@ -31,7 +31,10 @@
 	verdictDeadline verdict = "deadline"
 	verdictCrossed  verdict = "crossed the close of its connection"
 	verdictGrace    verdict = "broken off at the end of the grace period"
-	verdictLost     verdict = "lost"
+	// verdictQueued is verdictGrace while the call was only in the queue of its last engine, after
+	// the VM had left the one that worked on it.
+	verdictQueued verdict = "broken off at the end of the grace period, in a queue"
+	verdictLost   verdict = "lost"
 )
 
 // judge applies the users' rule LOST to a call. Nothing but planned work disturbs the VMs,
@@ -47,7 +50,11 @@
 	}
 	runs := r.executions(call.id)
 	if len(runs) == 0 {
-		if call.ended.After(call.lastByte.Add(lossSlack + 2*call.delay)) {
+		seen := call.lastByte // The caller sees the end of the connection when it reads.
+		if call.readFrom.After(seen) {
+			seen = call.readFrom
+		}
+		if call.ended.After(seen.Add(lossSlack + 2*call.delay)) {
 			return verdictLost
 		}
 		return verdictCrossed
@@ -58,6 +65,9 @@
 	}
 	for _, run := range runs {
 		if run.ended.After(stop.Add(lastSixth)) && run.began.Before(stop.Add(shutdownGrace)) {
+			if run.resumedAfter > 0 && run.events == 0 && planStream(r.profile, r.seed, call.id).queue > 0 {
+				return verdictQueued
+			}
 			return verdictGrace
 		}
 	}
--- a/soak/roll_test.go
+++ b/soak/roll_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,24 +36,42 @@
 	lateFirst     float64 // Streams whose first event is late.
 	silent        float64 // Streams that fall silent for 1 to 4 s.
 	refuseResumes float64 // Of the silent ones, those that no other engine resumes.
-	leaves        bool    // Callers leave before the VM closes connections, so that it becomes quiet.
+	queues        float64 // Of the silent ones, those whose resumed call waits in a queue.
+	slots         int     // Of each engine.
 	callers       int     // Of each VM.
-	atMoments     int     // Calls at each of drainMoments, at each VM that stops.
-	longAtStop    int     // Long streams that begin from 2 s before SIGTERM to 2.6 s after it.
+	leaves        bool    // Callers leave before the VM closes connections, so that it becomes quiet.
+	moments       []time.Duration
+	atMoments     int  // Calls at each of the moments after SIGTERM.
+	jitter        int  // Time in ms around a moment.
+	longAtStop    int  // Long streams that begin from 2 s before SIGTERM to 2.6 s after it.
+	early         bool // Callers send the start of their next call early, and begin to read late.
+	freezes       bool // VMs run for 40 of each 100 ms.
 }
 
 // mixedRoll plays all but engines that refuse to resume a silent stream.
-var mixedRoll = rollProfile{name: "mixed", long: 0.1, lateFirst: 0.3, silent: 0.15, callers: 8, atMoments: 10, longAtStop: 16}
+var mixedRoll = rollProfile{name: "mixed", long: 0.1, lateFirst: 0.3, silent: 0.15, slots: 64, callers: 8, moments: drainMoments, atMoments: 10, jitter: 40, longAtStop: 16}
 
 // rollProfiles isolate one way each to lose a stream.
 var rollProfiles = []rollProfile{
 	mixedRoll,
-	{name: "quiet", lateFirst: 0.1, leaves: true, callers: 8, atMoments: 24},
-	{name: "connections", callers: 16, atMoments: 40},
-	{name: "waiting", long: 0.5, lateFirst: 1, callers: 6, longAtStop: 40},
-	{name: "long", long: 0.3, callers: 12, atMoments: 10, longAtStop: 60},
+	{name: "quiet", lateFirst: 0.1, leaves: true, slots: 64, callers: 8, moments: drainMoments, atMoments: 24, jitter: 40},
+	{name: "connections", slots: 64, callers: 16, moments: drainMoments, atMoments: 40, jitter: 40},
+	{name: "idle", slots: 64, callers: 1, moments: drainMoments[:1], atMoments: 300, jitter: 4},
+	{name: "waiting", long: 0.5, lateFirst: 1, slots: 64, callers: 6, longAtStop: 40},
+	{name: "long", long: 0.3, slots: 64, callers: 12, moments: drainMoments, atMoments: 10, jitter: 40, longAtStop: 60},
+	{name: "early", slots: 64, callers: 12, longAtStop: 20, early: true},
+	{name: "frozen", long: 0.2, lateFirst: 0.2, slots: 64, callers: 8, moments: drainMoments, atMoments: 10, jitter: 100, longAtStop: 24, freezes: true},
 }
 
+// silentRoll has engines fall silent and go on, while no other engine resumes their streams.
+var silentRoll = rollProfile{name: "silent", long: 0.1, lateFirst: 0.1, silent: 0.4, refuseResumes: 0.7, slots: 64, callers: 6, longAtStop: 24}
+
+// queuedRoll has engines fall silent and go on, while the other engines queue their streams.
+var queuedRoll = rollProfile{name: "queued", long: 0.1, lateFirst: 0.1, silent: 0.4, queues: 0.7, slots: 64, callers: 6, longAtStop: 24}
+
+// fullRoll has engines fall silent and go on, while the other engines are often full.
+var fullRoll = rollProfile{name: "full", long: 0.3, lateFirst: 0.1, silent: 0.4, slots: 12, callers: 12, longAtStop: 24}
+
 // roll is a cluster whose VMs are stopped with SIGTERM and started again, while callers go on.
 type roll struct {
 	*cluster
@@ -78,9 +97,9 @@
 }
 
 // TestSoakRollKeepsSilentStreams is TestSoakRollKeepsStreams with engines that fall silent
-// and go on, while no other engine resumes their streams.
+// and go on.
 func TestSoakRollKeepsSilentStreams(t *testing.T) {
-	runRolls(t, []rollProfile{{name: "silent", long: 0.1, lateFirst: 0.1, silent: 0.4, refuseResumes: 0.7, callers: 6, longAtStop: 24}})
+	runRolls(t, []rollProfile{silentRoll, queuedRoll, fullRoll})
 }
 
 // runRolls plays the seeds that KUMQUATHITCH_SOAK_SEEDS names with each profile, or one seed
@@ -116,6 +135,9 @@
 		for n := range p.callers {
 			start(r.newCaller(fmt.Sprintf("loop%d-%d", i, n), v).callRepeatedly)
 		}
+		if p.freezes {
+			start(func(ctx context.Context) { freeze(ctx, v) })
+		}
 	}
 	for i, s := range plan {
 		r.startCallersAround(random, fmt.Sprintf("stop%d", i), s, start)
@@ -158,7 +180,7 @@
  {"name":"new","host":"a.example","path_prefix":"/new-%d/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"llm","max_attempts":2}],
  "services":[{"name":"llm","max_conns":360,"engine":{"slots":%d,"weights_mb":200,"adapter_slots":8,"loads_per_s":5,"models":[{"name":"m","weights_mb":90,"load_s":1}]}}],
  "tenants":[{"name":"crew","api_keys":["common"],"unit":"token","plain_tokens":10,"rate_per_s":10000000,"burst":10000000}]}`,
-		r.version, stockTimeout.Milliseconds(), r.version, engineSlots))
+		r.version, stockTimeout.Milliseconds(), r.version, r.profile.slots))
 }
 
 // changeConfiguration writes configurations until ctx ends.
@@ -197,6 +219,15 @@
 	return plan
 }
 
+// freeze lets the process of a VM run for 40 of each 100 ms, as a quota of processor time does.
+func freeze(ctx context.Context, v *entryVM) {
+	for waitUntil(ctx, time.Now().Add(40*time.Millisecond)) {
+		v.signal(syscall.SIGSTOP)
+		waitUntil(ctx, time.Now().Add(60*time.Millisecond))
+		v.signal(syscall.SIGCONT)
+	}
+}
+
 // stopAll stops the VMs as planned, and starts each again. It returns when all run again.
 func (r *roll) stopAll(ctx context.Context, plan []plannedStop) {
 	ended := make(chan struct{})
@@ -217,9 +248,9 @@
 
 // startCallersAround starts callers whose calls meet what a stopping VM does.
 func (r *roll) startCallersAround(random *rand.Rand, name string, s plannedStop, start func(run func(ctx context.Context))) {
-	for _, moment := range drainMoments {
+	for _, moment := range r.profile.moments {
 		for n := range r.profile.atMoments {
-			at := s.at.Add(moment + time.Duration(random.IntN(60)-40)*time.Millisecond)
+			at := s.at.Add(moment + time.Duration(random.IntN(2*r.profile.jitter*1000)-r.profile.jitter*1000)*time.Microsecond)
 			age := time.Duration(random.IntN(int(rollLead+2*time.Second)/int(time.Millisecond))) * time.Millisecond
 			c := r.newCaller(fmt.Sprintf("%s-%s-%d", name, moment, n), s.vm)
 			start(func(ctx context.Context) { c.callAt(ctx, "call", at.Add(-age), at) })
@@ -232,10 +263,17 @@
 	}
 }
 
-// callAt opens a connection at a time and makes a call at another one.
+// callAt opens a connection at a time and makes a call at another one. A caller that keeps
+// connections makes one call before.
 func (c *rollCaller) callAt(ctx context.Context, prefix string, openAt, callAt time.Time) {
 	defer c.close()
-	if waitUntil(ctx, openAt) && c.open(ctx) && waitUntil(ctx, callAt.Add(-c.conn.delay)) {
+	if !waitUntil(ctx, openAt) || !c.open(ctx) {
+		return
+	}
+	if c.kept && callAt.Sub(openAt) > time.Second {
+		c.call(ctx, "warm")
+	}
+	if c.conn != nil && waitUntil(ctx, callAt.Add(-c.conn.delay)) {
 		c.call(ctx, prefix)
 	}
 }
