Abort the response of a caller who has closed its sending side

A caller that ends its sending side after the request, and goes on reading, got a stream that ended as complete after the events so far, and an empty 200 without a signature for a call that is not a stream.

Cause: net/http ends the context of a request when its caller closes the sending side. The call was given up, and the handler returned, upon which net/http ends the response regularly. The handler now aborts the response, as for other calls that get no whole answer.

--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -120,7 +120,7 @@
 	if rc.request.Context().Err() != nil {
 		rc.Metrics.CallersLeft.Inc()
 		rc.Logger.Info("caller left", append(rc.logFields(), rc.connectionFields()...)...)
-		return
+		panic(http.ErrAbortHandler) // A caller that has only closed its sending side would see a complete response.
 	}
 	if rc.headSent {
 		fields := append(rc.logFields(), zap.String("code", refusal.Code), zap.String("reason", refusal.Message),
