Close connections of callers who still send without a reset

Cause: a close with unread bytes of the peer resets the connection. Such a connection now ends its sending side, and is closed when its caller has stopped sending, after at most 1 s or 4 MiB. It counts in the budget until then, and a VM that stops waits for it within the grace period. A connection that is closed under its handler is closed at once, as before.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -71,6 +71,7 @@
 	headBytes   atomic.Int64 // Charged for the heads of all connections.
 	search      sync.Mutex   // Held by the one search for connections to close.
 	searchedAt  atomic.Int64 // Start of the last search, in nanoseconds after started.
+	lingering   lingerers
 }
 
 // shard holds a part of the connections, and is the lock of their states.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -87,7 +88,7 @@
 	}
 	c.budget.report.add(why)
 	refuse(c.Conn, status)
-	linger(c.Conn, p)
+	linger(c.Conn, p, time.Now().Add(lingerTimeout), lingerBytes)
 	if err == nil {
 		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: &RefusedError{Status: status}}
 	}
@@ -263,21 +264,33 @@
 	return nil
 }
 
-// Close closes the connection and returns what it holds.
+// Close closes the connection and returns what it holds. If the caller is still sending, and no
+// handler runs, it returns before the connection is closed: see lingerers.
 func (c *Conn) Close() error {
-	unacknowledged, unread := pendingBytes(c.Conn)
+	unacknowledged, unread, isSocket := pendingBytes(c.Conn)
 	c.shard.mutex.Lock()
-	if !c.closed {
-		c.closed = true
-		delete(c.shard.conns, c)
-		c.release()
-		c.budget.connections.Add(-1)
-		c.end.Unacknowledged, c.end.Unread = unacknowledged, unread
-		c.recordEnd(net.ErrClosed)
-		defer c.logClose(c.end, c.handling)
+	if c.closed {
+		c.shard.mutex.Unlock()
+		return c.Conn.Close()
 	}
+	c.closed = true
+	delete(c.shard.conns, c)
+	c.release()
+	c.end.Unacknowledged, c.end.Unread = unacknowledged, unread
+	c.recordEnd(net.ErrClosed)
+	defer c.logClose(c.end, c.handling)
+	lingers := isSocket && !c.handling && c.end.Cause == EndClosedHere && c.phase != phaseRefused && (unread > 0 || c.phase == phaseBody)
 	c.shard.mutex.Unlock()
-	return c.Conn.Close()
+	if !lingers {
+		c.budget.connections.Add(-1)
+		return c.Conn.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeLingerTimeout)
+	c.budget.lingering.add(ctx, c.Conn, func() {
+		cancel()
+		c.budget.connections.Add(-1)
+	})
+	return nil
 }
 
 // body is the body of a request. It tells the connection when it has been read.
@@ -304,19 +317,5 @@
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // Fails only on a closed connection, like the write.
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", text, retry, len(text), text)
-	if tcp, ok := conn.(interface{ CloseWrite() error }); ok {
-		_ = tcp.CloseWrite()
-	}
-}
-
-// linger reads and drops what still comes, within lingerTimeout and lingerBytes.
-func linger(conn net.Conn, buffer []byte) {
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	for total := 0; total < lingerBytes; {
-		n, err := conn.Read(buffer)
-		if err != nil {
-			return
-		}
-		total += n
-	}
+	endSending(conn)
 }
--- a/intake/end.go
+++ b/intake/end.go
@@ -60,7 +60,7 @@
 	c.shard.mutex.Unlock()
 	state.Remote = c.RemoteAddr().String()
 	if !closed {
-		state.Unacknowledged, state.Unread = pendingBytes(c.Conn)
+		state.Unacknowledged, state.Unread, _ = pendingBytes(c.Conn)
 	}
 	return state
 }
@@ -96,21 +96,21 @@
 }
 
 // pendingBytes returns how many bytes the caller has not acknowledged, and how many it has
-// sent that were not read. Both are 0 for a connection that is no socket.
-func pendingBytes(conn net.Conn) (unacknowledged, unread int) {
+// sent that were not read. It reports false for a connection that is no socket.
+func pendingBytes(conn net.Conn) (unacknowledged, unread int, ok bool) {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0, 0
+		return 0, 0, false
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return 0, 0
+		return 0, 0, false
 	}
 	_ = raw.Control(func(fd uintptr) { // Fails only on a closed connection.
 		unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 		unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
 	})
-	return unacknowledged, unread
+	return unacknowledged, unread, true
 }
 
 // ConnectionCounts are numbers of connections by what they wait for.
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -198,6 +198,7 @@
 			s.vm.log.Warn("cannot close listener", zap.Error(err))
 		}
 	}
+	s.vm.intake.AwaitClosed(ctx)
 	for _, server := range s.other {
 		if err := server.Close(); err != nil {
 			s.vm.log.Warn("cannot close listener", zap.Error(err))
