Show that one lost probe ends a connection to a server

The user timeout of 1.5 s is left on connections that a VM opens. A call that waits for over a second for a sound server depends on single packets, and is lost if it may not be sent again.

--- a/link/caller_conn_test.go
+++ b/link/caller_conn_test.go
@@ -65,6 +65,33 @@
 	must.NoError(t, err)
 }
 
+// TestOneLostProbeKeepsDialedConnection is the same for a connection that this process has opened: a
+// call that waits for a server is lost with it, if it may not be sent again.
+func TestOneLostProbeKeepsDialedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	dialed, err := link.Dial(t.Context(), listener.Addr().String(), time.Now().Add(time.Second))
+	must.NoError(t, err)
+	defer func() { _ = dialed.Close() }()
+	server, err := listener.Accept()
+	must.NoError(t, err)
+	defer func() { _ = server.Close() }()
+	_, err = io.WriteString(dialed, "a")
+	must.NoError(t, err)
+	_, err = io.ReadFull(server, make([]byte, 1))
+	must.NoError(t, err)
+	<-time.NewTimer(800 * time.Millisecond).C // The first probe is due after a second without traffic.
+	dropReceived(t, server, true)
+	<-time.NewTimer(450 * time.Millisecond).C // One probe is lost.
+	dropReceived(t, server, false)
+	<-time.NewTimer(1100 * time.Millisecond).C
+	_, err = io.WriteString(server, "b")
+	must.NoError(t, err)
+	_, err = io.ReadFull(dialed, make([]byte, 1))
+	must.NoError(t, err)
+}
+
 // dropReceived has the kernel drop the segments that arrive at a connection, or no longer.
 func dropReceived(t *testing.T, conn net.Conn, drop bool) {
 	t.Helper()
