Linger only while a response is under way

An idle connection that was closed with a request in its kernel buffer read that request and dropped it, and its caller saw the end of the connection instead of a reset: the request then counts as read.

Connections linger now only if a body is being sent, or if bytes are under way in both directions. TestUnreadRequestIsNotReadAtClose failed before in 3 of 3 runs and passes; TestRefusalBeforeBodyIsDelivered and TestNextRequestDoesNotCutResponse still do.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -264,8 +264,8 @@
 	return nil
 }
 
-// Close closes the connection and returns what it holds. If the caller is still sending, and no
-// handler runs, it returns before the connection is closed: see lingerers.
+// Close closes the connection and returns what it holds. If the caller is still sending while a
+// response is under way, and no handler runs, it returns before the connection is closed: see lingerers.
 func (c *Conn) Close() error {
 	unacknowledged, unread, isSocket := pendingBytes(c.Conn)
 	c.shard.mutex.Lock()
@@ -279,7 +279,7 @@
 	c.end.Unacknowledged, c.end.Unread = unacknowledged, unread
 	c.recordEnd(net.ErrClosed)
 	defer c.logClose(c.end, c.handling)
-	lingers := isSocket && !c.handling && c.end.Cause == EndClosedHere && c.phase != phaseRefused && (unread > 0 || c.phase == phaseBody)
+	lingers := isSocket && !c.handling && c.end.Cause == EndClosedHere && c.phase != phaseRefused && (c.phase == phaseBody || unread > 0 && unacknowledged > 0)
 	c.shard.mutex.Unlock()
 	if !lingers {
 		c.budget.connections.Add(-1)
