Lose the probe of accepted connections in the test of lost probes

TestOneLostProbeKeepsConnection dropped segments about a second after the last byte. Since accepted connections send their first probe after 5 s, it lost nothing and could not fail: with a user timeout of 1.5 s put back it passed. It now loses the probe at 1 s and the one at 5 s; with 1.5 s put back the second case fails.

--- a/link/caller_conn_test.go
+++ b/link/caller_conn_test.go
@@ -47,22 +47,30 @@
 }
 
 // TestOneLostProbeKeepsConnection guards against a connection that is reset because a single
-// keep-alive probe on it was lost.
+// keep-alive probe on it was lost, whether probes begin after 1 s or after 5 s without traffic.
 func TestOneLostProbeKeepsConnection(t *testing.T) {
-	accepted, caller := connect(t)
-	_, err := io.WriteString(accepted, "a")
-	must.NoError(t, err)
-	_, err = io.ReadFull(caller, make([]byte, 1))
-	must.NoError(t, err)
-	<-time.NewTimer(800 * time.Millisecond).C // The first probe is due after a second without traffic.
-	dropReceived(t, caller, true)
-	<-time.NewTimer(450 * time.Millisecond).C // One probe is lost.
-	dropReceived(t, caller, false)
-	<-time.NewTimer(1100 * time.Millisecond).C
-	_, err = io.WriteString(accepted, "b")
-	must.NoError(t, err)
-	_, err = io.ReadFull(caller, make([]byte, 1))
-	must.NoError(t, err)
+	for _, probe := range []struct{ first, next time.Duration }{
+		{time.Second, 2 * time.Second},
+		{5 * time.Second, 7 * time.Second},
+	} {
+		t.Run(probe.first.String(), func(t *testing.T) {
+			t.Parallel()
+			accepted, caller := connect(t)
+			_, err := io.WriteString(accepted, "a")
+			must.NoError(t, err)
+			_, err = io.ReadFull(caller, make([]byte, 1))
+			must.NoError(t, err)
+			<-time.NewTimer(probe.first - 200*time.Millisecond).C
+			dropReceived(t, caller, true)
+			<-time.NewTimer(450 * time.Millisecond).C // One probe is lost.
+			dropReceived(t, caller, false)
+			<-time.NewTimer(probe.next - probe.first + 100*time.Millisecond).C
+			_, err = io.WriteString(accepted, "b")
+			must.NoError(t, err)
+			_, err = io.ReadFull(caller, make([]byte, 1))
+			must.NoError(t, err)
+		})
+	}
 }
 
 // TestOneLostProbeKeepsDialedConnection is the same for a connection that this process has opened: a
