Report a silent instance at once, and search for a successor again after 200 ms

Since an instance was reported as timed out only when a successor had begun to answer. Until then other calls were sent to it too, and after a search without a result the next one followed after another whole timeout, a second or more.

The chooser is now told of the silence itself, which opens the circuit of the instance, and searches follow each 200 ms. TestSilentInstanceIsAvoidedBeforeItsSendEnds covers the first.

--- a/dispatch.go
+++ b/dispatch.go
@@ -52,7 +52,7 @@
 	SendUnreachable                    // No connection; no byte of the call was sent.
 	SendStale                          // A reused connection was closed before the first byte of a response.
 	SendBroken                         // The connection broke, or the response cannot be used.
-	SendTimedOut                       // No response, or no further event, in time.
+	SendTimedOut                       // No response, or no further event, in time: another instance has taken the call over.
 	SendCancelled                      // The caller disconnected, or the deadline was reached.
 )
 
@@ -88,6 +88,8 @@
 	// Defer records that the limit of the chosen instance admits no call from this VM
 	// before a time.
 	Defer(choice InstanceChoice, until time.Time)
+	// Silent records that the chosen instance has sent nothing for too long. The send goes on.
+	Silent(choice InstanceChoice, now time.Time)
 	// Done ends a choice and records the result of the send.
 	Done(criteria InstanceCriteria, choice InstanceChoice, result SendResult)
 	// CapacityFreed returns a channel that is closed when an instance may have capacity again.
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -306,6 +306,13 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
+// Silent records that the chosen instance has sent nothing for too long, so that other calls avoid it.
+func (f *Fleet) Silent(choice kumquathitch.InstanceChoice, now time.Time) {
+	if inst := f.observedState(choice.Instance.ID); inst != nil {
+		inst.recordSilence(choice, now)
+	}
+}
+
 // Done records the result of a choice. It is called exactly once for each choice.
 func (f *Fleet) Done(criteria kumquathitch.InstanceCriteria, choice kumquathitch.InstanceChoice, result kumquathitch.SendResult) {
 	serviceFailureRate := f.recordResult(criteria, choice, result)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -126,6 +126,23 @@
 	must.True(t, probed)
 }
 
+// TestSilentInstanceIsAvoidedBeforeItsSendEnds guards against calls that are sent to an instance while
+// earlier ones wait for it in silence.
+func TestSilentInstanceIsAvoidedBeforeItsSendEnds(t *testing.T) {
+	f := fleet.NewFleet("entry-1", "a")
+	for _, id := range []string{"a", "b"} {
+		f.Put(newEngine(id, 1, "m1"), start)
+	}
+	silent, err := f.Choose(criteriaFor("m1"), start)
+	must.NoError(t, err)
+	f.Silent(silent, start)
+	for range 4 {
+		choice, err := f.Choose(criteriaFor("m1"), start)
+		must.NoError(t, err)
+		must.NotEq(t, silent.Instance.ID, choice.Instance.ID)
+	}
+}
+
 // TestOnlyInstanceIsUsedDespiteFailures guards against refusals because the circuit
 // of the only instance with a model is open.
 func TestOnlyInstanceIsUsedDespiteFailures(t *testing.T) {
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -335,9 +335,11 @@
 	case kumquathitch.SendMoved:
 		inst.busyUntil = now.Add(busyAvoidTime)
 		return
-	case kumquathitch.SendUnreachable, kumquathitch.SendTimedOut:
+	case kumquathitch.SendUnreachable:
 		inst.openCircuit(now)
 		failed = 1
+	case kumquathitch.SendTimedOut: // The circuit has been opened by recordSilence.
+		failed = 1
 	case kumquathitch.SendBroken:
 		inst.consecutiveBreaks++
 		if inst.consecutiveBreaks >= breaksToOpen || choice.Probe {
@@ -353,6 +355,15 @@
 	}
 }
 
+// recordSilence opens the circuit of an instance that has sent nothing for too long.
+func (inst *instanceState) recordSilence(choice kumquathitch.InstanceChoice, now time.Time) {
+	inst.mutex.Lock()
+	defer inst.mutex.Unlock()
+	if inst.description.SameIncarnation(&choice.Instance) {
+		inst.openCircuit(now)
+	}
+}
+
 // circuitOpen reports whether the instance should get no calls. After the open time,
 // one probe at a time is allowed; at-most-once calls are never used as probes. The
 // caller holds the lock.
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -20,6 +20,9 @@
 	if !a.mayHaveSuccessor(now) || !a.Chooser.HasAlternative(a.criteria, a.choice, now) || !a.watchdog.needs(s) {
 		return nil
 	}
+	if a.watchdog.reportSilence() { // Other calls avoid it from now on, whether or not a successor is found.
+		a.Chooser.Silent(a.choice, now)
+	}
 	criteria := a.criteria
 	criteria.Exclude = append(slices.Clone(a.criteria.Exclude), a.choice.Instance.ID)
 	criteria.FirstByteDeadline = time.Time{}
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// searchInterval is the pause between two searches for a successor. Slots of engines become free
+// several times a second.
+const searchInterval = 200 * time.Millisecond
+
 // watchdog looks for a successor while an instance is silent, and ends the wait for the
 // instance when the successor has begun to answer. Silence alone is no reason to end a
 // response: without a successor the call goes on until its deadline.
@@ -17,6 +21,7 @@
 	lastEventID  string // Of the last event that was passed on.
 	stopped      bool
 	search       *search
+	reported     bool     // The silence has been reported to the chooser.
 	successor    *attempt // Nil unless the wait was ended for it.
 	sends        int      // Sends to instances that did not become the successor.
 	runs         int      // Those of them that may have run the call.
@@ -52,7 +57,7 @@
 func (w *watchdog) recordProgress(now time.Time, eventID string) *attempt {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.lastProgress = now
+	w.lastProgress, w.reported = now, false
 	if eventID != "" {
 		w.lastEventID = eventID
 	}
@@ -146,12 +151,21 @@
 	} else {
 		s.cancel()
 	}
-	if timeout := w.timeout(); !w.stopped && timeout > 0 {
-		w.timer.Reset(timeout)
+	if !w.stopped {
+		w.timer.Reset(searchInterval)
 	}
 	return found
 }
 
+// reportSilence reports whether the silence has not been reported to the chooser yet.
+func (w *watchdog) reportSilence() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	first := !w.reported
+	w.reported = true
+	return first
+}
+
 // needs reports whether a search is still needed.
 func (w *watchdog) needs(s *search) bool {
 	w.mutex.Lock()
