Take a call over from the first event of a successor, and end its search in order

Found by the review of: - A server that broke off ended the search for a successor that had the call already. With two attempts no send was left: 502, or a stream without an end. The call now waits for what comes of that send. - The head of a response was enough to leave a silent stream, whose successor could fall silent as well. A stream is left when the successor has sent a whole event. - An event that arrived together with the end of the wait dropped the successor, and the read deadline then ended the stream. Once a successor has taken over, nothing of the first instance is used. - A successor that was not needed could end after the call had gone on, and both used the criteria of the call. - A panic in a search left the choice of an instance without an end, and a send uncounted. - The retry budget was asked after the scheduler, and sends that were rejected had no bound.

--- a/relay/send.go
+++ b/relay/send.go
@@ -66,6 +66,7 @@
 	if next := rc.successor; next != nil {
 		rc.successor = nil
 		defer next.cancel()
+		defer next.endSearch()
 		result, status := next.relay(ctx)
 		return next.conclude(ctx, result, status)
 	}
@@ -73,10 +74,20 @@
 	if err != nil {
 		return kumquathitch.SendResult{Outcome: rc.cancelledOr(ctx, kumquathitch.SendUnreachable)}, sendStatus{err: err}
 	}
+	defer a.endSearch()
 	result, status := a.roundTrip(ctx)
 	return a.conclude(ctx, result, status)
 }
 
+// endSearch ends what the watchdog has begun and the call does not use: everything after a panic, and
+// otherwise nothing.
+func (a *attempt) endSearch() {
+	a.watchdog.stop()
+	if unused := a.watchdog.takeSuccessor(); unused != nil {
+		unused.abandon()
+	}
+}
+
 // open returns an attempt with a connection to an instance, which closes when ctx ends.
 func (rc *relayedCall) open(ctx context.Context, choice kumquathitch.InstanceChoice, resumeAfter string) (*attempt, error) {
 	noRetry := rc.route.RetryMode == kumquathitch.RetryNever
@@ -168,6 +179,7 @@
 	reusable   bool
 	watchdog   watchdog
 
+	pending     []byte             // Bytes of the body that were read and not forwarded.
 	resumeAfter string             // Event after which the instance resumes the stream; empty for a call from its beginning.
 	stop        func() bool        // Ends the binding of the connection to the context of the call.
 	cancel      context.CancelFunc // Of an attempt that was begun by a search; nil otherwise.
@@ -190,25 +202,22 @@
 }
 
 // awaitHead reads the head of the response. While the instance is silent, the watchdog searches for a
-// successor. A head that arrives in spite of one is used.
+// successor.
 func (a *attempt) awaitHead(ctx context.Context) error {
 	a.watchdog.start(ctx, a, a.resumeAfter, a.headTimeout)
 	err := a.readHead()
-	a.watchdog.stop()
-	if err != nil {
-		return err
-	}
-	if unused := a.watchdog.takeSuccessor(); unused != nil {
-		a.dropSuccessor(unused)
-	}
-	return nil
+	a.endWatch(err)
+	return err
 }
 
-// dropSuccessor ends a successor that is not needed, since the instance answers again.
-func (a *attempt) dropSuccessor(unused *attempt) {
-	a.watchdog.countUnused()
-	_ = a.connection.SetReadDeadline(a.deadline) // Fails only on a closed connection, like the next read.
-	unused.abandon()
+// endWatch ends the watchdog after the response, or a part of it, has been read. If the instance has
+// broken off, a successor that has the call already takes over.
+func (a *attempt) endWatch(err error) {
+	if err != nil && !a.callEnded() {
+		a.watchdog.await()
+	} else {
+		a.watchdog.stop()
+	}
 }
 
 // recordHead records the head of the response, and what it says of the instance.
@@ -294,8 +303,8 @@
 		if err != nil {
 			return err
 		}
-		if unused := a.watchdog.recordProgress(a.Clock.Now(), ""); unused != nil {
-			a.dropSuccessor(unused)
+		if err := a.watchdog.recordProgress(a.Clock.Now(), "", false); err != nil {
+			return err
 		}
 		a.recordBytes()
 		if response.StatusCode/100 == 1 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -66,6 +66,7 @@
 			zap.String("instance", a.choice.Instance.ID))
 	}
 	rest, err := a.copyEvents(ctx)
+	a.endWatch(err)
 	if err == nil && len(rest) > 0 {
 		err = &truncatedStreamError{Bytes: len(rest), Closed: a.endsWithConnection()}
 	}
@@ -126,29 +127,40 @@
 		zap.Int64("to-read", a.choice.PrefillTokens), zap.Int("running", a.head.Load.Running), zap.Int("waiting", a.head.Load.Waiting))...)
 }
 
+// readFirstEvent reads the body until it holds a whole event with data, is at its end, or fills the
+// first buffer.
+func (a *attempt) readFirstEvent() error {
+	a.pending = make([]byte, 0, streamBufferBytes)
+	for len(a.pending) < cap(a.pending) {
+		n, err := a.response.Body.Read(a.pending[len(a.pending):cap(a.pending)])
+		a.pending = a.pending[:len(a.pending)+n]
+		if n > 0 {
+			a.recordBytes()
+		}
+		whole := bytes.LastIndex(a.pending, eventEnd)
+		if errors.Is(err, io.EOF) || (whole >= 0 && hasData(a.pending[:whole])) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // copyEvents forwards whole events until the stream ends. It returns the bytes
-// of an incomplete event at the end.
+// of an incomplete event at the end. The caller ends the watchdog.
 func (a *attempt) copyEvents(ctx context.Context) ([]byte, error) {
 	control := http.NewResponseController(a.writer)
-	pending := make([]byte, 0, streamBufferBytes)
+	pending := a.pending
+	if pending == nil {
+		pending = make([]byte, 0, streamBufferBytes)
+	}
 	reserved := int64(0)
 	defer func() { a.Buffers.Release(reserved) }()
 	a.watchdog.start(ctx, a, a.stream.resumeAfter(), a.eventTimeout)
-	defer a.watchdog.stop()
+	var end error
 	for {
-		if size := len(pending); size == cap(pending) {
-			if full := a.Buffers.Extend(reserved, int64(size)); full != nil {
-				reserved = 0
-				return pending, full
-			}
-			reserved += int64(size)
-			pending = append(pending, make([]byte, size)...)[:size]
-		}
-		n, err := a.response.Body.Read(pending[len(pending):cap(pending)])
-		pending = pending[:len(pending)+n]
-		if n > 0 {
-			a.recordBytes()
-		}
 		if whole := bytes.LastIndex(pending, eventEnd); whole >= 0 {
 			whole += len(eventEnd)
 			if failed := a.forwardEvents(control, pending[:whole]); failed != nil {
@@ -157,26 +169,40 @@
 			pending = pending[:copy(pending, pending[whole:])]
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(end, io.EOF):
 			return pending, nil
-		case err != nil:
-			return pending, err
+		case end != nil:
+			return pending, end
 		case len(pending) > maxEventBytes:
 			return pending, errMalformedResponse
 		}
+		if size := len(pending); size == cap(pending) {
+			if full := a.Buffers.Extend(reserved, int64(size)); full != nil {
+				reserved = 0
+				return pending, full
+			}
+			reserved += int64(size)
+			pending = append(pending, make([]byte, size)...)[:size]
+		}
+		var n int
+		n, end = a.response.Body.Read(pending[len(pending):cap(pending)])
+		pending = pending[:len(pending)+n]
+		if n > 0 {
+			a.recordBytes()
+		}
 	}
 }
 
-// forwardEvents writes whole events to the caller, and records the ID of the last one.
+// forwardEvents writes whole events to the caller, and records the ID of the last one. It returns
+// errSuperseded for events that a successor sends too.
 func (a *attempt) forwardEvents(control *http.ResponseController, events []byte) error {
 	progress, id := hasData(events), "" // Comments keep a connection open, and are no progress of the stream.
-	if progress && a.route.RetryMode == kumquathitch.RetryResume {
-		id, _ = a.lastID(events)
-	}
 	if progress {
-		// A successor would repeat these events.
-		if unused := a.watchdog.recordProgress(a.Clock.Now(), id); unused != nil {
-			a.dropSuccessor(unused)
+		if a.route.RetryMode == kumquathitch.RetryResume {
+			id, _ = a.lastID(events)
+		}
+		if err := a.watchdog.recordProgress(a.Clock.Now(), id, true); err != nil {
+			return err
 		}
 	}
 	if _, err := a.writer.Write(events); err != nil {
@@ -189,9 +215,7 @@
 		return nil
 	}
 	now := a.Clock.Now()
-	if unused := a.watchdog.recordProgress(now, ""); unused != nil { // The caller took long to read.
-		a.dropSuccessor(unused)
-	}
+	_ = a.watchdog.recordProgress(now, "", false) // No successor takes over during a write.
 	if a.stream.forwarded {
 		gap := now.Sub(a.stream.lastEventAt)
 		a.stream.longestGap = max(a.stream.longestGap, gap)
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -13,11 +13,11 @@
 )
 
 // findSuccessor sends the call of a silent attempt to another instance, if one can take it now,
-// and returns the new attempt once its response has begun. The silent attempt goes on
+// and returns the new attempt once it has begun to answer. The silent attempt goes on
 // meanwhile: it may still answer, and the other instance may turn the call away.
 func (a *attempt) findSuccessor(ctx context.Context, s *search) *attempt {
 	now := a.Clock.Now()
-	if !a.mayHaveSuccessor(now) || !a.Chooser.HasAlternative(a.criteria, a.choice, now) || !a.watchdog.needs(s) {
+	if !a.mayHaveSuccessor(now) || !a.Chooser.HasAlternative(a.criteria, a.choice, now) || !a.watchdog.isNeeded(s) {
 		return nil
 	}
 	if a.watchdog.reportSilence() { // Other calls avoid it from now on, whether or not a successor is found.
@@ -26,32 +26,34 @@
 	criteria := a.criteria
 	criteria.Exclude = append(slices.Clone(a.criteria.Exclude), a.choice.Instance.ID)
 	criteria.FirstByteDeadline = time.Time{}
-	choice, ok := a.chooseSuccessor(ctx, criteria)
-	if !ok {
+	if !a.watchdog.allow(func() bool { return a.RetryBudget.Allow(criteria.Service, now) }) {
 		return nil
 	}
-	if !a.watchdog.needs(s) || !a.RetryBudget.Allow(criteria.Service, a.Clock.Now()) {
-		a.report(criteria, choice, kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled})
+	choice, ok := a.chooseSuccessor(ctx, criteria)
+	if !ok {
 		return nil
 	}
-	successor, result, status := a.sendToSuccessor(ctx, s, choice)
-	if successor == nil {
-		s.sends++
-		if status.mayHaveRun {
-			s.runs++
+	result := kumquathitch.SendResult{Outcome: kumquathitch.SendCancelled} // Unless the send returns.
+	var successor *attempt
+	defer func() {
+		if successor == nil {
+			a.report(criteria, choice, result)
 		}
-		a.report(criteria, choice, result)
-		return nil
+	}()
+	if a.watchdog.recordSend(s) {
+		successor, result = a.sendToSuccessor(ctx, s, choice)
+	}
+	if successor != nil {
+		a.Logger.Info("instance silent", zap.String("call", a.call.ID), zap.String("instance", a.choice.Instance.ID),
+			zap.Duration("silent", a.Clock.Now().Sub(s.silentSince)), zap.String("successor", choice.Instance.ID))
 	}
-	a.Logger.Info("instance silent", zap.String("call", a.call.ID), zap.String("instance", a.choice.Instance.ID),
-		zap.Duration("silent", a.Clock.Now().Sub(s.silentSince)), zap.String("successor", choice.Instance.ID))
 	return successor
 }
 
-// mayHaveSuccessor reports whether the call may run on another instance.
+// mayHaveSuccessor reports whether the call may be sent to another instance, and run there.
 func (a *attempt) mayHaveSuccessor(now time.Time) bool {
-	_, spent := a.watchdog.spent()
-	return a.route.RetryMode != kumquathitch.RetryNever && a.runs+1+spent < a.route.MaxAttempts &&
+	sends, runs := a.watchdog.spent()
+	return a.route.RetryMode != kumquathitch.RetryNever && a.runs+1+runs < a.route.MaxAttempts && a.sends+sends < a.route.MaxAttempts+maxExtraSends &&
 		!a.CrashGuard.Suspected(a.criteria.Content, now) && !a.PromptGuard.Suspected(a.call.Prompt, now)
 }
 
@@ -96,34 +98,62 @@
 }
 
 // sendToSuccessor sends the call to another instance. It returns the new attempt, or the result
-// if the instance did not take the call.
-func (a *attempt) sendToSuccessor(ctx context.Context, s *search, choice kumquathitch.InstanceChoice) (*attempt, kumquathitch.SendResult, sendStatus) {
+// if the instance did not begin to answer.
+func (a *attempt) sendToSuccessor(ctx context.Context, s *search, choice kumquathitch.InstanceChoice) (*attempt, kumquathitch.SendResult) {
+	mayHaveRun := true // Unless the send returns.
+	defer func() {
+		if mayHaveRun {
+			a.watchdog.recordRun()
+		}
+	}()
 	next, err := a.open(ctx, choice, s.resumeAfter)
 	if err != nil {
-		return nil, kumquathitch.SendResult{Outcome: a.cancelledOr(ctx, kumquathitch.SendUnreachable)}, sendStatus{err: err}
+		mayHaveRun = false
+		return nil, kumquathitch.SendResult{Outcome: a.cancelledOr(ctx, kumquathitch.SendUnreachable)}
 	}
 	next.cancel = s.cancel
-	written, err := next.write()
-	if err == nil {
-		err = next.readHead()
-	}
-	outcome, status := kumquathitch.SendStale, sendStatus{err: err}
-	switch {
-	case err == nil:
-		next.recordHead()
-		if next.takesOver() {
-			return next, kumquathitch.SendResult{}, status
+	begun := false
+	defer func() {
+		if !begun {
+			next.close()
 		}
-		outcome, status = next.refusal()
-	case written > 0:
-		outcome, status = next.headFailed(err)
+	}()
+	outcome, status := next.begin()
+	if status.answered {
+		begun, mayHaveRun = true, false
+		return next, kumquathitch.SendResult{}
 	}
-	next.close()
+	mayHaveRun = status.mayHaveRun
 	if ctx.Err() != nil {
 		outcome = kumquathitch.SendCancelled
 	}
 	next.recordEnd(outcome, status)
-	return nil, kumquathitch.SendResult{Outcome: outcome, FirstByte: next.headAt, Load: next.head.Load, HasLoad: next.head.HasLoad}, status
+	return nil, kumquathitch.SendResult{Outcome: outcome, FirstByte: next.headAt, Load: next.head.Load, HasLoad: next.head.HasLoad}
+}
+
+// begin writes the call and reads the response up to the first event, or the head if it is no
+// stream. The status is answered if the instance can take the call over.
+func (a *attempt) begin() (kumquathitch.SendOutcome, sendStatus) {
+	written, err := a.write()
+	if err == nil {
+		err = a.readHead()
+	}
+	switch {
+	case err != nil && written == 0:
+		return kumquathitch.SendStale, sendStatus{err: err}
+	case err != nil:
+		return a.headFailed(err)
+	}
+	a.recordHead()
+	if !a.takesOver() {
+		return a.refusal()
+	}
+	if a.route.Stream && a.response.StatusCode/100 == 2 {
+		if err := a.readFirstEvent(); err != nil {
+			return kumquathitch.SendBroken, sendStatus{delivered: true, mayHaveRun: true, err: err}
+		}
+	}
+	return kumquathitch.SendAnswered, sendStatus{answered: true}
 }
 
 // takesOver reports whether the response that has begun can replace that of a silent instance.
@@ -145,7 +175,7 @@
 	return kumquathitch.SendFailed, sendStatus{delivered: true, mayHaveRun: true}
 }
 
-// abandon ends an attempt whose response has begun and is not needed.
+// abandon ends an attempt that has begun to answer and is not needed.
 func (a *attempt) abandon() {
 	a.close()
 	a.recordEnd(kumquathitch.SendCancelled, sendStatus{mayHaveRun: true})
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -10,6 +11,9 @@
 // several times a second.
 const searchInterval = 200 * time.Millisecond
 
+// errSuperseded reports that another instance has taken the call over.
+var errSuperseded = errors.New("another instance has taken the call over")
+
 // watchdog looks for a successor while an instance is silent, and ends the wait for the
 // instance when the successor has begun to answer. Silence alone is no reason to end a
 // response: without a successor the call goes on until its deadline.
@@ -19,22 +23,24 @@
 	timeout      func() time.Duration
 	lastProgress time.Time
 	lastEventID  string // Of the last event that was passed on.
+	writing      bool   // Events are being written to the caller, so that none is read.
 	stopped      bool
+	reported     bool // The silence has been reported to the chooser.
+	allowed      bool // The retry budget has allowed a send that was not made yet. Used by the search only.
 	search       *search
-	reported     bool     // The silence has been reported to the chooser.
-	successor    *attempt // Nil unless the wait was ended for it.
+	successor    *attempt // Has begun to answer the call; nil if there is none.
+	expired      bool     // The wait for the instance was ended for the successor.
 	sends        int      // Sends to instances that did not become the successor.
 	runs         int      // Those of them that may have run the call.
 }
 
-// search is one search for a successor.
+// search is one search for a successor. Its fields are under the lock of the watchdog.
 type search struct {
-	cancel       context.CancelFunc
-	ended        chan struct{}
-	silentSince  time.Time
-	resumeAfter  string
-	sends, runs  int
-	deadlineOver func() // Ends the wait for the silent instance.
+	cancel      context.CancelFunc
+	ended       chan struct{}
+	silentSince time.Time
+	resumeAfter string
+	sent        bool // The call was sent to an instance.
 }
 
 // start watches an attempt for a silence of the length that timeout returns. A timeout
@@ -52,27 +58,26 @@
 
 // recordProgress restarts the timeout after the instance sent the head of a response or whole
 // events, the last of which may have an ID. Single bytes do not count: a stalled instance may
-// send one now and then. It returns the successor for which the wait had ended and that is no
-// longer needed, or nil.
-func (w *watchdog) recordProgress(now time.Time, eventID string) *attempt {
+// send one now and then. It returns errSuperseded if a successor has taken the call over: what the
+// instance sent is then not to be used.
+func (w *watchdog) recordProgress(now time.Time, eventID string, writing bool) error {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.lastProgress, w.reported = now, false
+	if w.successor != nil {
+		return errSuperseded
+	}
+	w.lastProgress, w.reported, w.writing = now, false, writing
 	if eventID != "" {
 		w.lastEventID = eventID
 	}
-	outdated := w.successor
-	w.successor = nil
-	return outdated
+	return nil
 }
 
 // stop disarms the watchdog, and waits for the end of its search.
 func (w *watchdog) stop() {
 	w.mutex.Lock()
 	w.stopped = true
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.endTimer()
 	s := w.search
 	w.mutex.Unlock()
 	if s != nil {
@@ -81,11 +86,33 @@
 	}
 }
 
+// await disarms the watchdog after the instance has broken off. If the search has sent the call to
+// another instance, it waits for what comes of that.
+func (w *watchdog) await() {
+	w.mutex.Lock()
+	w.endTimer()
+	s := w.search
+	sent := s != nil && s.sent
+	w.mutex.Unlock()
+	if sent {
+		<-s.ended
+	}
+	w.stop()
+}
+
+// endTimer prevents further searches. The caller holds the lock.
+func (w *watchdog) endTimer() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.timer = nil
+}
+
 // timedOut reports whether the wait for the instance was ended for a successor.
 func (w *watchdog) timedOut() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.successor != nil
+	return w.expired
 }
 
 // takeSuccessor returns the successor, if there is one. The watchdog must be stopped.
@@ -104,70 +131,68 @@
 	if s == nil {
 		return
 	}
-	defer close(s.ended)
-	var found *attempt
-	defer func() {
-		if unused := w.endSearch(s, found); unused != nil {
-			unused.abandon()
-		}
-	}()
-	found = a.findSuccessor(ctx, s)
+	defer w.endSearch(s)
+	if found := a.findSuccessor(ctx, s); found != nil && !w.succeed(s, a, found) {
+		found.abandon()
+	}
 }
 
 // beginSearch returns a search and its context, or restarts the timer and returns nil.
 func (w *watchdog) beginSearch(ctx context.Context, a *attempt) (*search, context.Context) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.stopped || w.timer == nil {
+		return nil, ctx
+	}
 	silent, timeout := a.Clock.Now().Sub(w.lastProgress), w.timeout()
 	switch {
-	case w.stopped, timeout <= 0:
+	case timeout <= 0:
+		return nil, ctx
+	case w.writing:
+		w.timer.Reset(timeout)
 		return nil, ctx
 	case silent < timeout:
 		w.timer.Reset(timeout - silent)
 		return nil, ctx
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	w.search = &search{
-		cancel: cancel, ended: make(chan struct{}), silentSince: w.lastProgress, resumeAfter: w.lastEventID,
-		deadlineOver: func() { _ = a.connection.SetReadDeadline(a.Clock.Now()) }, // Fails only on a closed connection, which ends the wait as well.
-	}
+	w.search = &search{cancel: cancel, ended: make(chan struct{}), silentSince: w.lastProgress, resumeAfter: w.lastEventID}
 	return w.search, ctx
 }
 
-// endSearch ends the wait for the instance if a successor was found and the instance is still
-// silent, and restarts the timer otherwise. It returns a successor that is not needed.
-func (w *watchdog) endSearch(s *search, found *attempt) *attempt {
+// succeed ends the wait for the instance if it is still silent, and reports whether it is.
+func (w *watchdog) succeed(s *search, a *attempt, successor *attempt) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.search = nil
-	w.sends, w.runs = w.sends+s.sends, w.runs+s.runs
-	if found != nil && w.isSilentSince(s) {
-		w.successor = found
-		s.deadlineOver()
-		return nil
-	}
-	if found != nil { // It has begun to run the call.
-		w.sends, w.runs = w.sends+1, w.runs+1
-	} else {
-		s.cancel()
+	if !w.isSilentSince(s) {
+		w.runs++ // Counted as a send by recordSend.
+		return false
 	}
-	if !w.stopped {
-		w.timer.Reset(searchInterval)
+	w.successor = successor
+	w.sends-- // It counts when the call goes on with it.
+	if w.timer != nil {
+		w.expired = true
+		_ = a.connection.SetReadDeadline(a.Clock.Now()) // Fails only on a closed connection, which ends the wait as well.
 	}
-	return found
+	return true
 }
 
-// reportSilence reports whether the silence has not been reported to the chooser yet.
-func (w *watchdog) reportSilence() bool {
+// endSearch ends a search, and restarts the timer if the instance is waited for.
+func (w *watchdog) endSearch(s *search) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	first := !w.reported
-	w.reported = true
-	return first
+	w.search = nil
+	if w.successor == nil {
+		s.cancel()
+		if !w.stopped && w.timer != nil {
+			w.timer.Reset(searchInterval)
+		}
+	}
+	close(s.ended)
 }
 
-// needs reports whether a search is still needed.
-func (w *watchdog) needs(s *search) bool {
+// isNeeded reports whether a search is still needed.
+func (w *watchdog) isNeeded(s *search) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	return w.isSilentSince(s)
@@ -178,14 +203,42 @@
 	return !w.stopped && w.lastProgress.Equal(s.silentSince)
 }
 
-// countUnused counts a successor that is not needed. It has begun to run the call.
-func (w *watchdog) countUnused() {
+// reportSilence reports whether the silence has not been reported to the chooser yet.
+func (w *watchdog) reportSilence() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	first := !w.reported
+	w.reported = true
+	return first
+}
+
+// allow reports whether the retry budget allows a send, and asks it once for each. It is called by the
+// search only.
+func (w *watchdog) allow(ask func() bool) bool {
+	w.allowed = w.allowed || ask()
+	return w.allowed
+}
+
+// recordSend records that the call is sent to an instance, unless the search is not needed any more.
+func (w *watchdog) recordSend(s *search) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.isSilentSince(s) || w.timer == nil {
+		return false
+	}
+	s.sent, w.allowed = true, false
+	w.sends++
+	return true
+}
+
+// recordRun records that an instance that did not become the successor may have run the call.
+func (w *watchdog) recordRun() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.sends, w.runs = w.sends+1, w.runs+1
+	w.runs++
 }
 
-// spent returns the sends and runs that a search has used up so far.
+// spent returns the sends and runs that searches have used up so far.
 func (w *watchdog) spent() (sends, runs int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
