Restore the stand-in of the store from a copy, and order revisions by epoch

The stand-in takes a copy and is restored from it: items, leases and history of after the copy are gone, its own revisions and lease numbers are given out again, and the epoch rises by one. Its HTTP handler names the epoch in all responses (Store-Era).

RevisionInEpoch puts the epoch above the store's own number, so that revisions rise over restores. Package epoch makes a kumquathitch.Keyspace of a store whose responses name their epoch; the stand-in's link uses it, platform does not yet.

--- a/keyspace.go
+++ b/keyspace.go
@@ -10,8 +10,8 @@
 type KeyItem struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
-	Revision uint64 `json:"revision"`        // Revision of the last change; 0 for a key that does not exist.
-	Lease    uint64 `json:"lease,omitempty"` // The key is removed when this lease ends; 0 for none.
+	Revision uint64 `json:"revision"`        // Revision of the last change, in its epoch; 0 for a key that does not exist.
+	Lease    uint64 `json:"lease,omitempty"` // ID of the lease with whose end the key is removed; 0 for none.
 }
 
 // KeyRange holds the items below a prefix and the revision at which they were read.
@@ -41,16 +41,50 @@
 }
 
 // Lease bounds the lifetime of keys. The lease does not end before Deadline by
-// this VM's clock.
+// this VM's clock, unless the store is restored from an older copy.
 type Lease struct {
-	ID       uint64
+	ID       uint64 // Number in the store, in the epoch in which the lease was granted, as by RevisionInEpoch.
 	TTL      time.Duration
 	Deadline time.Time
 }
 
+// Bounds of the store's own revisions and lease numbers, and of its epochs.
+const (
+	ownRevisionBits = 40
+	maxOwnRevision  = 1<<ownRevisionBits - 1
+	// MaxEpoch keeps revisions, which are fencing tokens too, below 2^53: some decoders of
+	// JSON hold numbers in a float64.
+	MaxEpoch = 1<<13 - 1
+)
+
+// RevisionInEpoch returns the revision of the product for a store's own revision or lease
+// number in an epoch. It orders by epoch first: a store that is restored from an older copy
+// gives its own revisions out again, in a later epoch. Own revisions are below 2^40 and
+// epochs at most MaxEpoch. Revisions of epoch 0 are the store's own, and 0 stays 0.
+func RevisionInEpoch(epoch, own uint64) uint64 {
+	if own == 0 {
+		return 0
+	}
+	return epoch<<ownRevisionBits | own
+}
+
+// SplitRevision returns the epoch and the store's own number of a revision or lease ID.
+func SplitRevision(revision uint64) (epoch, own uint64) {
+	return revision >> ownRevisionBits, revision & maxOwnRevision
+}
+
+// IsOwnRevision reports whether a number is within the bounds of a store's own ones.
+func IsOwnRevision(own uint64) bool {
+	return own <= maxOwnRevision
+}
+
 // Keyspace is the platform's metadata store with revisions and leases. Every
 // method may return a *StoreError; after one with Unknown set, a write may
 // have taken effect or may do so seconds later.
+//
+// The store may be restored from an older copy, which begins a new epoch. Revisions and
+// lease IDs are those of RevisionInEpoch, so that a later state always has a higher revision,
+// whatever the epoch. No lease outlives its epoch.
 type Keyspace interface {
 	// Read returns an item, with Revision 0 when it does not exist.
 	Read(ctx context.Context, key string) (KeyItem, error)
@@ -59,11 +93,12 @@
 	Scan(ctx context.Context, prefix string, stale bool) (KeyRange, error)
 	// Follow waits, for a limited time, for changes below a prefix after a revision
 	// and returns them. It returns a *HistoryLostError when the store no longer has
-	// the changes.
+	// the changes, and when the revision is of an earlier epoch.
 	Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (KeyChanges, error)
 	// Write applies a transaction and returns the revision of the change. It
 	// returns a *ConflictError when a condition does not hold, and a
-	// *LeaseEndedError when a lease of an item has ended.
+	// *LeaseEndedError when a lease of an item has ended. A write that took effect in a
+	// later epoch than that of its conditions or leases returns a *StoreError with Unknown set.
 	Write(ctx context.Context, write KeyWrite) (uint64, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
@@ -73,6 +108,25 @@
 	Release(ctx context.Context, lease Lease) error
 }
 
+// ResponseEpoch is the epoch that a response of the store names.
+type ResponseEpoch struct {
+	Number uint64 // 0 for a store that names none.
+	Known  bool   // False when there was no response.
+}
+
+// EpochKeyspace is a Keyspace whose revisions and lease IDs are the store's own, as in its
+// messages. Its methods return the epoch of the response with each result, also with an
+// error. Package epoch makes a Keyspace of it.
+type EpochKeyspace interface {
+	Read(ctx context.Context, key string) (KeyItem, ResponseEpoch, error)
+	Scan(ctx context.Context, prefix string, stale bool) (KeyRange, ResponseEpoch, error)
+	Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (KeyChanges, ResponseEpoch, error)
+	Write(ctx context.Context, write KeyWrite) (uint64, ResponseEpoch, error)
+	Grant(ctx context.Context, ttl time.Duration) (Lease, ResponseEpoch, error)
+	Renew(ctx context.Context, lease Lease) (Lease, ResponseEpoch, error)
+	Release(ctx context.Context, lease Lease) (ResponseEpoch, error)
+}
+
 // HistoryLostError reports that the store no longer has the changes after a revision.
 type HistoryLostError struct {
 	After uint64
--- a/standin/keyspace.go
+++ b/standin/keyspace.go
@@ -2,44 +2,93 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"kumquathitch.example/kumquathitch"
+	"kumquathitch.example/kumquathitch/epoch"
 )
 
 // KeyspaceFaults are the faults that a keyspace simulates.
 type KeyspaceFaults struct {
 	Down            bool   // Every call fails and has no effect.
 	LoseResponses   int    // Number of writes that take effect and return an error.
-	CompactedBefore uint64 // Follow returns a *kumquathitch.HistoryLostError after an earlier revision.
+	CompactedBefore uint64 // Follow returns a *kumquathitch.HistoryLostError after an earlier revision, as Put returns it.
 }
 
-// Keyspace implements kumquathitch.Keyspace in memory, with revisions, leases and
-// a history. It is safe for concurrent use.
+// Keyspace is a store in memory, with revisions, leases and a history, that can be restored
+// from a copy. It implements kumquathitch.Keyspace for a caller that remembers no epoch from
+// one call to the next. It is safe for concurrent use.
 type Keyspace struct {
-	clock     kumquathitch.Clock
-	mutex     sync.Mutex
+	clock   kumquathitch.Clock
+	mutex   sync.Mutex
+	state   keyspaceState
+	epoch   uint64
+	faults  KeyspaceFaults
+	changed chan struct{}
+}
+
+// keyspaceState is what a copy of a keyspace holds. Revisions and leases are the store's own.
+type keyspaceState struct {
 	items     map[string]kumquathitch.KeyItem
 	deadlines map[uint64]time.Time // End of each lease.
 	ttls      map[uint64]time.Duration
 	history   []kumquathitch.KeyChange
 	revision  uint64
 	lastLease uint64
-	faults    KeyspaceFaults
-	changed   chan struct{}
+}
+
+// KeyspaceCopy is the state of a keyspace at a moment.
+type KeyspaceCopy struct {
+	state keyspaceState
+	at    time.Time
 }
 
 // NewKeyspace returns an empty keyspace whose leases expire by a clock.
 func NewKeyspace(clock kumquathitch.Clock) *Keyspace {
 	return &Keyspace{
-		clock: clock, items: map[string]kumquathitch.KeyItem{}, deadlines: map[uint64]time.Time{},
-		ttls: map[uint64]time.Duration{}, revision: 1, changed: make(chan struct{}),
+		clock: clock, changed: make(chan struct{}),
+		state: keyspaceState{items: map[string]kumquathitch.KeyItem{}, deadlines: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, revision: 1},
+	}
+}
+
+func (s *keyspaceState) clone() keyspaceState {
+	copied := *s
+	copied.items, copied.deadlines, copied.ttls, copied.history = maps.Clone(s.items), maps.Clone(s.deadlines), maps.Clone(s.ttls), slices.Clone(s.history)
+	return copied
+}
+
+// Copy returns the present state.
+func (k *Keyspace) Copy() KeyspaceCopy {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.expireLeases()
+	return KeyspaceCopy{state: k.state.clone(), at: k.clock.Now()}
+}
+
+// Restore replaces the state by a copy and begins a new epoch. What was written after the copy
+// is lost, and its revisions and lease numbers are given out again. Leases of the copy have
+// run on since, or go on with the time that was left to them.
+func (k *Keyspace) Restore(copied KeyspaceCopy, leasesRanOn bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.state = copied.state.clone()
+	if away := k.clock.Now().Sub(copied.at); !leasesRanOn {
+		for id, deadline := range k.state.deadlines {
+			k.state.deadlines[id] = deadline.Add(away)
+		}
 	}
+	k.epoch++
+	k.notify()
+}
+
+// Epoch returns the number of restores.
+func (k *Keyspace) Epoch() uint64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.epoch
 }
 
 // SetFaults replaces the simulated faults.
@@ -55,7 +104,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.set(kumquathitch.KeyItem{Key: key, Value: value})
-	return k.revision
+	return kumquathitch.RevisionInEpoch(k.epoch, k.state.revision)
 }
 
 // Delete removes an item unconditionally. Faults do not apply.
@@ -65,160 +114,56 @@
 	k.remove(key)
 }
 
+// The methods below have what another caller may know of an epoch from its arguments only.
+
 // Read returns an item, with Revision 0 when it does not exist.
-func (k *Keyspace) Read(_ context.Context, key string) (kumquathitch.KeyItem, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err := k.beginCall("Read", key); err != nil {
-		return kumquathitch.KeyItem{}, err
-	}
-	item := k.items[key]
-	item.Key = key
-	return item, nil
+func (k *Keyspace) Read(ctx context.Context, key string) (kumquathitch.KeyItem, error) {
+	return epoch.NewKeyspace(keyspaceCalls{k}).Read(ctx, key)
 }
 
 // Scan returns the items below a prefix, sorted by key. Its result is never stale.
-func (k *Keyspace) Scan(_ context.Context, prefix string, _ bool) (kumquathitch.KeyRange, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err := k.beginCall("Scan", prefix); err != nil {
-		return kumquathitch.KeyRange{}, err
-	}
-	found := kumquathitch.KeyRange{Revision: k.revision}
-	for key, item := range k.items {
-		if strings.HasPrefix(key, prefix) {
-			found.Items = append(found.Items, item)
-		}
-	}
-	slices.SortFunc(found.Items, func(a, b kumquathitch.KeyItem) int { return strings.Compare(a.Key, b.Key) })
-	return found, nil
+func (k *Keyspace) Scan(ctx context.Context, prefix string, stale bool) (kumquathitch.KeyRange, error) {
+	return epoch.NewKeyspace(keyspaceCalls{k}).Scan(ctx, prefix, stale)
 }
 
 // Follow waits for at most a duration for changes below a prefix after a revision.
 func (k *Keyspace) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (kumquathitch.KeyChanges, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		changes, changed, err := k.changesSince(prefix, after)
-		if err != nil || len(changes.Changes) > 0 {
-			return changes, err
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return changes, nil
-		case <-ctx.Done():
-			return changes, &kumquathitch.StoreError{Operation: "Follow", Key: prefix, Cause: ctx.Err()}
-		}
-	}
-}
-
-func (k *Keyspace) changesSince(prefix string, after uint64) (kumquathitch.KeyChanges, <-chan struct{}, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err := k.beginCall("Follow", prefix); err != nil {
-		return kumquathitch.KeyChanges{}, nil, err
-	}
-	if after < k.faults.CompactedBefore {
-		return kumquathitch.KeyChanges{}, nil, &kumquathitch.HistoryLostError{After: after}
-	}
-	changes := kumquathitch.KeyChanges{Revision: k.revision}
-	for _, change := range k.history {
-		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
-			changes.Changes = append(changes.Changes, change)
-		}
-	}
-	return changes, k.changed, nil
+	return epoch.NewKeyspace(keyspaceCalls{k}).Follow(ctx, prefix, after, wait)
 }
 
 // Write applies a transaction, or returns a *kumquathitch.ConflictError or a
 // *kumquathitch.LeaseEndedError.
-func (k *Keyspace) Write(_ context.Context, write kumquathitch.KeyWrite) (uint64, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err := k.beginCall("Write", ""); err != nil {
-		return 0, err
-	}
-	for _, expected := range write.Expect {
-		if current := k.items[expected.Key]; current.Revision != expected.Revision {
-			return 0, &kumquathitch.ConflictError{
-				Key: expected.Key, Expected: expected.Revision,
-				Current: kumquathitch.Record{Key: expected.Key, Value: current.Value, Version: current.Revision},
-			}
-		}
-	}
-	for _, item := range write.Set {
-		if _, live := k.deadlines[item.Lease]; item.Lease != 0 && !live {
-			return 0, &kumquathitch.LeaseEndedError{Lease: item.Lease}
-		}
-	}
-	for _, item := range write.Set {
-		k.set(item)
-	}
-	for _, key := range write.Remove {
-		k.remove(key)
-	}
-	if k.faults.LoseResponses > 0 {
-		k.faults.LoseResponses--
-		return 0, &kumquathitch.StoreError{Operation: "Write", Unknown: true, Cause: eris.New("the response was lost")}
-	}
-	return k.revision, nil
+func (k *Keyspace) Write(ctx context.Context, write kumquathitch.KeyWrite) (uint64, error) {
+	return epoch.NewKeyspace(keyspaceCalls{k}).Write(ctx, write)
 }
 
 // Grant creates a lease.
-func (k *Keyspace) Grant(_ context.Context, ttl time.Duration) (kumquathitch.Lease, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err := k.beginCall("Grant", ""); err != nil {
-		return kumquathitch.Lease{}, err
-	}
-	k.lastLease++
-	k.ttls[k.lastLease], k.deadlines[k.lastLease] = ttl, k.clock.Now().Add(ttl)
-	return kumquathitch.Lease{ID: k.lastLease, TTL: ttl, Deadline: k.deadlines[k.lastLease]}, nil
+func (k *Keyspace) Grant(ctx context.Context, ttl time.Duration) (kumquathitch.Lease, error) {
+	return epoch.NewKeyspace(keyspaceCalls{k}).Grant(ctx, ttl)
 }
 
 // Renew extends a lease, or returns a *kumquathitch.LeaseEndedError.
-func (k *Keyspace) Renew(_ context.Context, lease kumquathitch.Lease) (kumquathitch.Lease, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err := k.beginCall("Renew", ""); err != nil {
-		return lease, err
-	}
-	if _, live := k.deadlines[lease.ID]; !live {
-		return lease, &kumquathitch.LeaseEndedError{Lease: lease.ID}
-	}
-	k.deadlines[lease.ID] = k.clock.Now().Add(k.ttls[lease.ID])
-	return lease, nil
+func (k *Keyspace) Renew(ctx context.Context, lease kumquathitch.Lease) (kumquathitch.Lease, error) {
+	return epoch.NewKeyspace(keyspaceCalls{k}).Renew(ctx, lease)
 }
 
 // Release ends a lease and removes its items.
-func (k *Keyspace) Release(_ context.Context, lease kumquathitch.Lease) error {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err := k.beginCall("Release", ""); err != nil {
-		return err
-	}
-	k.endLease(lease.ID)
-	return nil
+func (k *Keyspace) Release(ctx context.Context, lease kumquathitch.Lease) error {
+	return epoch.NewKeyspace(keyspaceCalls{k}).Release(ctx, lease)
 }
 
-// beginCall ends expired leases and returns an error when the keyspace is down. The
-// caller holds the lock.
-func (k *Keyspace) beginCall(operation, key string) error {
-	for id, deadline := range k.deadlines {
+// expireLeases ends expired leases. The caller holds the lock.
+func (k *Keyspace) expireLeases() {
+	for id, deadline := range k.state.deadlines {
 		if !k.clock.Now().Before(deadline) {
 			k.endLease(id)
 		}
 	}
-	if k.faults.Down {
-		return &kumquathitch.StoreError{Operation: operation, Key: key, Cause: eris.New("the store is down")}
-	}
-	return nil
 }
 
 func (k *Keyspace) endLease(lease uint64) {
-	delete(k.deadlines, lease)
-	for key, item := range k.items {
+	delete(k.state.deadlines, lease)
+	for key, item := range k.state.items {
 		if item.Lease == lease {
 			k.remove(key)
 		}
@@ -226,23 +171,28 @@
 }
 
 func (k *Keyspace) set(item kumquathitch.KeyItem) {
-	k.revision++
-	item.Revision = k.revision
-	k.items[item.Key] = item
+	k.state.revision++
+	item.Revision = k.state.revision
+	k.state.items[item.Key] = item
 	k.appendChange(kumquathitch.KeyChange{KeyItem: item})
 }
 
 func (k *Keyspace) remove(key string) {
-	if _, exists := k.items[key]; !exists {
+	if _, exists := k.state.items[key]; !exists {
 		return
 	}
-	delete(k.items, key)
-	k.revision++
-	k.appendChange(kumquathitch.KeyChange{KeyItem: kumquathitch.KeyItem{Key: key, Revision: k.revision}, Removed: true})
+	delete(k.state.items, key)
+	k.state.revision++
+	k.appendChange(kumquathitch.KeyChange{KeyItem: kumquathitch.KeyItem{Key: key, Revision: k.state.revision}, Removed: true})
 }
 
 func (k *Keyspace) appendChange(change kumquathitch.KeyChange) {
-	k.history = append(k.history, change)
+	k.state.history = append(k.state.history, change)
+	k.notify()
+}
+
+// notify wakes the calls that wait for changes. The caller holds the lock.
+func (k *Keyspace) notify() {
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
--- a/standin/keyspace_http.go
+++ b/standin/keyspace_http.go
@@ -29,63 +29,75 @@
 	TTLMS         int64          `json:"ttl_ms,omitempty"`
 }
 
+// epochHeader names in each response the number of restores from a copy.
+const epochHeader = "Store-Era"
+
 // NewKeyspaceHandler serves a keyspace over the store protocol of the users' platform.
-func NewKeyspaceHandler(k *Keyspace) http.Handler {
+func NewKeyspaceHandler(store *Keyspace) http.Handler {
+	k := keyspaceCalls{store}
 	router := chi.NewRouter()
+	router.Use(func(next http.Handler) http.Handler { // Also for responses that reach no call.
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			setEpoch(w, store.Epoch())
+			next.ServeHTTP(w, r)
+		})
+	})
 	router.Get("/v1/kv-key", func(w http.ResponseWriter, r *http.Request) {
-		item, err := k.Read(r.Context(), r.URL.Query().Get("key"))
+		item, at, err := k.Read(r.Context(), r.URL.Query().Get("key"))
 		if err == nil && item.Revision == 0 {
+			setEpoch(w, at.Number)
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		writeKeyspaceResponse(w, keyspaceResponse{keyspaceItem: encodeItem(item)}, err)
+		writeKeyspaceResponse(w, at, keyspaceResponse{keyspaceItem: encodeItem(item)}, err)
 	})
 	router.Get("/v1/kv-range", func(w http.ResponseWriter, r *http.Request) {
-		found, err := k.Scan(r.Context(), r.URL.Query().Get("path_prefix"), false)
+		found, at, err := k.Scan(r.Context(), r.URL.Query().Get("path_prefix"), false)
 		response := keyspaceResponse{StoreRevision: found.Revision}
 		for _, item := range found.Items {
 			if item.Key > r.URL.Query().Get("after") {
 				response.Items = append(response.Items, encodeItem(item))
 			}
 		}
-		writeKeyspaceResponse(w, response, err)
+		writeKeyspaceResponse(w, at, response, err)
 	})
 	router.Get("/v1/kv-watch", serveFollow(k))
 	router.Post("/v1/kv-txn", serveWrite(k))
 	router.Post("/v1/kv-lease", func(w http.ResponseWriter, r *http.Request) {
 		var body keyspaceResponse
 		if readJSON(w, r, &body) {
-			lease, err := k.Grant(r.Context(), time.Duration(body.TTLMS)*time.Millisecond)
-			writeKeyspaceResponse(w, keyspaceResponse{keyspaceItem: keyspaceItem{Lease: lease.ID}, TTLMS: lease.TTL.Milliseconds()}, err)
+			lease, at, err := k.Grant(r.Context(), time.Duration(body.TTLMS)*time.Millisecond)
+			writeKeyspaceResponse(w, at, keyspaceResponse{keyspaceItem: keyspaceItem{Lease: lease.ID}, TTLMS: lease.TTL.Milliseconds()}, err)
 		}
 	})
 	router.Post("/v1/kv-keep/{id}", func(w http.ResponseWriter, r *http.Request) {
-		lease, err := k.Renew(r.Context(), leaseFromPath(r))
-		writeKeyspaceResponse(w, keyspaceResponse{TTLMS: lease.TTL.Milliseconds()}, err)
+		lease, at, err := k.Renew(r.Context(), leaseFromPath(r))
+		writeKeyspaceResponse(w, at, keyspaceResponse{TTLMS: lease.TTL.Milliseconds()}, err)
 	})
 	router.Delete("/v1/kv-lease-end/{id}", func(w http.ResponseWriter, r *http.Request) {
-		writeKeyspaceResponse(w, keyspaceResponse{}, k.Release(r.Context(), leaseFromPath(r)))
+		at, err := k.Release(r.Context(), leaseFromPath(r))
+		writeKeyspaceResponse(w, at, keyspaceResponse{}, err)
 	})
 	return router
 }
 
-func serveFollow(k *Keyspace) http.HandlerFunc {
+func serveFollow(k keyspaceCalls) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("wait_ms"))
-		changes, err := k.Follow(r.Context(), query.Get("path_prefix"), after, time.Duration(wait)*time.Millisecond)
+		changes, at, err := k.Follow(r.Context(), query.Get("path_prefix"), after, time.Duration(wait)*time.Millisecond)
 		response := keyspaceResponse{StoreRevision: changes.Revision}
 		for _, change := range changes.Changes {
 			event := encodeItem(change.KeyItem)
 			event.Deleted = change.Removed
 			response.Events = append(response.Events, event)
 		}
-		writeKeyspaceResponse(w, response, err)
+		writeKeyspaceResponse(w, at, response, err)
 	}
 }
 
-func serveWrite(k *Keyspace) http.HandlerFunc {
+func serveWrite(k keyspaceCalls) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body struct {
 			Expected []keyspaceItem `json:"expected"`
@@ -102,8 +114,8 @@
 		for _, item := range body.Set {
 			write.Set = append(write.Set, kumquathitch.KeyItem{Key: item.Key, Value: item.Value, Lease: item.Lease})
 		}
-		revision, err := k.Write(r.Context(), write)
-		writeKeyspaceResponse(w, keyspaceResponse{keyspaceItem: keyspaceItem{Revision: revision}}, err)
+		revision, at, err := k.Write(r.Context(), write)
+		writeKeyspaceResponse(w, at, keyspaceResponse{keyspaceItem: keyspaceItem{Revision: revision}}, err)
 	}
 }
 
@@ -116,7 +128,12 @@
 	return keyspaceItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Lease: item.Lease}
 }
 
-func writeKeyspaceResponse(w http.ResponseWriter, response keyspaceResponse, err error) {
+func setEpoch(w http.ResponseWriter, epoch uint64) {
+	w.Header().Set(epochHeader, strconv.FormatUint(epoch, 10))
+}
+
+func writeKeyspaceResponse(w http.ResponseWriter, at kumquathitch.ResponseEpoch, response keyspaceResponse, err error) {
+	setEpoch(w, at.Number)
 	var conflict *kumquathitch.ConflictError
 	var ended *kumquathitch.LeaseEndedError
 	var lost *kumquathitch.HistoryLostError
--- a/standin/keyspace_link.go
+++ b/standin/keyspace_link.go
@@ -9,6 +9,7 @@
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/epoch"
 )
 
 // LinkFaults are the faults of one VM's link to a keyspace.
@@ -25,9 +26,12 @@
 	Only        string // Operation that LoseAnswers and LateWrites concern; empty for all that write.
 }
 
-// KeyspaceLink is one VM's link to a keyspace. It is safe for concurrent use.
+// KeyspaceLink is one VM's link to a keyspace, and the VM's memory of epochs. It is safe for
+// concurrent use.
 type KeyspaceLink struct {
-	store   *Keyspace
+	*epoch.Keyspace // Calls go through this link as linkCalls.
+
+	store   keyspaceCalls
 	latency time.Duration // Of a call.
 	timeout time.Duration // Of a call; watches have it in addition to their wait.
 
@@ -39,7 +43,15 @@
 
 // NewKeyspaceLink returns a link without faults.
 func NewKeyspaceLink(store *Keyspace, latency, timeout time.Duration) *KeyspaceLink {
-	return &KeyspaceLink{store: store, latency: latency, timeout: timeout, changed: make(chan struct{}), watchOver: make(chan struct{})}
+	l := &KeyspaceLink{store: keyspaceCalls{store}, latency: latency, timeout: timeout, changed: make(chan struct{}), watchOver: make(chan struct{})}
+	l.Forget()
+	return l
+}
+
+// Forget makes the link forget the epochs that it has seen, as a new process of the VM has not
+// seen them. No call may be under way.
+func (l *KeyspaceLink) Forget() {
+	l.Keyspace = epoch.NewKeyspace(linkCalls{l})
 }
 
 // ChangeFaults changes the faults by a function.
@@ -59,24 +71,31 @@
 	l.watchOver = make(chan struct{})
 }
 
-// Read reads through the link.
-func (l *KeyspaceLink) Read(ctx context.Context, key string) (kumquathitch.KeyItem, error) {
-	return callThrough(ctx, l, "Read", l.timeout, false, func(ctx context.Context) (kumquathitch.KeyItem, error) { return l.store.Read(ctx, key) })
+// linkCalls implements kumquathitch.EpochKeyspace by the calls of a keyspace and the faults of a link.
+type linkCalls struct {
+	link *KeyspaceLink
 }
 
-// Scan scans through the link.
-func (l *KeyspaceLink) Scan(ctx context.Context, prefix string, stale bool) (kumquathitch.KeyRange, error) {
-	return callThrough(ctx, l, "Scan", l.timeout, false, func(ctx context.Context) (kumquathitch.KeyRange, error) {
+func (c linkCalls) Read(ctx context.Context, key string) (kumquathitch.KeyItem, kumquathitch.ResponseEpoch, error) {
+	l := c.link
+	return callThrough(ctx, l, "Read", l.timeout, false, func(ctx context.Context) (kumquathitch.KeyItem, kumquathitch.ResponseEpoch, error) {
+		return l.store.Read(ctx, key)
+	})
+}
+
+func (c linkCalls) Scan(ctx context.Context, prefix string, stale bool) (kumquathitch.KeyRange, kumquathitch.ResponseEpoch, error) {
+	l := c.link
+	return callThrough(ctx, l, "Scan", l.timeout, false, func(ctx context.Context) (kumquathitch.KeyRange, kumquathitch.ResponseEpoch, error) {
 		return l.store.Scan(ctx, prefix, stale)
 	})
 }
 
-// Follow watches through the link.
-func (l *KeyspaceLink) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (kumquathitch.KeyChanges, error) {
+func (c linkCalls) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (kumquathitch.KeyChanges, kumquathitch.ResponseEpoch, error) {
+	l := c.link
 	l.mutex.Lock()
 	over := l.watchOver
 	l.mutex.Unlock()
-	return callThrough(ctx, l, "Follow", wait+l.timeout, false, func(ctx context.Context) (kumquathitch.KeyChanges, error) {
+	return callThrough(ctx, l, "Follow", wait+l.timeout, false, func(ctx context.Context) (kumquathitch.KeyChanges, kumquathitch.ResponseEpoch, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() {
@@ -90,36 +109,43 @@
 	})
 }
 
-// Write writes through the link.
-func (l *KeyspaceLink) Write(ctx context.Context, write kumquathitch.KeyWrite) (uint64, error) {
-	return callThrough(ctx, l, "Write", l.timeout, true, func(ctx context.Context) (uint64, error) { return l.store.Write(ctx, write) })
+func (c linkCalls) Write(ctx context.Context, write kumquathitch.KeyWrite) (uint64, kumquathitch.ResponseEpoch, error) {
+	l := c.link
+	return callThrough(ctx, l, "Write", l.timeout, true, func(ctx context.Context) (uint64, kumquathitch.ResponseEpoch, error) {
+		return l.store.Write(ctx, write)
+	})
 }
 
-// Grant creates a lease through the link.
-func (l *KeyspaceLink) Grant(ctx context.Context, ttl time.Duration) (kumquathitch.Lease, error) {
-	return callThrough(ctx, l, "Grant", l.timeout, true, func(ctx context.Context) (kumquathitch.Lease, error) { return l.store.Grant(ctx, ttl) })
+func (c linkCalls) Grant(ctx context.Context, ttl time.Duration) (kumquathitch.Lease, kumquathitch.ResponseEpoch, error) {
+	l := c.link
+	return callThrough(ctx, l, "Grant", l.timeout, true, func(ctx context.Context) (kumquathitch.Lease, kumquathitch.ResponseEpoch, error) {
+		return l.store.Grant(ctx, ttl)
+	})
 }
 
-// Renew extends a lease through the link.
-func (l *KeyspaceLink) Renew(ctx context.Context, lease kumquathitch.Lease) (kumquathitch.Lease, error) {
-	return callThrough(ctx, l, "Renew", l.timeout, true, func(ctx context.Context) (kumquathitch.Lease, error) { return l.store.Renew(ctx, lease) })
+func (c linkCalls) Renew(ctx context.Context, lease kumquathitch.Lease) (kumquathitch.Lease, kumquathitch.ResponseEpoch, error) {
+	l := c.link
+	return callThrough(ctx, l, "Renew", l.timeout, true, func(ctx context.Context) (kumquathitch.Lease, kumquathitch.ResponseEpoch, error) {
+		return l.store.Renew(ctx, lease)
+	})
 }
 
-// Release ends a lease through the link.
-func (l *KeyspaceLink) Release(ctx context.Context, lease kumquathitch.Lease) error {
-	_, err := callThrough(ctx, l, "Release", l.timeout, true, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, l.store.Release(ctx, lease)
+func (c linkCalls) Release(ctx context.Context, lease kumquathitch.Lease) (kumquathitch.ResponseEpoch, error) {
+	l := c.link
+	_, at, err := callThrough(ctx, l, "Release", l.timeout, true, func(ctx context.Context) (struct{}, kumquathitch.ResponseEpoch, error) {
+		at, err := l.store.Release(ctx, lease)
+		return struct{}{}, at, err
 	})
-	return err
+	return at, err
 }
 
 // callThrough makes one call with the faults of the link at its start and at its end.
-func callThrough[T any](ctx context.Context, l *KeyspaceLink, operation string, limit time.Duration, writes bool, do func(ctx context.Context) (T, error)) (T, error) {
+func callThrough[T any](ctx context.Context, l *KeyspaceLink, operation string, limit time.Duration, writes bool, do func(ctx context.Context) (T, kumquathitch.ResponseEpoch, error)) (T, kumquathitch.ResponseEpoch, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var none T
-	failed := func(unknown bool) (T, error) {
-		return none, &kumquathitch.StoreError{Operation: operation, Unknown: unknown, Cause: eris.New("the link failed")}
+	failed := func(unknown bool) (T, kumquathitch.ResponseEpoch, error) {
+		return none, kumquathitch.ResponseEpoch{}, &kumquathitch.StoreError{Operation: operation, Unknown: unknown, Cause: eris.New("the link failed")}
 	}
 	l.awaitThaw()
 	faults := l.takeFaults(operation, writes)
@@ -132,12 +158,12 @@
 	case faults.LateWrites > 0:
 		go func() {
 			<-time.NewTimer(faults.LateBy).C
-			_, _ = do(context.WithoutCancel(ctx)) // The caller no longer waits.
+			_, _, _ = do(context.WithoutCancel(ctx)) // The caller no longer waits.
 		}()
 		<-ctx.Done()
 		return failed(true)
 	}
-	result, err := do(ctx)
+	result, at, err := do(ctx)
 	l.awaitThaw()
 	l.mutex.Lock()
 	refusing, silent := l.faults.Refusing, l.faults.Silent || (l.faults.Hanging && operation == "Follow")
@@ -152,7 +178,7 @@
 	if !clock.Pause(ctx, l.latency+faults.AnswerDelay) {
 		return failed(writes)
 	}
-	return result, err
+	return result, at, err
 }
 
 // takeFaults returns the faults of a new call, with those that apply to a number of calls
