--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -28,6 +28,10 @@
 	// least time for which an account asks for more than its rate.
 	slowReturnTime = 3 * time.Second
 	pressTime      = 4 * time.Second
+	// copyAge is the unit of the age of a copy that the store is restored from, and rewriteTime the
+	// time within which the operator and the servers write again what is lost.
+	copyAge     = 1500 * time.Millisecond
+	rewriteTime = 2 * time.Second
 	// minVMs is the least number of VMs that stay.
 	minVMs = 2
 	// startTime is the time before the first fault.
@@ -72,6 +76,9 @@
 	"watches-hang", "slow-peers", "instance-gone", "vm-gone",
 }
 
+// storeRestored is a kind of event that is not drawn yet.
+const storeRestored = "store-restored"
+
 func drawOrder(t *rapid.T) order {
 	o := order{VMs: rapid.IntRange(3, 9).Draw(t, "VMs"), Seed: rapid.Uint64Max(1<<20).Draw(t, "seed")}
 	o.Weak = rapid.IntRange(0, o.VMs).Draw(t, "weak")
@@ -161,6 +168,8 @@
 			list = append(list, action{at + e.For, w.loseHistory})
 		}
 		return append(list, w.returnActions(e, at+e.For)...)
+	case storeRestored:
+		return w.restoreActions(e, at)
 	case "press":
 		return []action{{at, func() { w.pressing++ }}, {at + e.For + pressTime, func() { w.pressing-- }}}
 	case "lose-history":
@@ -168,18 +177,37 @@
 	case "configure":
 		return []action{{at, w.configure}}
 	case "instance-gone":
-		return []action{{at, func() { w.store.Delete(instanceKey(e.Instance)) }}}
+		return []action{{at, func() { w.deregister(e.Instance) }}}
 	case "vm-gone":
 		return []action{{at, func() { w.removeVM(w.nodes[e.VMs[0]]) }}}
 	case "instance-restarts":
 		return []action{{at, func() { w.describe(e.Instance, e.Count) }}}
 	case "entry-returns":
-		return []action{{at, func() { w.store.Delete(instanceKey(e.Instance)) }}, {at + min(e.For, 2*time.Second), func() { w.describe(e.Instance, 0) }}}
+		return []action{{at, func() { w.deregister(e.Instance) }}, {at + min(e.For, 2*time.Second), func() { w.describe(e.Instance, 0) }}}
 	default:
 		return w.linkActions(e, at)
 	}
 }
 
+// restoreActions returns the actions of a store that is away for a moment, and comes back from a copy.
+// Its leases have run on or pause. The operator and the servers write again what is lost.
+func (w *world) restoreActions(e event, at time.Duration) []action {
+	var copied standin.KeyspaceCopy
+	down := at + time.Duration(e.Count)*copyAge
+	back := down + e.For
+	e.VMs = w.allVMs()
+	list := append(w.holding(e, down, func(n *node) *int { return &n.refuse }), []action{
+		{at, func() { copied = w.store.Copy() }},
+		{back, func() { w.store.Restore(copied, e.Lapse) }},
+		{back + rewriteTime*time.Duration(e.Instance)/instanceCount, w.rewriteConfiguration},
+		{back + rewriteTime + 500*time.Millisecond, w.dropGone},
+	}...)
+	for i := range instanceCount {
+		list = append(list, action{back + rewriteTime*time.Duration((i+e.Instance)%instanceCount)/instanceCount, func() { w.rewrite(i) }})
+	}
+	return list
+}
+
 func (w *world) allVMs() []int {
 	var all []int
 	for i := range w.nodes {
@@ -199,7 +227,7 @@
 		return nil
 	}
 	return []action{
-		{at + leaseTime, func() { w.store.Delete(instanceKey(e.Instance)) }},
+		{at + leaseTime, func() { w.deregister(e.Instance) }},
 		{end + time.Duration(e.Count)*500*time.Millisecond, func() { w.describe(e.Instance, 0) }},
 	}
 }
@@ -370,3 +398,25 @@
 		}
 	}
 }
+
+// TestVMsBelieveRestoredStore guards against VMs that disagree with a store that was restored from an
+// older copy, or with each other. It draws the event alone, with changes around it.
+func TestVMsBelieveRestoredStore(t *testing.T) {
+	tracing, err := telemetry.NewTracing(t.Context(), "test", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		o := drawOrder(rt)
+		changes := []string{storeRestored, "configure", "instance-gone", "instance-restarts", "vm-gone", "power-off", "lose-history", "press"}
+		for i := range o.Events {
+			o.Events[i].Kind = rapid.SampledFrom(changes).Draw(rt, "change")
+		}
+		o.Events[rapid.IntRange(0, len(o.Events)-1).Draw(rt, "restored")].Kind = storeRestored
+		var broken error
+		synctest.Test(t, func(*testing.T) { _, broken = play(o, tracing) })
+		if broken != nil {
+			rt.Fatalf("%v\n%v", broken, o)
+		}
+	})
+}
--- a/checker/rules_test.go
+++ b/checker/rules_test.go
@@ -40,6 +40,9 @@
 			}
 			w.fence = belief.Term.Fence
 		}
+		if err := w.checkInstances(n, belief.Instances, at); err != nil {
+			return err
+		}
 		calls := callsPerStep
 		if w.pressing == 0 {
 			calls = max(0, 1-w.steps%idleSteps)
@@ -51,6 +54,27 @@
 	return w.checkSpending(spent, at)
 }
 
+// checkInstances returns an error when a process takes an instance back that it has removed, and that has
+// not written its entry since, and when it removes one that lives and writes its entry again in time.
+func (w *world) checkInstances(n *node, instances kumquathitch.Instances, at time.Duration) error {
+	known := map[string]bool{}
+	for i := range instances {
+		id := instances[i].ID
+		known[id] = true
+		if n.removed[id] && !n.known[id] && !w.written[instances[i].Revision] {
+			return fmt.Errorf("%v: %s takes back %s, which it had removed and which has not written its entry again", at, n.name, id)
+		}
+	}
+	for id := range n.known {
+		if !known[id] && w.allLive {
+			return fmt.Errorf("%v: %s removes %s, which lives", at, n.name, id)
+		}
+		n.removed[id] = n.removed[id] || !known[id]
+	}
+	n.known = known
+	return nil
+}
+
 // checkSpending returns an error when more tokens were spent than a window allows.
 func (w *world) checkSpending(tokens float64, at time.Duration) error {
 	now, sum := time.Now(), 0.0
--- a/checker/world_test.go
+++ b/checker/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,8 +75,10 @@
 	running *vm.VM // Nil while the VM has no power.
 	stop    context.CancelFunc
 	end     chan error
-	version uint64 // Highest configuration version of this process.
-	frozen  int    // Number of faults of each kind that hold now.
+	version uint64          // Highest configuration version of this process.
+	removed map[string]bool // Instances that this process knew and has removed.
+	known   map[string]bool // Instances that it knew in the step before.
+	frozen  int             // Number of faults of each kind that hold now.
 	silent  int
 	refuse  int
 	cut     int
@@ -106,11 +109,24 @@
 	spent   []spending
 	steps   int
 
-	pressing int // Number of events that make the account press.
+	pressing int  // Number of events that make the account press.
+	allLive  bool // No event removes an instance or keeps a VM from the store.
+
+	described map[int]description // Of the instances that live.
+	written   map[uint64]bool     // Revisions of all entries that instances have written.
+}
+
+// description is what an instance has written last.
+type description struct {
+	start    int
+	revision uint64
 }
 
 func newWorld(o order, tracing *telemetry.Tracing) *world {
-	w := &world{clock: &leaseClock{}, tracing: tracing, seed: o.Seed}
+	w := &world{clock: &leaseClock{}, tracing: tracing, seed: o.Seed, described: map[int]description{}, written: map[uint64]bool{}}
+	w.allLive = !slices.ContainsFunc(o.Events, func(e event) bool {
+		return !slices.Contains([]string{storeRestored, "configure", "press", "power-off", "end-watches"}, e.Kind)
+	})
 	w.store = standin.NewKeyspace(w.clock)
 	w.configure()
 	for i := range instanceCount {
@@ -132,6 +148,10 @@
 // configure writes the next version of the configuration.
 func (w *world) configure() {
 	w.version++
+	w.writeConfiguration()
+}
+
+func (w *world) writeConfiguration() {
 	w.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[
  {"name":"book","host":"a.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":300,"service":"web","max_attempts":1}],
  "services":[{"name":"web","max_conns":100}],
@@ -142,7 +162,41 @@
 
 // describe writes the entry of an instance, whose address depends on its start.
 func (w *world) describe(i, start int) {
-	w.store.Put(instanceKey(i), fmt.Appendf(nil, `{"service":"web","address":"10.1.%d.%d:80","zone":"zone-a","version":"v1","slots":4,"state":"ready","seq":1,"born":%d}`, start, i, 1000+start))
+	revision := w.store.Put(instanceKey(i), fmt.Appendf(nil, `{"service":"web","address":"10.1.%d.%d:80","zone":"zone-a","version":"v1","slots":4,"state":"ready","seq":1,"born":%d}`, start, i, 1000+start))
+	w.described[i], w.written[revision] = description{start: start, revision: revision}, true
+}
+
+// deregister removes the entry of an instance.
+func (w *world) deregister(i int) {
+	w.store.Delete(instanceKey(i))
+	delete(w.described, i)
+}
+
+// rewriteConfiguration writes the newest configuration again if it is lost.
+func (w *world) rewriteConfiguration() {
+	item, err := w.store.Read(context.Background(), "op/config")
+	if err != nil {
+		panic(err) // The store itself has no faults.
+	}
+	if decoded, err := (platform.Codec{}).DecodeDeployment(item.Value); err != nil || decoded.Version < uint64(w.version) {
+		w.writeConfiguration()
+	}
+}
+
+// rewrite writes the entry of an instance again, as its last write is lost.
+func (w *world) rewrite(i int) {
+	if last, lives := w.described[i]; lives {
+		w.describe(i, last.start)
+	}
+}
+
+// dropGone removes the entries that the copy has brought back and that nobody writes.
+func (w *world) dropGone() {
+	for i := range instanceCount {
+		if _, lives := w.described[i]; !lives {
+			w.store.Delete(instanceKey(i))
+		}
+	}
 }
 
 func (w *world) startVM(n *node, bootstrap bool) {
@@ -156,6 +210,7 @@
 	if n.link == nil {
 		n.link = standin.NewKeyspaceLink(w.store, latency, callTimeout)
 	}
+	n.link.Forget()
 	environment := kumquathitch.Environment{
 		Name: n.name, DataCentre: "zone-a", Bootstrap: bootstrap, PeerAddress: n.address, Cores: 1, LinkMbps: 100,
 		DrainLag: 300 * time.Millisecond, HandoverDelay: 300 * time.Millisecond, ChecksFencing: true,
@@ -174,6 +229,7 @@
 	end := make(chan error, 1)
 	w.mutex.Lock()
 	n.running, n.stop, n.end, n.version = v, stop, end, 0
+	n.removed, n.known = map[string]bool{}, map[string]bool{}
 	w.mutex.Unlock()
 	w.applyFaults(n)
 	go func() { end <- v.FollowFleet(ctx) }()
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -67,6 +67,7 @@
 	ready   string // Address of the readiness check.
 	peers   string // Address for other VMs.
 	set     *metrics.Set
+	belief  func() vm.Belief
 	stop    context.CancelFunc
 	end     chan error
 }
@@ -106,7 +107,9 @@
 	ctx, stop := context.WithCancel(context.WithoutCancel(p.t.Context()))
 	v.stop = stop
 	v.set = metrics.NewSet()
-	go func() { v.end <- vm.New(environment, zap.NewNop(), v.set, tracing).Run(ctx) }()
+	started := vm.New(environment, zap.NewNop(), v.set, tracing)
+	v.belief = started.Belief
+	go func() { v.end <- started.Run(ctx) }()
 	p.t.Cleanup(func() {
 		stop()
 		select {
