Keep instances that a restored store does not list until they can register again

Callers would see: calls fail, or are refused for want of instances, for up to 2 s after the store is restored, since the copy lacks every instance that registered after it.

Cause: a scan removes at once what it does not list, unless the VM was without the store for 3.3 s. An outage that ends with an older copy can be shorter.

Change: the first scan of a new epoch, or the first entries of another VM that has seen it, count as the end of an outage, so that instances that are not listed are kept for 2.2 s. The VM logs "store restored".

Before: TestInstanceMissingInCopyStaysUsable failed in 3.9 s.

--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -61,6 +61,7 @@
 	members      map[string]kumquathitch.Member  // By name.
 	lapsed       map[string]time.Time            // When instances with an expired entry are removed, by key.
 	revision     uint64                          // Revision of the store up to which changes are applied; 0 before the first scan.
+	epoch        uint64                          // Latest epoch of the store whose entries are applied.
 	lastResponse time.Time                       // When the store or the leader's feed last answered.
 	outageEnd    time.Time                       // End of the last outage.
 	scanned      bool                            // The store has answered at least once.
@@ -202,6 +203,7 @@
 	w.recordResponse(time.Now())
 	w.applyMutex.Lock()
 	defer w.applyMutex.Unlock()
+	w.enterEpoch(all.Revision)
 	w.vm.feed.reset(all.Revision)
 	w.vm.replaceEvacuations(w.listEvacuations(all), "scan") // Before instances that it may concern.
 	listed := make(map[string]bool, len(all.Items))
@@ -222,6 +224,22 @@
 	return nil
 }
 
+// enterEpoch records the epoch of a state that is applied next. In a new one the store was restored from
+// a copy: instances that it does not list have time to write their entries again, as after an outage.
+func (w *storeWatcher) enterEpoch(revision uint64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	epoch, _ := kumquathitch.SplitRevision(revision)
+	before, first := w.epoch, w.revision == 0 && len(w.instances) == 0
+	w.epoch = max(w.epoch, epoch)
+	if first || epoch <= before {
+		return
+	}
+	w.outageEnd = time.Now()
+	w.vm.log.Info("store restored", zap.Uint64("epoch", epoch), zap.Uint64("epoch-before", before),
+		zap.Uint64("revision", revision), zap.Uint64("revision-before", w.revision))
+}
+
 // keys returns the keys of all known instances and members.
 func (w *storeWatcher) keys() []string {
 	w.mutex.Lock()
@@ -452,6 +470,7 @@
 	if revision <= w.currentRevision() && len(w.instanceItems()) > 0 {
 		return
 	}
+	w.enterEpoch(revision)
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.Key] = true
@@ -461,7 +480,7 @@
 	}
 	for _, item := range w.instanceItems() {
 		if !listed[item.Key] {
-			w.dropInstance(item.Key)
+			w.remove(item.Key)
 		}
 	}
 }
