Ignore the entries of instances that a restored store brings back

Callers would see: calls go to servers that have left or that are leaving (DRAIN), and fail, since the copy is older than that.

Cause: an entry with a higher revision replaces what is known, and after a restore an older entry has one, as its epoch is later.

Change: an entry that may come from the copy does not bring back a start whose removal was applied in the last minute, and does not make a leaving start ready. Any later write ends this. An entry that the store still has after 6 s is taken over: the platform removes entries after three heartbeats of silence.

--- /dev/null
+++ b/vm/restored_entries.go
@@ -0,0 +1,104 @@
+package vm
+
+import (
+	"time"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+const (
+	// removalMemory is how long the removal of an instance is remembered. A store is restored from
+	// a copy that is some seconds old.
+	removalMemory = time.Minute
+	// recallTime is how long an entry that a copy has brought back is ignored unless it is written
+	// again. The platform removes an entry after three heartbeats of silence, so that one
+	// which is still there belongs to an instance that lives.
+	recallTime = 6 * time.Second
+)
+
+// restoredEntries tells entries of instances that a restored store has brought back from those
+// that were written since. The copy is older than what the VM knew.
+type restoredEntries struct {
+	removed map[string]removedEntry // Entries whose removal was applied, by key.
+	ignored map[string]ignoredEntry // Entries that the copy has brought back, by key.
+}
+
+// removedEntry is the last entry of an instance that was removed.
+type removedEntry struct {
+	revision uint64                // Of the last entry, or of its removal.
+	instance kumquathitch.Instance // Without an ID if it was not known.
+	until    time.Time             // When the removal is forgotten.
+}
+
+// ignoredEntry is an entry that the copy has brought back.
+type ignoredEntry struct {
+	item  kumquathitch.KeyItem
+	until time.Time // When it is applied nevertheless.
+}
+
+func newRestoredEntries() restoredEntries {
+	return restoredEntries{removed: map[string]removedEntry{}, ignored: map[string]ignoredEntry{}}
+}
+
+// isFromCopy reports whether an entry may be what the store has brought back from before a known
+// revision of the same key. One that was written after the restore may have a low revision too.
+func isFromCopy(revision, known uint64) bool {
+	epoch, own := kumquathitch.SplitRevision(revision)
+	knownEpoch, knownOwn := kumquathitch.SplitRevision(known)
+	return epoch > knownEpoch && (own <= knownOwn || epoch > knownEpoch+1)
+}
+
+// remove records that the removal of an instance was applied. The instance has no ID if the VM did not
+// know it: its entry and the removal may have come together.
+func (r *restoredEntries) remove(key string, revision uint64, instance kumquathitch.Instance, now time.Time) {
+	r.removed[key] = removedEntry{revision: revision, instance: instance, until: now.Add(removalMemory)}
+}
+
+// ignores reports whether an entry is that of a removed start of an instance, brought back by the copy.
+// Any other entry of the key ends this.
+func (r *restoredEntries) ignores(item kumquathitch.KeyItem, instance *kumquathitch.Instance, now time.Time) bool {
+	if ignored, ok := r.ignored[item.Key]; ok && ignored.item.Revision == item.Revision {
+		return true
+	}
+	removed, ok := r.removed[item.Key]
+	sameStart := removed.instance.ID == "" || removed.instance.SameIncarnation(instance)
+	if ok && now.Before(removed.until) && isFromCopy(item.Revision, removed.revision) && sameStart {
+		r.ignored[item.Key] = ignoredEntry{item: item, until: now.Add(recallTime)}
+		return true
+	}
+	delete(r.ignored, item.Key)
+	delete(r.removed, item.Key)
+	return false
+}
+
+// drop forgets an ignored entry, as the store no longer has it.
+func (r *restoredEntries) drop(key string) {
+	delete(r.ignored, key)
+}
+
+// keep forgets the ignored entries that a scan does not list.
+func (r *restoredEntries) keep(listed map[string]bool) {
+	for key := range r.ignored {
+		if !listed[key] {
+			delete(r.ignored, key)
+		}
+	}
+}
+
+// expire forgets old removals, and returns the entries that are ignored no longer.
+func (r *restoredEntries) expire(now time.Time) []kumquathitch.KeyItem {
+	for key, removed := range r.removed {
+		if _, ignored := r.ignored[key]; !ignored && !now.Before(removed.until) {
+			delete(r.removed, key)
+		}
+	}
+	var due []kumquathitch.KeyItem
+	for key, ignored := range r.ignored {
+		if !now.Before(ignored.until) {
+			due = append(due, ignored.item)
+			delete(r.ignored, key)
+			delete(r.removed, key)
+		}
+	}
+	return due
+}
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -60,6 +60,7 @@
 	instances    map[string]kumquathitch.KeyItem // Entries of instances as written, by key, for VMs without the store.
 	members      map[string]kumquathitch.Member  // By name.
 	lapsed       map[string]time.Time            // When instances with an expired entry are removed, by key.
+	restored     restoredEntries                 // Entries that a restored store has brought back.
 	revision     uint64                          // Revision of the store up to which changes are applied; 0 before the first scan.
 	epoch        uint64                          // Latest epoch of the store whose entries are applied.
 	lastResponse time.Time                       // When the store or the leader's feed last answered.
@@ -73,7 +74,7 @@
 func newStoreWatcher(v *VM) *storeWatcher {
 	return &storeWatcher{
 		vm: v, instances: map[string]kumquathitch.KeyItem{}, members: map[string]kumquathitch.Member{},
-		lapsed: map[string]time.Time{},
+		lapsed: map[string]time.Time{}, restored: newRestoredEntries(),
 	}
 }
 
@@ -156,7 +157,7 @@
 			case concerns:
 				w.putEvacuation(evacuated, change.Revision, lastKnown)
 			case change.Removed:
-				w.remove(change.Key)
+				w.remove(change.Key, change.Revision)
 			default:
 				w.putItem(change.KeyItem)
 			}
@@ -213,9 +214,10 @@
 	}
 	for _, key := range w.keys() {
 		if !listed[key] {
-			w.remove(key)
+			w.remove(key, all.Revision)
 		}
 	}
+	w.keepRestored(listed)
 	if !slices.ContainsFunc(all.Items, func(item kumquathitch.KeyItem) bool { return election.IsLeaderKey(item.Key) }) {
 		w.vm.candidate.ObserveLeader(kumquathitch.KeyItem{}) // Its removal may be in the history that is lost.
 	}
@@ -240,6 +242,13 @@
 		zap.Uint64("revision", revision), zap.Uint64("revision-before", w.revision))
 }
 
+// keepRestored forgets what a scan no longer lists of the entries that the copy has brought back.
+func (w *storeWatcher) keepRestored(listed map[string]bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.restored.keep(listed)
+}
+
 // keys returns the keys of all known instances and members.
 func (w *storeWatcher) keys() []string {
 	w.mutex.Lock()
@@ -272,15 +281,19 @@
 		w.vm.log.Info("cannot decode the entry of an instance", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
+	before, known := w.vm.fleet.Instance(instance.ID)
 	w.mutex.Lock()
-	if item.Revision < w.instances[item.Key].Revision {
+	last := w.instances[item.Key].Revision
+	if item.Revision < last || w.restored.ignores(item, &instance, time.Now()) {
 		w.mutex.Unlock()
 		return
 	}
 	w.instances[item.Key] = item
 	delete(w.lapsed, item.Key)
 	w.mutex.Unlock()
-	before, known := w.vm.fleet.Instance(instance.ID)
+	if known && before.Leaving && before.SameIncarnation(&instance) && (item.Revision == last || isFromCopy(item.Revision, last)) {
+		instance.Leaving, instance.GoneBy = true, before.GoneBy
+	}
 	w.vm.fleet.Put(instance, time.Now())
 	if !known || before.Leaving != instance.Leaving || !before.SameIncarnation(&instance) {
 		if known && !before.SameIncarnation(&instance) {
@@ -315,12 +328,13 @@
 	}
 }
 
-// remove applies the removal of one key. An instance whose entry expired around
+// remove applies the removal of one key at a revision. An instance whose entry expired around
 // an outage of the store is kept for reregisterTime, so that it can write it again.
-func (w *storeWatcher) remove(key string) {
+func (w *storeWatcher) remove(key string, revision uint64) {
 	switch {
 	case strings.HasPrefix(key, w.vm.environment.Codec.InstancePrefix()):
 		w.mutex.Lock()
+		w.restored.drop(key)
 		now := time.Now()
 		if until := w.outageEnd.Add(reregisterTime); now.Before(until) {
 			w.lapsed[key] = until
@@ -328,7 +342,7 @@
 			return
 		}
 		w.mutex.Unlock()
-		w.dropInstance(key)
+		w.dropInstance(key, revision)
 	case election.IsLeaderKey(key):
 		w.vm.candidate.ObserveLeader(kumquathitch.KeyItem{})
 	case strings.HasPrefix(key, election.MemberPrefix):
@@ -339,13 +353,19 @@
 	}
 }
 
-func (w *storeWatcher) dropInstance(key string) {
+// dropInstance removes an instance whose entry is gone at a revision.
+func (w *storeWatcher) dropInstance(key string, revision uint64) {
+	id := strings.TrimPrefix(key, w.vm.environment.Codec.InstancePrefix())
+	before, known := w.vm.fleet.Instance(id)
 	w.mutex.Lock()
+	if item, listed := w.instances[key]; listed {
+		revision = item.Revision
+	}
+	w.restored.remove(key, revision, before, time.Now())
 	delete(w.instances, key)
 	delete(w.lapsed, key)
 	w.mutex.Unlock()
-	id := strings.TrimPrefix(key, w.vm.environment.Codec.InstancePrefix())
-	if before, known := w.vm.fleet.Instance(id); known {
+	if known {
 		w.recordGone(&before)
 	}
 	w.vm.fleet.Remove(id, time.Now())
@@ -364,9 +384,11 @@
 	}
 }
 
-// dropLapsed removes the instances that did not write their entries again in time.
+// dropLapsed removes the instances that did not write their entries again in time, and takes over the
+// entries that the store has kept since it brought them back.
 func (w *storeWatcher) dropLapsed(now time.Time) {
 	w.mutex.Lock()
+	kept := w.restored.expire(now)
 	var gone []string
 	for key, until := range w.lapsed {
 		if !now.Before(until) {
@@ -375,7 +397,10 @@
 	}
 	w.mutex.Unlock()
 	for _, key := range gone {
-		w.dropInstance(key)
+		w.dropInstance(key, w.currentRevision())
+	}
+	for _, item := range kept {
+		w.putInstance(item)
 	}
 }
 
@@ -480,7 +505,7 @@
 	}
 	for _, item := range w.instanceItems() {
 		if !listed[item.Key] {
-			w.remove(item.Key)
+			w.remove(item.Key, revision)
 		}
 	}
 }
