Get a newer configuration from any VM that has it

Callers would see: a confirmed change of the configuration comes back older, on a VM that starts after the store was restored: it reads the configuration of the copy, reports ready and serves it, while its peers know the newer one.

Cause: a VM got the configuration of others only from the leader, and not if the leader's changes were complete by revision ("the changes include it"); without a leader it asked nobody.

Change: a response has the configuration unless a change in it brings it; a VM that hears of a higher version asks for it, also as leader; without a leader a VM asks any other one at each interval; a VM that starts asks the seeds, or else members, before it reports ready.

--- a/exchange.go
+++ b/exchange.go
@@ -6,6 +6,7 @@
 // a second, or to another VM when the leader cannot be reached.
 type ExchangeRequest struct {
 	TokensOnly        bool               `json:"only-draws,omitempty"`    // Only TokensWanted and TokensReturned are set.
+	DeploymentOnly    bool               `json:"only-version,omitempty"`  // Only From and DeploymentVersion are set, and the response has a newer deployment only. An older VM does not know the field.
 	From              string             `json:"from"`                    // Name of the sending VM.
 	DeploymentVersion uint64             `json:"version"`                 // Version of the deployment in force; 0 before the first.
 	Demand            map[string]float64 `json:"demand,omitempty"`        // Tokens per second, by "service/model" or "service/model/adapter".
--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -137,6 +137,9 @@
 		request.StoreRevision, request.StoreUnavailable = v.watcher.currentRevision(), v.watcher.needsPeers(now)
 	}
 	address, self := v.exchangePeer(request.StoreUnavailable)
+	if !tokensOnly {
+		v.askForNewer(ctx, address == "" && !self)
+	}
 	if address == "" && !self {
 		return
 	}
@@ -161,6 +164,9 @@
 			v.log.Info("exchange failed", zap.String("peer", address), zap.Bool("only-draws", tokensOnly), zap.Error(err))
 			return
 		}
+		if !tokensOnly {
+			v.newerDeployments.informed.Store(true)
+		}
 	}
 	if tokensOnly {
 		v.rateLimiter.ApplyResponse(&response, time.Now())
@@ -191,17 +197,25 @@
 	if hint := v.leadership.leaderHint(); hint != "" && hint != v.environment.PeerAddress && v.random.Int64N(2) == 0 {
 		return hint, false
 	}
+	if address = v.anyPeer(); address != "" {
+		return address, false
+	}
+	return "", leading
+}
+
+// anyPeer returns the address of another VM, chosen at random, or nothing if it finds none.
+func (v *VM) anyPeer() string {
 	addresses := append([]string{}, v.environment.Seeds...)
 	for _, m := range v.watcher.memberList() {
 		addresses = append(addresses, m.Address)
 	}
 	slices.Sort(addresses) // The choice depends on the random number alone.
 	for range addresses {
-		if address = addresses[v.random.Int64N(int64(len(addresses)))]; address != v.environment.PeerAddress {
-			return address, false
+		if address := addresses[v.random.Int64N(int64(len(addresses)))]; address != v.environment.PeerAddress {
+			return address
 		}
 	}
-	return "", leading
+	return ""
 }
 
 // applyResponse applies the response to a full exchange.
@@ -229,13 +243,8 @@
 		v.roster.SetReported(response.MemberCount, now)
 	}
 	v.updateMemberCount(now)
-	if len(response.Deployment) > 0 {
-		document, err := decompress(response.Deployment)
-		if err != nil {
-			v.log.Warn("cannot decompress the configuration from another VM", zap.Uint64("version", response.DeploymentVersion), zap.Error(err))
-			return
-		}
-		v.applyDeployment(document, "peer")
+	if !v.applyPeerDeployment(response) {
+		return
 	}
 	v.replaceEvacuations(response.Evacuations, "peer") // Before instances that it may concern.
 	if len(response.Instances) > 0 {
@@ -247,6 +256,11 @@
 func (v *VM) handleExchange(_ context.Context, request kumquathitch.ExchangeRequest) (kumquathitch.ExchangeResponse, error) {
 	now := time.Now()
 	var response kumquathitch.ExchangeResponse
+	v.newerDeployments.note(&request, v.deployments.Version())
+	if request.DeploymentOnly {
+		v.addDeployment(&response, &request)
+		return response, nil
+	}
 	issuer := v.currentIssuer(now)
 	if issuer != nil {
 		if snapshot := v.deployments.Snapshot(); snapshot != nil {
@@ -280,11 +294,7 @@
 	}
 	response.Suspects = v.knownSuspects(now)
 	v.roleLoad.addSuspects(len(response.Suspects.Parts) + len(response.Suspects.Contents))
-	document, version := v.deployments.Document()
-	response.DeploymentVersion = version
-	if version > request.DeploymentVersion && !response.SegmentsComplete { // Otherwise the changes include it.
-		response.Deployment = v.compressed.forVersion(document, version)
-	}
+	v.addDeployment(&response, &request)
 	if !response.SegmentsComplete { // Also while the store answers neither VM: the later state applies.
 		response.Evacuations = v.evacuations.List(now)
 	}
@@ -383,8 +393,8 @@
 }
 
 // applyDeployment puts a configuration in force when it is valid and its version is
-// higher than the current one.
-func (v *VM) applyDeployment(document []byte, source string) {
+// higher than the current one. The revision is that of the store's item, or 0 from another VM.
+func (v *VM) applyDeployment(document []byte, revision uint64, source string) {
 	decoded, err := v.environment.Codec.DecodeDeployment(document)
 	if err != nil {
 		v.log.Error("configuration rejected; the previous version stays in force",
@@ -392,6 +402,7 @@
 		return
 	}
 	if v.deployments.Apply(decoded, document) {
+		v.deploymentRevision.Store(revision)
 		v.fleet.SetColdRates(decoded.Services, v.environment.ColdOverage, v.environment.ColdSlack)
 		v.globalScheduler.Configure(decoded)
 		v.log.Info("configuration in force", zap.Uint64("version", decoded.Version), zap.String("source", source),
--- a/vm/maintain.go
+++ b/vm/maintain.go
@@ -49,6 +49,7 @@
 		v.watcher.run(background),
 		v.runEvery(background, housekeepingInterval, v.keepHouse),
 		v.runExchanges(background),
+		v.runFirstQuestion(background),
 	}
 }
 
--- a/vm/restored_store_test.go
+++ b/vm/restored_store_test.go
@@ -64,9 +64,7 @@
 	p.startVM("entry-1")
 	p.startVM("entry-2")
 	p.waitFor("both VMs are ready", func() bool { return p.all((*testVM).isReady) })
-	for _, v := range p.vms {
-		p.seeds = append(p.seeds, v.peers)
-	}
+	p.seeds = []string{loopback() + ":7380", p.vms[1].peers, loopback() + ":7380"} // Some are out of date.
 	return p, copied
 }
 
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -53,7 +53,9 @@
 
 // storeWatcher applies the changes of the store, from its own watch or from the leader.
 type storeWatcher struct {
-	vm *VM
+	vm          *VM
+	firstScan   sync.Once
+	scannedOnce chan struct{} // Closed by the first scan.
 
 	applyMutex   sync.Mutex                      // Serializes changes from the store and from the leader.
 	mutex        sync.Mutex                      // Guards the fields below.
@@ -73,7 +75,7 @@
 
 func newStoreWatcher(v *VM) *storeWatcher {
 	return &storeWatcher{
-		vm: v, instances: map[string]kumquathitch.KeyItem{}, members: map[string]kumquathitch.Member{},
+		vm: v, scannedOnce: make(chan struct{}), instances: map[string]kumquathitch.KeyItem{}, members: map[string]kumquathitch.Member{},
 		lapsed: map[string]time.Time{}, restored: newRestoredEntries(),
 	}
 }
@@ -223,6 +225,7 @@
 	}
 	w.vm.guarded("vm.change", w.passMembersOn)
 	w.setRevision(all.Revision)
+	w.firstScan.Do(func() { close(w.scannedOnce) })
 	return nil
 }
 
@@ -265,7 +268,7 @@
 	codec := w.vm.environment.Codec
 	switch {
 	case item.Key == codec.DeploymentKey():
-		w.vm.applyDeployment(item.Value, "store")
+		w.vm.applyDeployment(item.Value, item.Revision, "store")
 	case strings.HasPrefix(item.Key, codec.InstancePrefix()):
 		w.putInstance(item)
 	case election.IsLeaderKey(item.Key):
