Tell entries that a restored store has brought back by the first state of its epoch

Callers would see: calls to a server that has left, after two restores within seconds or an outage that goes on; or a server that has written its entry again ignored for 6 s.

Cause: the first version compared the store's own revisions of the entry and the one removed, which says nothing when the copy comes from before an earlier restore, and it took a change of after the first scan for the copy's as well. It did not cover an earlier start than the one removed, and took an ignored entry over after 6 s although the store had not answered meanwhile.

Change: an entry is taken for the copy's up to the revision of the first state of the epoch that the VM applies. Earlier starts are ignored too. The 6 s end with a response of the store.

--- a/vm/restored_entries.go
+++ b/vm/restored_entries.go
@@ -21,6 +21,7 @@
 type restoredEntries struct {
 	removed map[string]removedEntry // Entries whose removal was applied, by key.
 	ignored map[string]ignoredEntry // Entries that the copy has brought back, by key.
+	start   uint64                  // Revision of the first state of this epoch that was applied.
 }
 
 // removedEntry is the last entry of an instance that was removed.
@@ -40,12 +41,18 @@
 	return restoredEntries{removed: map[string]removedEntry{}, ignored: map[string]ignoredEntry{}}
 }
 
+// enter records that the state of a new epoch at a revision is applied next.
+func (r *restoredEntries) enter(revision uint64) {
+	r.start = revision
+}
+
 // isFromCopy reports whether an entry may be what the store has brought back from before a known
-// revision of the same key. One that was written after the restore may have a low revision too.
-func isFromCopy(revision, known uint64) bool {
-	epoch, own := kumquathitch.SplitRevision(revision)
-	knownEpoch, knownOwn := kumquathitch.SplitRevision(known)
-	return epoch > knownEpoch && (own <= knownOwn || epoch > knownEpoch+1)
+// revision of the same key. One that was written between the restore and the first state that this VM
+// applies looks the same: the store's own revisions say nothing, as the copy may come from before an earlier restore.
+func (r *restoredEntries) isFromCopy(revision, known uint64) bool {
+	epoch, _ := kumquathitch.SplitRevision(revision)
+	knownEpoch, _ := kumquathitch.SplitRevision(known)
+	return epoch > knownEpoch && revision <= r.start
 }
 
 // remove records that the removal of an instance was applied. The instance has no ID if the VM did not
@@ -54,15 +61,19 @@
 	r.removed[key] = removedEntry{revision: revision, instance: instance, until: now.Add(removalMemory)}
 }
 
-// ignores reports whether an entry is that of a removed start of an instance, brought back by the copy.
-// Any other entry of the key ends this.
-func (r *restoredEntries) ignores(item kumquathitch.KeyItem, instance *kumquathitch.Instance, now time.Time) bool {
+// ignores reports whether the copy has brought an entry back: of a start of an instance that was removed, or
+// of an earlier one than the start that is known or was removed. Known has the revision last. Any other
+// entry of the key ends this.
+func (r *restoredEntries) ignores(item kumquathitch.KeyItem, instance, known *kumquathitch.Instance, last uint64, now time.Time) bool {
 	if ignored, ok := r.ignored[item.Key]; ok && ignored.item.Revision == item.Revision {
 		return true
 	}
-	removed, ok := r.removed[item.Key]
-	sameStart := removed.instance.ID == "" || removed.instance.SameIncarnation(instance)
-	if ok && now.Before(removed.until) && isFromCopy(item.Revision, removed.revision) && sameStart {
+	outdated := r.isFromCopy(item.Revision, last) && instance.Started.Before(known.Started)
+	if removed, ok := r.removed[item.Key]; ok && now.Before(removed.until) && r.isFromCopy(item.Revision, removed.revision) {
+		former := &removed.instance
+		outdated = outdated || former.ID == "" || former.SameIncarnation(instance) || instance.Started.Before(former.Started)
+	}
+	if outdated {
 		r.ignored[item.Key] = ignoredEntry{item: item, until: now.Add(recallTime)}
 		return true
 	}
@@ -85,8 +96,9 @@
 	}
 }
 
-// expire forgets old removals, and returns the entries that are ignored no longer.
-func (r *restoredEntries) expire(now time.Time) []kumquathitch.KeyItem {
+// expire forgets old removals, and returns the entries that are ignored no longer: those that the store
+// still had when it answered last.
+func (r *restoredEntries) expire(now, lastResponse time.Time) []kumquathitch.KeyItem {
 	for key, removed := range r.removed {
 		if _, ignored := r.ignored[key]; !ignored && !now.Before(removed.until) {
 			delete(r.removed, key)
@@ -94,7 +106,7 @@
 	}
 	var due []kumquathitch.KeyItem
 	for key, ignored := range r.ignored {
-		if !now.Before(ignored.until) {
+		if !lastResponse.Before(ignored.until) {
 			due = append(due, ignored.item)
 			delete(r.ignored, key)
 			delete(r.removed, key)
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -241,6 +241,7 @@
 		return
 	}
 	w.outageEnd = time.Now()
+	w.restored.enter(revision)
 	w.vm.log.Info("store restored", zap.Uint64("epoch", epoch), zap.Uint64("epoch-before", before),
 		zap.Uint64("revision", revision), zap.Uint64("revision-before", w.revision))
 }
@@ -278,7 +279,14 @@
 	}
 }
 
+// putInstance applies the entry of an instance, unless it is older than what this VM knows.
 func (w *storeWatcher) putInstance(item kumquathitch.KeyItem) {
+	w.applyInstance(item, false)
+}
+
+// applyInstance applies the entry of an instance. Without trusted, it may be one that a restored store
+// has brought back.
+func (w *storeWatcher) applyInstance(item kumquathitch.KeyItem, trusted bool) {
 	instance, err := w.vm.environment.Codec.DecodeInstance(item, time.Now())
 	if err != nil {
 		w.vm.log.Info("cannot decode the entry of an instance", zap.String("key", item.Key), zap.Error(err))
@@ -287,14 +295,15 @@
 	before, known := w.vm.fleet.Instance(instance.ID)
 	w.mutex.Lock()
 	last := w.instances[item.Key].Revision
-	if item.Revision < last || w.restored.ignores(item, &instance, time.Now()) {
+	if item.Revision < last || (!trusted && w.restored.ignores(item, &instance, &before, last, time.Now())) {
 		w.mutex.Unlock()
 		return
 	}
 	w.instances[item.Key] = item
 	delete(w.lapsed, item.Key)
+	unchanged := item.Revision == last || w.restored.isFromCopy(item.Revision, last)
 	w.mutex.Unlock()
-	if known && before.Leaving && before.SameIncarnation(&instance) && (item.Revision == last || isFromCopy(item.Revision, last)) {
+	if known && before.Leaving && before.SameIncarnation(&instance) && unchanged {
 		instance.Leaving, instance.GoneBy = true, before.GoneBy
 	}
 	w.vm.fleet.Put(instance, time.Now())
@@ -361,9 +370,6 @@
 	id := strings.TrimPrefix(key, w.vm.environment.Codec.InstancePrefix())
 	before, known := w.vm.fleet.Instance(id)
 	w.mutex.Lock()
-	if item, listed := w.instances[key]; listed {
-		revision = item.Revision
-	}
 	w.restored.remove(key, revision, before, time.Now())
 	delete(w.instances, key)
 	delete(w.lapsed, key)
@@ -391,7 +397,7 @@
 // entries that the store has kept since it brought them back.
 func (w *storeWatcher) dropLapsed(now time.Time) {
 	w.mutex.Lock()
-	kept := w.restored.expire(now)
+	kept := w.restored.expire(now, w.lastResponse)
 	var gone []string
 	for key, until := range w.lapsed {
 		if !now.Before(until) {
@@ -403,7 +409,7 @@
 		w.dropInstance(key, w.currentRevision())
 	}
 	for _, item := range kept {
-		w.putInstance(item)
+		w.applyInstance(item, true)
 	}
 }
 
