Send changes only to VMs in the leader's epoch

Cause: a revision of a later epoch is above the base of the leader's feed.

Before: TestLeaderOfEarlierEpochSendsNoChanges failed ("expected condition to be false").

--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -313,10 +313,11 @@
 }
 
 // changesSince returns the changes of the store after a revision. It reports false
-// when some are no longer kept, or when the store does not answer this VM: other
-// VMs must not rely on a leader without the store.
+// when some are no longer kept, when the revision is of another epoch, or when the store does not
+// answer this VM: other VMs must not rely on a leader without the store.
 func (v *VM) changesSince(revision uint64, now time.Time) (changes []kumquathitch.KeyChange, segments [][]byte, ok bool) {
-	if !v.watcher.isUpToDate(now) {
+	asked, _ := kumquathitch.SplitRevision(revision)
+	if known, _ := kumquathitch.SplitRevision(v.watcher.currentRevision()); known != asked || !v.watcher.isUpToDate(now) {
 		return nil, nil, false
 	}
 	return v.feed.changesAfter(revision)
--- a/vm/restored_store_test.go
+++ b/vm/restored_store_test.go
@@ -162,3 +162,18 @@
 		return p.all(func(v *testVM) bool { _, known := v.instance("i-7"); return known })
 	})
 }
+
+// TestLeaderOfEarlierEpochSendsNoChanges guards against a VM that relies on a leader that has not seen a restore yet.
+func TestLeaderOfEarlierEpochSendsNoChanges(t *testing.T) {
+	p := newTestPlatform(t)
+	p.store.Put("op/config", testDeployment(1, "k1"))
+	leader := p.startVM("entry-1")
+	client := newPeerClient(t)
+	complete := func(revision uint64) bool {
+		var response kumquathitch.ExchangeResponse
+		_ = client.Call(t.Context(), leader.peers, "vm.exchange", kumquathitch.ExchangeRequest{From: "test", StoreRevision: revision}, &response)
+		return response.SegmentsComplete
+	}
+	p.waitFor("the leader's changes are complete", func() bool { return complete(kumquathitch.RevisionInEpoch(0, 1<<20)) })
+	must.False(t, complete(kumquathitch.RevisionInEpoch(1, 1)))
+}
