Keep evacuations that a restored store does not list until they can be asked for again

Callers would see: calls are sent to a data centre that is being evacuated, until the operator writes the request again.

Cause: a scan ends all evacuations that it does not list, and the copy lacks those of after it.

Change: in a list of a new epoch, what is missing ends after 2.2 s only, unless it is asked for again. What another VM keeps in this way is of the epoch before, and is not taken for listed.

Before: TestEvacuationOutlivesRestore failed at once after the restore.

--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -7,6 +7,7 @@
 //	set.Begin("montreal-1", revision, closesAt, now) // A change of the store.
 //	set.End("montreal-1", revision, now)
 //	set.Replace(list, now) // All evacuations at a revision, from a scan or another VM.
+//	set.Expire(now) // Ends what a restored store has not listed, after some time.
 //	if set.Closed(instance.DataCentre, now) { ... } // No call may be sent there.
 //
 // Changes arrive on several paths, in any order: from this VM's watch of the store, in the
@@ -24,7 +25,12 @@
 	"kumquathitch.example/kumquathitch"
 )
 
-const shardCount = 4
+const (
+	shardCount = 4
+	// returnTime is how long an evacuation stands that a restored store does not list. The operator asks
+	// for it again within 2 s if it is not taken back.
+	returnTime = 2200 * time.Millisecond
+)
 
 // Set is what a VM knows of evacuations. It implements kumquathitch.Evacuations.
 type Set struct {
@@ -45,6 +51,7 @@
 	revision uint64    // Of the last change.
 	since    time.Time // Start of the last evacuation.
 	closesAt time.Time // From then on, its instances get no calls while it stands.
+	lapsesAt time.Time // When it ends unless it is asked for again; zero while the store lists it.
 }
 
 // Change is the start or the end of an evacuation on this VM.
@@ -83,7 +90,7 @@
 	if revision <= state.revision {
 		return nil
 	}
-	state.revision = revision
+	state.revision, state.lapsesAt = revision, time.Time{}
 	if state.standing {
 		s.setState(name, state)
 		return nil
@@ -109,7 +116,7 @@
 	if revision <= state.revision || !state.standing {
 		return nil
 	}
-	state.standing, state.revision = false, revision
+	state.standing, state.revision, state.lapsesAt = false, revision, time.Time{}
 	s.setState(name, state)
 	s.standing.Add(-1)
 	return &Change{DataCentre: name, Revision: revision, Lasted: now.Sub(state.since)}
@@ -124,24 +131,36 @@
 
 // Replace applies a list of all evacuations. It changes nothing if the set includes a later
 // revision. An evacuation that the VM learns of in this way may be older than the time
-// that VMs have before it applies, so that its data centre is closed at once.
+// that VMs have before it applies, so that its data centre is closed at once. A list of a new epoch
+// comes from an older copy of the store: what it does not list ends after returnTime only.
 func (s *Set) Replace(list kumquathitch.EvacuationList, now time.Time) []Change {
 	s.updates.Lock()
 	defer s.updates.Unlock()
 	if list.Revision <= s.revision {
 		return nil
 	}
+	epoch, _ := kumquathitch.SplitRevision(list.Revision)
+	before, _ := kumquathitch.SplitRevision(s.revision)
 	var changes []Change
 	add := func(change *Change) {
 		if change != nil {
 			changes = append(changes, *change)
 		}
 	}
+	listed := map[string]bool{} // A VM that sends the list may keep others for some time.
 	for _, e := range list.Evacuations {
 		add(s.begin(e.DataCentre, e.Revision, now, now.Add(-max(0, e.Age))))
+		asked, _ := kumquathitch.SplitRevision(e.Revision)
+		listed[e.DataCentre] = asked == epoch
 	}
 	for _, known := range s.list(now) {
-		if !slices.ContainsFunc(list.Evacuations, func(e kumquathitch.Evacuation) bool { return e.DataCentre == known.DataCentre }) {
+		if listed[known.DataCentre] {
+			continue
+		}
+		if epoch > before {
+			s.lapse(known.DataCentre, now.Add(returnTime))
+		}
+		if !now.Before(s.state(known.DataCentre).lapsesAt) {
 			add(s.end(known.DataCentre, list.Revision, now))
 		}
 	}
@@ -149,6 +168,29 @@
 	return changes
 }
 
+// lapse makes an evacuation end at a time unless it is asked for again. The caller holds the lock for updates.
+func (s *Set) lapse(name string, at time.Time) {
+	state := s.state(name)
+	state.lapsesAt = at
+	s.setState(name, state)
+}
+
+// Expire ends the evacuations that were not asked for again after the store was restored.
+func (s *Set) Expire(now time.Time) []Change {
+	s.updates.Lock()
+	defer s.updates.Unlock()
+	var changes []Change
+	for _, known := range s.list(now) {
+		if lapsesAt := s.state(known.DataCentre).lapsesAt; lapsesAt.IsZero() || now.Before(lapsesAt) {
+			continue
+		}
+		if change := s.end(known.DataCentre, max(s.revision, known.Revision+1), now); change != nil {
+			changes = append(changes, *change)
+		}
+	}
+	return changes
+}
+
 // List returns the evacuations that stand, sorted by data centre.
 func (s *Set) List(now time.Time) kumquathitch.EvacuationList {
 	s.updates.Lock()
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -104,3 +104,25 @@
 		}
 	})
 }
+
+// TestEvacuationMissingInCopyLapses guards against an evacuation that ends at once, or never, when the store was
+// restored from a copy of before the request.
+func TestEvacuationMissingInCopyLapses(t *testing.T) {
+	now := time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
+	restored := func(own uint64) kumquathitch.EvacuationList {
+		return kumquathitch.EvacuationList{Revision: kumquathitch.RevisionInEpoch(1, own)}
+	}
+	set := evacuation.NewSet()
+	set.Begin("again", 7, now, now)
+	set.Begin("lapsed", 8, now, now)
+	must.Len(t, 0, set.Replace(restored(3), now))
+	must.Len(t, 0, set.Replace(restored(4), now.Add(time.Second)))
+	set.Begin("again", kumquathitch.RevisionInEpoch(1, 5), now, now)
+	must.Len(t, 0, set.Expire(now.Add(2*time.Second)))
+	must.True(t, set.Closed("lapsed", now.Add(2*time.Second)))
+	ended := set.Expire(now.Add(3 * time.Second))
+	must.Len(t, 1, ended)
+	must.Eq(t, "lapsed", ended[0].DataCentre)
+	must.True(t, set.Standing("again"))
+	must.Len(t, 1, set.Replace(restored(6), now.Add(4*time.Second))) // Now the end of the other one is known.
+}
--- a/vm/restored_store_test.go
+++ b/vm/restored_store_test.go
@@ -163,6 +163,27 @@
 	})
 }
 
+// TestEvacuationOutlivesRestore guards against calls to a data centre that is being evacuated, because the store was
+// restored from a copy of before the request, and against an evacuation that stays although nobody asks again.
+func TestEvacuationOutlivesRestore(t *testing.T) {
+	e := newEvacuationTest(t, "m")
+	e.startTwo()
+	copied := e.store.Copy()
+	stand := func() bool {
+		return e.all(func(v *testVM) bool { return v.metric(t, "kumquathitch_evacuated_data_centres") == 1 })
+	}
+	e.store.Put("op/evacuate/zone-b", []byte("{}"))
+	e.waitFor("both VMs know of the evacuation", stand)
+	e.restore(copied)
+	e.holdFor(1900*time.Millisecond, "the evacuation stands", stand)
+	e.store.Put("op/evacuate/zone-b", []byte("{}"))
+	e.holdFor(2*time.Second, "the evacuation stands", stand)
+	e.restore(copied)
+	for _, v := range e.vms {
+		e.awaitEvacuations(v, 0)
+	}
+}
+
 // TestLeaderOfEarlierEpochSendsNoChanges guards against a VM that relies on a leader that has not seen a restore yet.
 func TestLeaderOfEarlierEpochSendsNoChanges(t *testing.T) {
 	p := newTestPlatform(t)
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -393,9 +393,12 @@
 	}
 }
 
-// dropLapsed removes the instances that did not write their entries again in time, and takes over the
-// entries that the store has kept since it brought them back.
+// dropLapsed removes the instances that did not write their entries again in time, ends the evacuations that were
+// not asked for again, and takes over the entries that the store has kept since it brought them back.
 func (w *storeWatcher) dropLapsed(now time.Time) {
+	for _, change := range w.vm.evacuations.Expire(now) {
+		w.vm.applyEvacuation(change, "restore")
+	}
 	w.mutex.Lock()
 	kept := w.restored.expire(now, w.lastResponse)
 	var gone []string
