Let no VM lead while a lease of before a restore may run

Callers would see: two VMs issue tokens and orders at once for up to 1.5 s after the store was restored, and accounts get more than their rate; an issuer that takes its term for the first one fills all buckets.

Cause: the copy lacks the leader's record, while the leader counts on a lease that the epoch before has confirmed. The record of the last leader may be missing or name an earlier one.

Change: a candidate that has observed an earlier epoch campaigns only when LeaseTTL has passed since it first observed the present one; no renewal that an earlier epoch confirmed was sent later. The delays by capacity come on top, so that strong members still go first. The record of the last leader has the epoch of its term, so that a candidate that starts after the restore waits as well. A term is the first one only if this VM never observed a leader, and orders are held back unless the last term in the epoch was its own.

--- a/election/election.go
+++ b/election/election.go
@@ -40,7 +40,7 @@
 	Prefix        = "kumquathitch/"
 	MemberPrefix  = Prefix + "members/"
 	leaderKey     = Prefix + "leader"
-	lastLeaderKey = Prefix + "last-leader" // Not bound to a lease; names the last leader after its lease has ended.
+	lastLeaderKey = Prefix + "last-leader" // Not bound to a lease; has the LastLeader after its lease has ended.
 )
 
 const (
@@ -120,6 +120,7 @@
 	termLease    kumquathitch.Lease   // Lease of the leader's record that this VM wrote last.
 	termStarted  time.Time
 	handedOver   time.Time // When this VM last gave up a term to a stronger member.
+	restores     restores
 }
 
 // NewCandidate returns a candidate that is not registered until Run is called.
@@ -134,9 +135,11 @@
 // was removed.
 func (c *Candidate) ObserveLeader(leader kumquathitch.KeyItem) {
 	c.mutex.Lock()
+	c.observeEpoch(leader.Revision)
+	c.restores.ledBefore = c.restores.ledBefore || leader.Revision != 0
 	lost := leader.Revision == 0 && (c.leaderRecord.Revision != 0 || !c.observed)
 	if lost {
-		c.campaignAt = c.clock.Now().Add(c.campaignDelay())
+		c.campaignAt = c.campaignFrom().Add(c.campaignDelay())
 	}
 	c.leaderRecord, c.observed = leader, true
 	c.mutex.Unlock()
@@ -214,6 +217,7 @@
 	if _, err := c.store.Write(ctx, kumquathitch.KeyWrite{Set: []kumquathitch.KeyItem{own}}); err != nil {
 		return err
 	}
+	c.ObserveEpoch(lease.ID)
 	c.log.Info("member registered", zap.Uint64("lease", lease.ID), zap.Duration("ttl", lease.TTL))
 	return c.renew(ctx, lease, record)
 }
@@ -354,11 +358,20 @@
 		c.log.Warn("no lease for the leader's record; no election now", zap.Error(err))
 		return
 	}
+	previous := decodeLastLeader(last)
+	if c.postpone(previous, last.Revision != 0, lease) {
+		return
+	}
+	own, err := json.Marshal(LastLeader{Name: c.member.Name, Epoch: epochOf(lease.ID)})
+	if err != nil {
+		c.log.Error("cannot encode the last leader", zap.Error(err))
+		return
+	}
 	fence, err := c.store.Write(ctx, kumquathitch.KeyWrite{
 		Expect: []kumquathitch.KeyItem{{Key: leaderKey}, {Key: lastLeaderKey, Revision: last.Revision}},
 		Set: []kumquathitch.KeyItem{
 			{Key: leaderKey, Value: record, Lease: lease.ID},
-			{Key: lastLeaderKey, Value: []byte(c.member.Name)},
+			{Key: lastLeaderKey, Value: own},
 		},
 	})
 	var ended *kumquathitch.LeaseEndedError
@@ -374,7 +387,7 @@
 		c.observeWinner(err)
 		return
 	}
-	c.startTerm(kumquathitch.KeyItem{Key: leaderKey, Value: record, Revision: fence, Lease: lease.ID}, last, lease.Deadline)
+	c.startTerm(kumquathitch.KeyItem{Key: leaderKey, Value: record, Revision: fence, Lease: lease.ID}, previous, lease.Deadline)
 }
 
 // observeWinner records the leader that a lost campaign ran into, which this VM's watch
--- /dev/null
+++ b/election/restores.go
@@ -0,0 +1,103 @@
+package election
+
+import (
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kumquathitch.example/kumquathitch"
+)
+
+// LastLeader is the record of the last leader. It outlives the leader's lease.
+type LastLeader struct {
+	Name  string `json:"name"`
+	Epoch uint64 `json:"epoch,omitempty"` // Epoch of the store in which the term began.
+}
+
+// decodeLastLeader returns the record of the last leader, without a name when there is none. An older
+// program has written the name alone.
+func decodeLastLeader(item kumquathitch.KeyItem) LastLeader {
+	var last LastLeader
+	if item.Revision != 0 && json.Unmarshal(item.Value, &last) != nil {
+		return LastLeader{Name: string(item.Value)}
+	}
+	return last
+}
+
+func epochOf(revision uint64) uint64 {
+	epoch, _ := kumquathitch.SplitRevision(revision)
+	return epoch
+}
+
+// restores is what a candidate knows of restores of the store from an older copy. The copy knows nothing
+// of a lease that was granted or renewed after it, while the leader still counts on that lease.
+type restores struct {
+	known      bool // An epoch was observed.
+	epoch      uint64
+	since      time.Time // When the epoch was first observed.
+	inLifetime bool      // This process has observed an earlier epoch.
+	ledBefore  bool      // This process has observed a leader.
+}
+
+// observe records the epoch of a revision or lease ID, and reports whether the store was restored since
+// the last one.
+func (r *restores) observe(revision uint64, now time.Time) bool {
+	epoch := epochOf(revision)
+	if revision == 0 || (r.known && epoch <= r.epoch) {
+		return false
+	}
+	restored := r.known
+	r.inLifetime = r.inLifetime || restored
+	r.known, r.epoch, r.since = true, epoch, now
+	return restored
+}
+
+// earlierLeasesEnd returns the time by which all leases that an earlier epoch confirmed have ended, and
+// the zero time if there was no earlier epoch as far as the last leader's record and this process know.
+func (r *restores) earlierLeasesEnd(last LastLeader, hasLast bool, longest time.Duration) time.Time {
+	if r.inLifetime || (hasLast && last.Epoch < r.epoch) {
+		return r.since.Add(longest)
+	}
+	return time.Time{}
+}
+
+// ObserveEpoch records the epoch of a revision or lease ID of the store.
+func (c *Candidate) ObserveEpoch(revision uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.observeEpoch(revision)
+}
+
+// observeEpoch is ObserveEpoch for a caller that holds the lock. After a restore the strongest
+// members campaign first, too.
+func (c *Candidate) observeEpoch(revision uint64) {
+	if c.restores.observe(revision, c.clock.Now()) {
+		c.campaignAt = c.campaignFrom().Add(c.campaignDelay())
+	}
+}
+
+// campaignFrom returns the earliest time of a campaign, before the delays by which candidates differ. The
+// caller holds the lock.
+func (c *Candidate) campaignFrom() time.Time {
+	from, now := c.restores.earlierLeasesEnd(LastLeader{}, false, c.timing.LeaseTTL), c.clock.Now()
+	if from.Before(now) {
+		return now
+	}
+	return from
+}
+
+// postpone puts a campaign off while a lease of an earlier epoch may run, and reports whether it did.
+func (c *Candidate) postpone(last LastLeader, hasLast bool, lease kumquathitch.Lease) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := c.clock.Now()
+	c.observeEpoch(lease.ID)
+	until := c.restores.earlierLeasesEnd(last, hasLast, max(c.timing.LeaseTTL, lease.TTL))
+	if !now.Before(until) {
+		return false
+	}
+	c.campaignAt = until.Add(c.campaignDelay())
+	c.log.Info("campaign postponed after a restore of the store", zap.Uint64("epoch", c.restores.epoch), zap.Uint64("last-epoch", last.Epoch), zap.Time("until", c.campaignAt))
+	return true
+}
--- a/election/term.go
+++ b/election/term.go
@@ -105,22 +105,25 @@
 	unconfirmed := c.term == nil && leader.Revision != 0 && lease.ID != 0 && leader.Lease == lease.ID
 	c.mutex.Unlock()
 	if unconfirmed {
-		c.startTerm(leader, kumquathitch.KeyItem{Revision: leader.Revision}, lease.Deadline)
+		c.startTerm(leader, LastLeader{Epoch: epochOf(leader.Revision)}, lease.Deadline)
 	}
 }
 
 // startTerm starts a term. After a term of another VM, orders are held back for the
-// HandoverDelay, since an order of that VM may still be in transit.
-func (c *Candidate) startTerm(record, last kumquathitch.KeyItem, ends time.Time) {
+// HandoverDelay, since an order of that VM may still be in transit. After a restore of the store
+// the last term may have been of any VM.
+func (c *Candidate) startTerm(record kumquathitch.KeyItem, last LastLeader, ends time.Time) {
 	now := c.clock.Now()
-	t := Term{Fence: record.Revision, OrdersFrom: now, LeaseDeadline: ends, IsFirst: last.Revision == 0}
-	if last.Revision != 0 && string(last.Value) != c.member.Name {
+	c.mutex.Lock()
+	first := last == (LastLeader{}) && !c.restores.ledBefore
+	t := Term{Fence: record.Revision, OrdersFrom: now, LeaseDeadline: ends, IsFirst: first}
+	if !first && last != (LastLeader{Name: c.member.Name, Epoch: epochOf(record.Revision)}) {
 		t.OrdersFrom = now.Add(c.timing.HandoverDelay)
 	}
-	c.mutex.Lock()
 	c.leaderRecord, c.term, c.termStarted = record, &t, now
+	c.restores.ledBefore = true
 	c.mutex.Unlock()
-	c.log.Info("leading", zap.Uint64("fence", t.Fence), zap.Time("orders-from", t.OrdersFrom), zap.String("last-leader", string(last.Value)))
+	c.log.Info("leading", zap.Uint64("fence", t.Fence), zap.Time("orders-from", t.OrdersFrom), zap.String("last-leader", last.Name), zap.Uint64("last-epoch", last.Epoch))
 }
 
 func (c *Candidate) endTerm(reason string) {
