Remove a leader's record that is bound to the lease of another VM

Callers would see: no VM leads for as long as another VM runs.

Cause: a campaign's write that takes effect after a restore binds the leader's record to a lease number that the store has granted to another VM since. That VM renews its lease, the writer does not lead by it, and all VMs wait for the leader that the record names.

Change: a VM that sees its own record under a lease that is not its own removes it, on the condition of its revision.

Before: TestRecordUnderForeignLeaseIsRemoved failed, as nobody led after 4 s. Now it passes.

--- a/election/election.go
+++ b/election/election.go
@@ -246,6 +246,7 @@
 			c.campaign(ctx, record)
 		case <-termRenewal.C:
 			c.renewTerm(ctx)
+			c.dropForeignRecord(ctx, record)
 			if c.isLeaderless() { // An earlier campaign failed.
 				campaign.Reset(c.untilCampaign())
 			}
--- a/election/restored_store_test.go
+++ b/election/restored_store_test.go
@@ -1,6 +1,7 @@
 package election_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
 	"kumquathitch.example/kumquathitch/standin"
 )
@@ -76,3 +78,24 @@
 		stopAll(one, two)
 	})
 }
+
+// TestRecordUnderForeignLeaseIsRemoved guards against a fleet without a leader: a write that took effect after a restore
+// has bound a leader's record to the lease of another VM, which renews it.
+func TestRecordUnderForeignLeaseIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewKeyspace(clock.NewSystem())
+		other := newLink(store)
+		lease, err := other.Grant(t.Context(), time.Hour)
+		must.NoError(t, err)
+		member := kumquathitch.Member{Name: "one", Address: "one:1", Started: time.Now()}
+		record, err := json.Marshal(member)
+		must.NoError(t, err)
+		_, err = other.Write(t.Context(), kumquathitch.KeyWrite{Set: []kumquathitch.KeyItem{{Key: "kumquathitch/leader", Value: record, Lease: lease.ID}}})
+		must.NoError(t, err)
+		one := fleetCandidate(t.Context(), newLink(store), member, 100*time.Millisecond)
+		advance(4 * time.Second)
+		_, leading := one.CurrentTerm()
+		must.True(t, leading)
+		stopAll(one)
+	})
+}
--- a/election/restores.go
+++ b/election/restores.go
@@ -1,6 +1,8 @@
 package election
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"time"
 
@@ -101,3 +103,19 @@
 	c.log.Info("campaign postponed after a restore of the store", zap.Uint64("epoch", c.restores.epoch), zap.Uint64("last-epoch", last.Epoch), zap.Time("until", c.campaignAt))
 	return true
 }
+
+// dropForeignRecord removes a leader's record that this process wrote and that is bound to a lease which is
+// not its own: the write took effect after a restore, when the number of its lease was another one's.
+// Nobody leads by such a record, and it stays as long as that lease.
+func (c *Candidate) dropForeignRecord(ctx context.Context, own []byte) {
+	c.mutex.Lock()
+	record := c.leaderRecord
+	foreign := c.term == nil && record.Revision != 0 && record.Lease != c.termLease.ID && bytes.Equal(record.Value, own)
+	c.mutex.Unlock()
+	if !foreign {
+		return
+	}
+	write := kumquathitch.KeyWrite{Expect: []kumquathitch.KeyItem{{Key: leaderKey, Revision: record.Revision}}, Remove: []string{leaderKey}}
+	_, err := c.store.Write(ctx, write)
+	c.log.Info("record under another lease removed", zap.Uint64("revision", record.Revision), zap.Uint64("lease", record.Lease), zap.Error(err))
+}
