Count the first term as first when its record is seen before the write's response

Callers would see: refusals by rate at the first start of the system, since the issuer starts with empty buckets.

Cause: since a VM that has observed a leader before knows that its term is not the first. Its own record counted, if the watch showed it before the response to the write arrived.

Change: a record under the lease of this VM's own campaign does not count.

--- a/election/election.go
+++ b/election/election.go
@@ -136,7 +136,8 @@
 func (c *Candidate) ObserveLeader(leader kumquathitch.KeyItem) {
 	c.mutex.Lock()
 	c.observeEpoch(leader.Revision)
-	c.restores.ledBefore = c.restores.ledBefore || leader.Revision != 0
+	own := c.termLease.ID != 0 && leader.Lease == c.termLease.ID // The response to its write may be late.
+	c.restores.ledBefore = c.restores.ledBefore || (leader.Revision != 0 && !own)
 	lost := leader.Revision == 0 && (c.leaderRecord.Revision != 0 || !c.observed)
 	if lost {
 		c.campaignAt = c.campaignFrom().Add(c.campaignDelay())
--- a/election/restored_store_test.go
+++ b/election/restored_store_test.go
@@ -1,6 +1,7 @@
 package election_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -8,9 +9,11 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"kumquathitch.example/kumquathitch"
 	"kumquathitch.example/kumquathitch/clock"
+	"kumquathitch.example/kumquathitch/election"
 	"kumquathitch.example/kumquathitch/standin"
 )
 
@@ -99,3 +102,22 @@
 		stopAll(one)
 	})
 }
+
+// TestFirstTermWhoseRecordIsSeenFirst guards against a first term that does not count as one, because the watch has
+// shown the leader's record before the response to its write came.
+func TestFirstTermWhoseRecordIsSeenFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewKeyspace(clock.NewSystem())
+		slow := newLink(store)
+		slow.ChangeFaults(func(f *standin.LinkFaults) { f.AnswerDelay = 200 * time.Millisecond })
+		ctx, stop := context.WithCancel(t.Context())
+		one := &candidate{Candidate: election.NewCandidate(slow, clock.NewSystem(), kumquathitch.Member{Name: "one"}, timing, zap.NewNop()), stop: stop}
+		one.end = one.Run(ctx)
+		go watchLeader(ctx, newLink(store), one.Candidate)
+		advance(3 * time.Second)
+		term, leading := one.CurrentTerm()
+		must.True(t, leading)
+		must.True(t, term.IsFirst)
+		stopAll(one)
+	})
+}
