Keep the first attempt when its hedge is turned away

kumquathitchd answered a request with the 429 of its hedged attempt, and cancelled the first attempt, which an upstream was working on: the first response won, whatever it said.

A response 429 no longer wins while another attempt runs. TestHedgeThatIsTurnedAwayKeepsFirstAttempt failed before in 3 of 3 runs, and passes in 3 of 3.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,6 +119,11 @@
 	return nil
 }
 
+// isTurnedAway reports whether the upstream has turned the request away, which another one may answer.
+func (a *attempt) isTurnedAway() bool {
+	return a.response.StatusCode == http.StatusTooManyRequests
+}
+
 // readFirstBytes reads the first bytes of a stream, or the complete body of any
 // other response.
 func (a *attempt) readFirstBytes(ctx context.Context, s *Server) error {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -97,6 +97,9 @@
 			case a.cancelled:
 				c.finish(a)
 				continue
+			case a.err == nil && a.isTurnedAway() && c.hasPending():
+				c.finish(a)
+				continue
 			case a.err == nil:
 				c.cancelRunning()
 				return a, nil
