Remove no leader's record whose lease is not known

A record that a lost campaign ran into has no lease in memory; if it is this VM's own, dropForeignRecord removed it, and the next election came later than needed.

--- a/election/restores.go
+++ b/election/restores.go
@@ -110,7 +110,7 @@
 func (c *Candidate) dropForeignRecord(ctx context.Context, own []byte) {
 	c.mutex.Lock()
 	record := c.leaderRecord
-	foreign := c.term == nil && record.Revision != 0 && record.Lease != c.termLease.ID && bytes.Equal(record.Value, own)
+	foreign := c.term == nil && record.Lease != 0 && record.Lease != c.termLease.ID && bytes.Equal(record.Value, own)
 	c.mutex.Unlock()
 	if !foreign {
 		return
