--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -165,7 +165,7 @@
 			return
 		}
 		if !tokensOnly {
-			v.newerDeployments.informed.Store(true)
+			v.newer.informed.Store(true)
 		}
 	}
 	if tokensOnly {
@@ -256,7 +256,7 @@
 func (v *VM) handleExchange(_ context.Context, request kumquathitch.ExchangeRequest) (kumquathitch.ExchangeResponse, error) {
 	now := time.Now()
 	var response kumquathitch.ExchangeResponse
-	v.newerDeployments.note(&request, v.deployments.Version())
+	v.newer.note(&request, v.deployments.Version())
 	if request.DeploymentOnly {
 		v.addDeployment(&response, &request)
 		return response, nil
@@ -403,7 +403,7 @@
 		return
 	}
 	if v.deployments.Apply(decoded, document) {
-		v.deploymentRevision.Store(revision)
+		v.newer.revision.Store(revision)
 		v.fleet.SetColdRates(decoded.Services, v.environment.ColdOverage, v.environment.ColdSlack)
 		v.globalScheduler.Configure(decoded)
 		v.log.Info("configuration in force", zap.Uint64("version", decoded.Version), zap.String("source", source),
--- a/vm/newer_deployment.go
+++ b/vm/newer_deployment.go
@@ -22,9 +22,10 @@
 	maxFirstQuestions = 8
 )
 
-// newerDeployments holds which other VM has a newer configuration.
+// newerDeployments holds which other VM has a newer configuration, and what other VMs know of this one's.
 type newerDeployments struct {
-	informed atomic.Bool // Another VM has been asked, or there is none that answers.
+	informed atomic.Bool   // Another VM has been asked, or there is none that answers.
+	revision atomic.Uint64 // The store's revision of the configuration in force; 0 if another VM sent it.
 
 	mutex   sync.Mutex
 	vm      string // Name of the VM that has the highest version reported.
@@ -64,7 +65,7 @@
 	go func() {
 		if !v.askAll(ctx, v.environment.Seeds) {
 			select {
-			case <-v.watcher.scannedOnce:
+			case <-v.watcher.scanDone:
 			case <-ctx.Done():
 			}
 			var addresses []string
@@ -73,7 +74,7 @@
 			}
 			v.askAll(ctx, addresses)
 		}
-		v.newerDeployments.informed.Store(true)
+		v.newer.informed.Store(true)
 		end <- nil
 	}()
 	return end
@@ -102,13 +103,13 @@
 // askForNewer asks the VM that has a newer configuration than this one, if one is known, and any VM while
 // there is no leader to exchange with.
 func (v *VM) askForNewer(ctx context.Context, leaderless bool) {
-	if holder := v.newerDeployments.holder(v.deployments.Version()); holder != "" {
+	if holder := v.newer.holder(v.deployments.Version()); holder != "" {
 		for _, m := range v.watcher.memberList() {
 			if m.Name != holder {
 				continue
 			}
 			if !v.askForDeployment(ctx, m.Address) {
-				v.newerDeployments.forget()
+				v.newer.forget()
 			}
 			return
 		}
@@ -155,7 +156,7 @@
 func (v *VM) addDeployment(response *kumquathitch.ExchangeResponse, request *kumquathitch.ExchangeRequest) {
 	document, version := v.deployments.Document()
 	response.DeploymentVersion = version
-	included := response.SegmentsComplete && v.deploymentRevision.Load() > request.StoreRevision
+	included := response.SegmentsComplete && v.newer.revision.Load() > request.StoreRevision
 	if version > request.DeploymentVersion && !included {
 		response.Deployment = v.compressed.forVersion(document, version)
 	}
--- a/vm/restored_entries.go
+++ b/vm/restored_entries.go
@@ -24,9 +24,9 @@
 	start   uint64                  // Revision of the first state of this epoch that was applied.
 }
 
-// removedEntry is the last entry of an instance that was removed.
+// removedEntry is an instance that was removed.
 type removedEntry struct {
-	revision uint64                // Of the last entry, or of its removal.
+	revision uint64                // Of the removal.
 	instance kumquathitch.Instance // Without an ID if it was not known.
 	until    time.Time             // When the removal is forgotten.
 }
--- a/vm/serve.go
+++ b/vm/serve.go
@@ -150,7 +150,7 @@
 func (v *VM) readiness() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/*", func(w http.ResponseWriter, _ *http.Request) {
-		if v.draining.Load() || v.deployments.Snapshot() == nil || !v.watcher.ready() || !v.newerDeployments.informed.Load() || v.reachability.isolated() {
+		if v.draining.Load() || v.deployments.Snapshot() == nil || !v.watcher.ready() || !v.newer.informed.Load() || v.reachability.isolated() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -88,40 +88,38 @@
 	set         *metrics.Set
 	tracing     *telemetry.Tracing
 
-	deployments *deployment.Current
-	// deploymentRevision is the store's revision of the configuration in force, or 0 if another VM sent it.
-	deploymentRevision atomic.Uint64
-	newerDeployments   newerDeployments
-	evacuations        *evacuation.Set
-	fleet              *fleet.Fleet
-	globalScheduler    *fleet.GlobalScheduler
-	roster             *quota.Roster
-	rateLimiter        *quota.LocalBuckets
-	retryBudget        *retry.Budget
-	crashGuard         *retry.CrashGuard
-	promptGuard        *retry.PromptGuard
-	crashDetector      *retry.CrashDetector
-	demand             *model.Demand
-	forecast           *placement.Forecast
-	candidate          *election.Candidate
-	placer             *placement.Controller
-	nextPlan           time.Time // Earliest time of the next plan. Used by the planning loop only.
-	peers              kumquathitch.PeerCaller
-	random             kumquathitch.Random
-	watcher            *storeWatcher
-	leadership         leadership
-	schedulerRole      schedulerRole
-	roleLoad           *roleLoad
-	coldCalls          coldCalls
-	reachability       reachability
-	feed               leaderFeed
-	compressed         compressedDeployment
-	panics             *telemetry.PanicGuard
-	intake             *intake.Budget // What callers make this VM hold.
-	handler            *relay.Handler
-	cancelCalls        context.CancelFunc // Cancels the calls that are still in flight.
-	draining           atomic.Bool        // The readiness check fails, so that callers go elsewhere.
-	stopping           atomic.Bool        // New calls are refused.
+	deployments     *deployment.Current
+	newer           newerDeployments
+	evacuations     *evacuation.Set
+	fleet           *fleet.Fleet
+	globalScheduler *fleet.GlobalScheduler
+	roster          *quota.Roster
+	rateLimiter     *quota.LocalBuckets
+	retryBudget     *retry.Budget
+	crashGuard      *retry.CrashGuard
+	promptGuard     *retry.PromptGuard
+	crashDetector   *retry.CrashDetector
+	demand          *model.Demand
+	forecast        *placement.Forecast
+	candidate       *election.Candidate
+	placer          *placement.Controller
+	nextPlan        time.Time // Earliest time of the next plan. Used by the planning loop only.
+	peers           kumquathitch.PeerCaller
+	random          kumquathitch.Random
+	watcher         *storeWatcher
+	leadership      leadership
+	schedulerRole   schedulerRole
+	roleLoad        *roleLoad
+	coldCalls       coldCalls
+	reachability    reachability
+	feed            leaderFeed
+	compressed      compressedDeployment
+	panics          *telemetry.PanicGuard
+	intake          *intake.Budget // What callers make this VM hold.
+	handler         *relay.Handler
+	cancelCalls     context.CancelFunc // Cancels the calls that are still in flight.
+	draining        atomic.Bool        // The readiness check fails, so that callers go elsewhere.
+	stopping        atomic.Bool        // New calls are refused.
 }
 
 // New returns an entry VM that does not run yet. Its metrics are registered in set.
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -53,9 +53,9 @@
 
 // storeWatcher applies the changes of the store, from its own watch or from the leader.
 type storeWatcher struct {
-	vm          *VM
-	firstScan   sync.Once
-	scannedOnce chan struct{} // Closed by the first scan.
+	vm        *VM
+	firstScan sync.Once
+	scanDone  chan struct{} // Closed by the first scan.
 
 	applyMutex   sync.Mutex                      // Serializes changes from the store and from the leader.
 	mutex        sync.Mutex                      // Guards the fields below.
@@ -75,7 +75,7 @@
 
 func newStoreWatcher(v *VM) *storeWatcher {
 	return &storeWatcher{
-		vm: v, scannedOnce: make(chan struct{}), instances: map[string]kumquathitch.KeyItem{}, members: map[string]kumquathitch.Member{},
+		vm: v, scanDone: make(chan struct{}), instances: map[string]kumquathitch.KeyItem{}, members: map[string]kumquathitch.Member{},
 		lapsed: map[string]time.Time{}, restored: newRestoredEntries(),
 	}
 }
@@ -225,7 +225,7 @@
 	}
 	w.vm.guarded("vm.change", w.passMembersOn)
 	w.setRevision(all.Revision)
-	w.firstScan.Do(func() { close(w.scannedOnce) })
+	w.firstScan.Do(func() { close(w.scanDone) })
 	return nil
 }
 
