Accept the large lease numbers of a store

Cause: lease numbers were held to the bound of revisions, 2^40. Lease IDs have 53 bits for the store's own number now, and 11 for the epoch.

The stand-in gives out numbers from 2^52 on. With that, tests of epoch and election failed before; those, and platform, evacuation and the checker pass.

--- a/election/election.go
+++ b/election/election.go
@@ -135,7 +135,9 @@
 // was removed.
 func (c *Candidate) ObserveLeader(leader kumquathitch.KeyItem) {
 	c.mutex.Lock()
-	c.observeEpoch(leader.Revision)
+	if leader.Revision != 0 {
+		c.observeEpoch(epochOf(leader.Revision))
+	}
 	own := c.termLease.ID != 0 && leader.Lease == c.termLease.ID // The response to its write may be late.
 	c.restores.ledBefore = c.restores.ledBefore || (leader.Revision != 0 && !own)
 	lost := leader.Revision == 0 && (c.leaderRecord.Revision != 0 || !c.observed)
@@ -218,7 +220,7 @@
 	if _, err := c.store.Write(ctx, kumquathitch.KeyWrite{Set: []kumquathitch.KeyItem{own}}); err != nil {
 		return err
 	}
-	c.ObserveEpoch(lease.ID)
+	c.ObserveEpoch(leaseEpoch(lease))
 	c.log.Info("member registered", zap.Uint64("lease", lease.ID), zap.Duration("ttl", lease.TTL))
 	return c.renew(ctx, lease, record)
 }
@@ -364,7 +366,7 @@
 	if c.postpone(previous, last.Revision != 0, lease) {
 		return
 	}
-	own, err := json.Marshal(LastLeader{Name: c.member.Name, Epoch: epochOf(lease.ID)})
+	own, err := json.Marshal(LastLeader{Name: c.member.Name, Epoch: leaseEpoch(lease)})
 	if err != nil {
 		c.log.Error("cannot encode the last leader", zap.Error(err))
 		return
--- a/election/restores.go
+++ b/election/restores.go
@@ -32,6 +32,11 @@
 	return epoch
 }
 
+func leaseEpoch(lease kumquathitch.Lease) uint64 {
+	epoch, _ := kumquathitch.SplitLease(lease.ID)
+	return epoch
+}
+
 // restores is what a candidate knows of restores of the store from an older copy. The copy knows nothing
 // of a lease that was granted or renewed after it, while the leader still counts on that lease.
 type restores struct {
@@ -42,11 +47,9 @@
 	ledBefore  bool      // This process has observed a leader.
 }
 
-// observe records the epoch of a revision or lease ID, and reports whether the store was restored since
-// the last one.
-func (r *restores) observe(revision uint64, now time.Time) bool {
-	epoch := epochOf(revision)
-	if revision == 0 || (r.known && epoch <= r.epoch) {
+// observe records an epoch, and reports whether the store was restored since the last one.
+func (r *restores) observe(epoch uint64, now time.Time) bool {
+	if r.known && epoch <= r.epoch {
 		return false
 	}
 	restored := r.known
@@ -64,17 +67,17 @@
 	return time.Time{}
 }
 
-// ObserveEpoch records the epoch of a revision or lease ID of the store.
-func (c *Candidate) ObserveEpoch(revision uint64) {
+// ObserveEpoch records an epoch of the store.
+func (c *Candidate) ObserveEpoch(epoch uint64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.observeEpoch(revision)
+	c.observeEpoch(epoch)
 }
 
 // observeEpoch is ObserveEpoch for a caller that holds the lock. After a restore the strongest
 // members campaign first, too.
-func (c *Candidate) observeEpoch(revision uint64) {
-	if c.restores.observe(revision, c.clock.Now()) {
+func (c *Candidate) observeEpoch(epoch uint64) {
+	if c.restores.observe(epoch, c.clock.Now()) {
 		c.campaignAt = c.campaignFrom().Add(c.campaignDelay())
 	}
 }
@@ -94,7 +97,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.clock.Now()
-	c.observeEpoch(lease.ID)
+	c.observeEpoch(leaseEpoch(lease))
 	until := c.restores.earlierLeasesEnd(last, hasLast, max(c.timing.LeaseTTL, lease.TTL))
 	if !now.Before(until) {
 		return false
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -83,13 +83,18 @@
 	}
 }
 
-// isPast reports whether a revision or lease ID is of an earlier epoch than the highest seen.
-// 0 is of all epochs.
+// isPast reports whether a revision is of an earlier epoch than the highest seen. 0 is of all epochs.
 func (k *Keyspace) isPast(revision uint64) bool {
 	epoch, _ := kumquathitch.SplitRevision(revision)
 	return revision != 0 && !k.learn(epoch)
 }
 
+// isPastLease is isPast for a lease ID.
+func (k *Keyspace) isPastLease(id uint64) bool {
+	epoch, _ := kumquathitch.SplitLease(id)
+	return id != 0 && !k.learn(epoch)
+}
+
 // accept returns an error for a response that is not to be used.
 func (k *Keyspace) accept(operation, key string, writes bool, at kumquathitch.ResponseEpoch, err error) error {
 	switch {
@@ -103,18 +108,26 @@
 	return err
 }
 
-// checkOwn returns an error for a number of the store that is beyond its bounds.
+// checkOwn returns an error for a revision of the store that is beyond its bounds.
 func checkOwn(operation, key string, writes bool, own uint64) error {
 	if kumquathitch.IsOwnRevision(own) {
 		return nil
 	}
-	return &kumquathitch.StoreError{Operation: operation, Key: key, Unknown: writes, Cause: eris.Errorf("the response has the revision or lease %d, out of bounds", own)}
+	return &kumquathitch.StoreError{Operation: operation, Key: key, Unknown: writes, Cause: eris.Errorf("the response has the revision %d, out of bounds", own)}
+}
+
+// checkOwnLease returns an error for a lease number of the store that is beyond its bounds.
+func checkOwnLease(own uint64) error {
+	if kumquathitch.IsOwnLease(own) {
+		return nil
+	}
+	return &kumquathitch.StoreError{Operation: "Grant", Unknown: true, Cause: eris.Errorf("the response has the lease %d, out of bounds", own)}
 }
 
 // itemIn returns an item of the store with the revision and lease of an epoch.
 func itemIn(epoch uint64, item kumquathitch.KeyItem) kumquathitch.KeyItem {
 	item.Revision = kumquathitch.RevisionInEpoch(epoch, item.Revision)
-	item.Lease = kumquathitch.RevisionInEpoch(epoch, item.Lease)
+	item.Lease = kumquathitch.LeaseInEpoch(epoch, item.Lease)
 	return item
 }
 
@@ -198,7 +211,7 @@
 		}
 	}
 	for _, item := range write.Set {
-		if k.isPast(item.Lease) {
+		if k.isPastLease(item.Lease) {
 			return &kumquathitch.LeaseEndedError{Lease: item.Lease}
 		}
 	}
@@ -213,7 +226,7 @@
 		own.Expect = append(own.Expect, item)
 	}
 	for _, item := range write.Set {
-		_, item.Lease = kumquathitch.SplitRevision(item.Lease)
+		_, item.Lease = kumquathitch.SplitLease(item.Lease)
 		own.Set = append(own.Set, item)
 	}
 	return own
@@ -230,26 +243,26 @@
 func (k *Keyspace) Grant(ctx context.Context, ttl time.Duration) (kumquathitch.Lease, error) {
 	lease, at, err := k.store.Grant(ctx, ttl)
 	if err = k.accept("Grant", "", true, at, err); err == nil {
-		err = checkOwn("Grant", "", true, lease.ID)
+		err = checkOwnLease(lease.ID)
 	}
 	if err != nil {
 		return kumquathitch.Lease{}, err
 	}
-	lease.ID = kumquathitch.RevisionInEpoch(at.Number, lease.ID)
+	lease.ID = kumquathitch.LeaseInEpoch(at.Number, lease.ID)
 	return lease, nil
 }
 
 // Renew extends a lease. One of an earlier epoch has ended: its number may be that of another
 // lease now, so that it is not sent, and a response of a later epoch confirms nothing.
 func (k *Keyspace) Renew(ctx context.Context, lease kumquathitch.Lease) (kumquathitch.Lease, error) {
-	if k.isPast(lease.ID) {
+	if k.isPastLease(lease.ID) {
 		return lease, &kumquathitch.LeaseEndedError{Lease: lease.ID}
 	}
 	own := lease
-	_, own.ID = kumquathitch.SplitRevision(lease.ID)
+	_, own.ID = kumquathitch.SplitLease(lease.ID)
 	renewed, at, err := k.store.Renew(ctx, own)
 	err = k.accept("Renew", "", true, at, err)
-	if k.isPast(lease.ID) {
+	if k.isPastLease(lease.ID) {
 		return lease, &kumquathitch.LeaseEndedError{Lease: lease.ID}
 	}
 	if err != nil {
@@ -261,11 +274,11 @@
 
 // Release ends a lease. One of an earlier epoch has ended, and is not sent.
 func (k *Keyspace) Release(ctx context.Context, lease kumquathitch.Lease) error {
-	if k.isPast(lease.ID) {
+	if k.isPastLease(lease.ID) {
 		return nil
 	}
 	own := lease
-	_, own.ID = kumquathitch.SplitRevision(lease.ID)
+	_, own.ID = kumquathitch.SplitLease(lease.ID)
 	at, err := k.store.Release(ctx, own)
 	return k.accept("Release", "", true, at, err)
 }
--- a/epoch/errors.go
+++ b/epoch/errors.go
@@ -10,7 +10,7 @@
 func errorIn(epoch uint64, err error) error {
 	var ended *kumquathitch.LeaseEndedError
 	if errors.As(err, &ended) {
-		return &kumquathitch.LeaseEndedError{Lease: kumquathitch.RevisionInEpoch(epoch, ended.Lease)}
+		return &kumquathitch.LeaseEndedError{Lease: kumquathitch.LeaseInEpoch(epoch, ended.Lease)}
 	}
 	var conflict *kumquathitch.ConflictError
 	if !errors.As(err, &conflict) {
--- a/keyspace.go
+++ b/keyspace.go
@@ -43,7 +43,7 @@
 // Lease bounds the lifetime of keys. The lease does not end before Deadline by
 // this VM's clock, unless the store is restored from an older copy.
 type Lease struct {
-	ID       uint64 // Number in the store, in the epoch in which the lease was granted, as by RevisionInEpoch.
+	ID       uint64 // Number in the store, in the epoch in which the lease was granted, as by LeaseInEpoch.
 	TTL      time.Duration
 	Deadline time.Time
 }
@@ -52,15 +52,18 @@
 const (
 	ownRevisionBits = 40
 	maxOwnRevision  = 1<<ownRevisionBits - 1
-	// MaxEpoch keeps revisions, which are fencing tokens too, below 2^53: some decoders of
-	// JSON hold numbers in a float64.
-	MaxEpoch = 1<<13 - 1
+	// Stores give out random lease numbers too, so that these have all bits that a number in
+	// JSON has in decoders that hold it in a float64.
+	ownLeaseBits = 53
+	maxOwnLease  = 1<<ownLeaseBits - 1
+	// MaxEpoch is what a lease ID has space for. Revisions, which are fencing tokens too, stay below 2^53.
+	MaxEpoch = 1<<(64-ownLeaseBits) - 1
 )
 
-// RevisionInEpoch returns the revision of the product for a store's own revision or lease
-// number in an epoch. It orders by epoch first: a store that is restored from an older copy
-// gives its own revisions out again, in a later epoch. Own revisions are below 2^40 and
-// epochs at most MaxEpoch. Revisions of epoch 0 are the store's own, and 0 stays 0.
+// RevisionInEpoch returns the revision of the product for a store's own revision in an epoch.
+// It orders by epoch first: a store that is restored from an older copy gives its own revisions
+// out again, in a later epoch. Own revisions are below 2^40 and epochs at most MaxEpoch.
+// Revisions of epoch 0 are the store's own, and 0 stays 0.
 func RevisionInEpoch(epoch, own uint64) uint64 {
 	if own == 0 {
 		return 0
@@ -68,22 +71,41 @@
 	return epoch<<ownRevisionBits | own
 }
 
-// SplitRevision returns the epoch and the store's own number of a revision or lease ID.
+// SplitRevision returns the epoch and the store's own number of a revision.
 func SplitRevision(revision uint64) (epoch, own uint64) {
 	return revision >> ownRevisionBits, revision & maxOwnRevision
 }
 
-// IsOwnRevision reports whether a number is within the bounds of a store's own ones.
+// IsOwnRevision reports whether a number is within the bounds of a store's own revisions.
 func IsOwnRevision(own uint64) bool {
 	return own <= maxOwnRevision
 }
 
+// LeaseInEpoch returns the lease ID of the product for a store's own lease number in an epoch.
+// Own numbers are below 2^53. IDs of epoch 0 are the store's own, and 0 stays 0.
+func LeaseInEpoch(epoch, own uint64) uint64 {
+	if own == 0 {
+		return 0
+	}
+	return epoch<<ownLeaseBits | own
+}
+
+// SplitLease returns the epoch and the store's own number of a lease ID.
+func SplitLease(id uint64) (epoch, own uint64) {
+	return id >> ownLeaseBits, id & maxOwnLease
+}
+
+// IsOwnLease reports whether a number is within the bounds of a store's own lease numbers.
+func IsOwnLease(own uint64) bool {
+	return own <= maxOwnLease
+}
+
 // Keyspace is the platform's metadata store with revisions and leases. Every
 // method may return a *StoreError; after one with Unknown set, a write may
 // have taken effect or may do so seconds later.
 //
 // The store may be restored from an older copy, which begins a new epoch. Revisions and
-// lease IDs are those of RevisionInEpoch, so that a later state always has a higher revision,
+// lease IDs are those of RevisionInEpoch and LeaseInEpoch, so that a later state always has a higher revision,
 // whatever the epoch. No lease outlives its epoch.
 type Keyspace interface {
 	// Read returns an item, with Revision 0 when it does not exist.
--- a/standin/keyspace.go
+++ b/standin/keyspace.go
@@ -46,11 +46,14 @@
 	at    time.Time
 }
 
+// firstLease makes lease numbers large, as those of platforms that draw them at random.
+const firstLease = 1 << 52
+
 // NewKeyspace returns an empty keyspace whose leases expire by a clock.
 func NewKeyspace(clock kumquathitch.Clock) *Keyspace {
 	return &Keyspace{
 		clock: clock, changed: make(chan struct{}),
-		state: keyspaceState{items: map[string]kumquathitch.KeyItem{}, deadlines: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, revision: 1},
+		state: keyspaceState{items: map[string]kumquathitch.KeyItem{}, deadlines: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, revision: 1, lastLease: firstLease},
 	}
 }
 
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -235,7 +235,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	epoch, _ := kumquathitch.SplitRevision(revision)
-	w.vm.candidate.ObserveEpoch(revision)
+	w.vm.candidate.ObserveEpoch(epoch)
 	before, first := w.epoch, w.revision == 0 && len(w.instances) == 0
 	w.epoch = max(w.epoch, epoch)
 	if first || epoch <= before {
