--- a/soak/roll_caller_test.go
+++ b/soak/roll_caller_test.go
@@ -99,7 +99,8 @@
 	c.calls++
 	result := rollCall{id: fmt.Sprintf("%s-%s-%d", prefix, c.name, c.calls), kind: c.name, vm: c.vm, delay: c.conn.delay, first: !c.used, opened: c.opened, readFrom: c.readFrom}
 	c.used = true
-	leave := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+	conn := c.conn
+	leave := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	closes := c.exchange(&result)
 	result.ended = time.Now()
 	result.left = !leave() || errors.Is(result.err, net.ErrClosed)
--- a/soak/roll_engine_test.go
+++ b/soak/roll_engine_test.go
@@ -73,9 +73,10 @@
 	engine       string
 	began, ended time.Time
 	resumedAfter int
-	events       int  // Events sent.
-	rejected     bool // Not run.
-	complete     bool // False if the VM closed the connection.
+	first        time.Time // First event; zero if there is none.
+	events       int       // Events sent.
+	rejected     bool      // Not run.
+	complete     bool      // False if the VM closed the connection.
 }
 
 // rollEngine is an engine whose streams follow plans. It never breaks a stream off.
@@ -124,29 +125,32 @@
 	if after > 0 {
 		plan.earlyHead = false
 	}
-	run.events, run.complete = writePlan(r.Context(), w, plan, after)
+	run.complete = run.write(r.Context(), w, plan)
 	if !run.complete {
 		panic(http.ErrAbortHandler) // Deferred calls have run then.
 	}
 }
 
-// writePlan writes the events after one, until the VM closes the connection.
-func writePlan(ctx context.Context, w http.ResponseWriter, plan streamPlan, after int) (events int, complete bool) {
+// write writes the events of a run. It reports false if the VM closes the connection before.
+func (r *engineRun) write(ctx context.Context, w http.ResponseWriter, plan streamPlan) bool {
 	control := http.NewResponseController(w)
 	if plan.earlyHead {
 		w.WriteHeader(http.StatusOK)
 		_ = control.Flush() // An error shows at the first event.
 	}
-	for n := after + 1; n <= plan.events; n++ {
-		if !waitUntil(ctx, time.Now().Add(plan.waitBefore(n, after))) {
-			return events, false
+	for n := r.resumedAfter + 1; n <= plan.events; n++ {
+		if !waitUntil(ctx, time.Now().Add(plan.waitBefore(n, r.resumedAfter))) {
+			return false
+		}
+		if r.events == 0 {
+			r.first = time.Now()
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n); err != nil || control.Flush() != nil {
-			return events, false
+			return false
 		}
-		events++
+		r.events++
 	}
-	return events, true
+	return true
 }
 
 // enter counts the running calls.
--- a/soak/roll_judge_test.go
+++ b/soak/roll_judge_test.go
@@ -18,6 +18,10 @@
 	lossSlack = 200 * time.Millisecond
 	// deadlineSlack is how long before the deadline VMs end a call.
 	deadlineSlack = 30 * time.Millisecond
+	// maxRuns is the number of attempts that the route allows, and maxOverlap how long an engine may
+	// work on a call after another one has gone on.
+	maxRuns    = 2
+	maxOverlap = 400 * time.Millisecond
 	// oldConnection is the age from which net/http counts a connection without a request as idle.
 	oldConnection = 5 * time.Second
 )
@@ -63,15 +67,17 @@
 	if !stopped || call.sent.After(stop.Add(latestCall)) {
 		return verdictLost
 	}
+	ended := verdictLost
 	for _, run := range runs {
-		if run.ended.After(stop.Add(lastSixth)) && run.began.Before(stop.Add(shutdownGrace)) {
-			if run.resumedAfter > 0 && run.events == 0 && planStream(r.profile, r.seed, call.id).queue > 0 {
-				return verdictQueued
-			}
+		switch atWork := run.ended.After(stop.Add(lastSixth)) && run.began.Before(stop.Add(shutdownGrace)); {
+		case !atWork:
+		case run.resumedAfter > 0 && run.events == 0 && planStream(r.profile, r.seed, call.id).queue > 0:
+			ended = verdictQueued
+		default:
 			return verdictGrace
 		}
 	}
-	return verdictLost
+	return ended
 }
 
 func (r *roll) wholeBody(call string) string {
@@ -111,6 +117,9 @@
 		if v == verdictLost {
 			r.t.Errorf("call without a whole answer\n%s", r.describe(call))
 		}
+		if fault := r.fault(call); fault != "" {
+			r.t.Errorf("%s\n%s", fault, r.describe(call))
+		}
 	}
 	r.t.Logf("%d calls: %v, answers by status: %v, crossings: %v", len(r.calls), verdicts, statuses, r.crossings())
 	if statuses[200] == 0 {
@@ -118,6 +127,26 @@
 	}
 }
 
+// fault returns what is wrong with the events or the runs of a call, or an empty string.
+func (r *roll) fault(call *rollCall) string {
+	if call.status == 200 && !strings.HasPrefix(r.wholeBody(call.id), call.body) {
+		return "events missing or repeated"
+	}
+	runs := r.executions(call.id)
+	if len(runs) > maxRuns {
+		return fmt.Sprintf("%d runs", len(runs))
+	}
+	for _, later := range runs {
+		for _, earlier := range runs {
+			gone := later.first.Add(maxOverlap)
+			if later.resumedAfter > 0 && earlier.resumedAfter == 0 && later.events > 0 && earlier.ended.After(gone) && later.ended.After(gone) {
+				return fmt.Sprintf("%s works on after %s has gone on", earlier.engine, later.engine)
+			}
+		}
+	}
+	return ""
+}
+
 // crossings counts the calls that crossed the close of their connection, by the connection
 // and what the caller saw.
 func (r *roll) crossings() map[string]int {
