Count false ends and rejected calls in rolls

The judge of the rolls excused a response whose end is false, if no engine had run the call or one was at work in the last sixth of the grace period, and a call that an engine had rejected and that then got no answer. It took a response by its form for a connection that broke off, and a rejected call for one that was not passed on.

Change: a response that ends as complete without all events always counts, and so does a call that reached an engine, whatever the engine did with it.

--- a/soak/roll_judge_test.go
+++ b/soak/roll_judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -45,15 +46,17 @@
 // so that each call counts, wherever the signals are.
 func (r *roll) judge(call *rollCall) verdict {
 	switch {
-	case call.err == nil && (call.status != 200 || call.body == r.wholeBody(call.id)):
+	case call.err == nil && call.status == 200 && call.body != r.wholeBody(call.id):
+		return verdictLost // The end is false.
+	case call.err == nil:
 		return verdictAnswered
 	case call.left:
 		return verdictLeft
-	case call.err != nil && !call.ended.Before(call.sent.Add(stockTimeout-deadlineSlack)) && call.ended.Before(call.sent.Add(hangTimeout)):
+	case !call.ended.Before(call.sent.Add(stockTimeout-deadlineSlack)) && call.ended.Before(call.sent.Add(hangTimeout)):
 		return verdictDeadline
 	}
-	runs := r.executions(call.id)
-	if len(runs) == 0 {
+	arrivals := r.arrivals(call.id)
+	if len(arrivals) == 0 {
 		seen := call.lastByte // The caller sees the end of the connection when it reads.
 		if call.readFrom.After(seen) {
 			seen = call.readFrom
@@ -68,8 +71,8 @@
 		return verdictLost
 	}
 	ended := verdictLost
-	for _, run := range runs {
-		switch atWork := run.ended.After(stop.Add(lastSixth)) && run.began.Before(stop.Add(shutdownGrace)); {
+	for _, run := range arrivals {
+		switch atWork := !run.rejected && run.ended.After(stop.Add(lastSixth)) && run.began.Before(stop.Add(shutdownGrace)); {
 		case !atWork:
 		case run.resumedAfter > 0 && run.events == 0 && planStream(r.profile, r.seed, call.id).queue > 0:
 			ended = verdictQueued
@@ -88,17 +91,13 @@
 	return b.String()
 }
 
-// executions returns the runs of a call that engines did not reject.
-func (r *roll) executions(call string) []engineRun {
-	var runs []engineRun
+// arrivals returns what the engines saw of a call.
+func (r *roll) arrivals(call string) []engineRun {
+	var arrivals []engineRun
 	for _, engine := range r.engines {
-		for _, run := range engine.runsOf(call) {
-			if !run.rejected {
-				runs = append(runs, run)
-			}
-		}
+		arrivals = append(arrivals, engine.runsOf(call)...)
 	}
-	return runs
+	return arrivals
 }
 
 // check judges all calls, counts the verdicts and describes the calls that were lost.
@@ -132,7 +131,7 @@
 	if call.status == 200 && !strings.HasPrefix(r.wholeBody(call.id), call.body) {
 		return "events missing or repeated"
 	}
-	runs := r.executions(call.id)
+	runs := slices.DeleteFunc(r.arrivals(call.id), func(run engineRun) bool { return run.rejected })
 	if len(runs) > maxRuns {
 		return fmt.Sprintf("%d runs", len(runs))
 	}
@@ -181,11 +180,9 @@
 		call.id, call.vm.name, call.kind, call.delay, at(call.sent), at(call.lastByte), at(call.ended), call.status, len(call.body),
 		strings.Count(call.body, "data:"), plan.events, call.err, stopped, stop.Format(time.StampMilli))
 	fmt.Fprintf(&b, "  plan: %+v\n", plan)
-	for _, engine := range r.engines {
-		for _, run := range engine.runsOf(call.id) {
-			fmt.Fprintf(&b, "  %s: %s to %s, after event %d, sent %d events, rejected %t, complete %t\n",
-				run.engine, at(run.began), at(run.ended), run.resumedAfter, run.events, run.rejected, run.complete)
-		}
+	for _, run := range r.arrivals(call.id) {
+		fmt.Fprintf(&b, "  %s: %s to %s, after event %d, sent %d events, rejected %t, complete %t\n",
+			run.engine, at(run.began), at(run.ended), run.resumedAfter, run.events, run.rejected, run.complete)
 	}
 	lines := 0
 	for line := range strings.Lines(call.vm.log.String()) {
