Keep what is known of an instance that a copy describes

After a restore, VMs took the copy's description of an instance whose same start they knew by a later one. A model that an engine had loaded since the copy was unknown for up to 2 s, and calls for it were refused. The description is now kept until the instance writes its entry anew; that it was leaving is part of it.

--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -302,10 +302,15 @@
 	}
 	w.instances[item.Key] = item
 	delete(w.lapsed, item.Key)
-	unchanged := item.Revision == last || w.restored.isFromCopy(item.Revision, last)
+	fromCopy := w.restored.isFromCopy(item.Revision, last)
 	w.mutex.Unlock()
-	if known && before.Leaving && before.SameIncarnation(&instance) && unchanged {
-		instance.Leaving, instance.GoneBy = true, before.GoneBy
+	if known && before.SameIncarnation(&instance) {
+		if fromCopy { // What is known of this start is later.
+			return
+		}
+		if before.Leaving && item.Revision == last {
+			instance.Leaving, instance.GoneBy = true, before.GoneBy
+		}
 	}
 	w.vm.fleet.Put(instance, time.Now())
 	if !known || before.Leaving != instance.Leaving || !before.SameIncarnation(&instance) {
