Count no adopted term as the first one

In a store of epoch 0, a VM that adopted its leader's record after the response to its write was lost took the term for the first one ever: it sent orders at once, although another VM had led before, and issued tokens from full buckets. A last leader that is not known looked like none. Whether there is one is now said beside it.

--- a/election/election.go
+++ b/election/election.go
@@ -391,7 +391,7 @@
 		c.observeWinner(err)
 		return
 	}
-	c.startTerm(kumquathitch.KeyItem{Key: leaderKey, Value: record, Revision: fence, Lease: lease.ID}, previous, lease.Deadline)
+	c.startTerm(kumquathitch.KeyItem{Key: leaderKey, Value: record, Revision: fence, Lease: lease.ID}, previous, last.Revision != 0, lease.Deadline)
 }
 
 // observeWinner records the leader that a lost campaign ran into, which this VM's watch
--- a/election/term.go
+++ b/election/term.go
@@ -105,17 +105,17 @@
 	unconfirmed := c.term == nil && leader.Revision != 0 && lease.ID != 0 && leader.Lease == lease.ID
 	c.mutex.Unlock()
 	if unconfirmed {
-		c.startTerm(leader, LastLeader{Epoch: epochOf(leader.Revision)}, lease.Deadline)
+		c.startTerm(leader, LastLeader{Epoch: epochOf(leader.Revision)}, true, lease.Deadline)
 	}
 }
 
 // startTerm starts a term. After a term of another VM, orders are held back for the
 // HandoverDelay, since an order of that VM may still be in transit. After a restore of the store
 // the last term may have been of any VM.
-func (c *Candidate) startTerm(record kumquathitch.KeyItem, last LastLeader, ends time.Time) {
+func (c *Candidate) startTerm(record kumquathitch.KeyItem, last LastLeader, hasLast bool, ends time.Time) {
 	now := c.clock.Now()
 	c.mutex.Lock()
-	first := last == (LastLeader{}) && !c.restores.ledBefore
+	first := !hasLast && !c.restores.ledBefore
 	t := Term{Fence: record.Revision, OrdersFrom: now, LeaseDeadline: ends, IsFirst: first}
 	if !first && last != (LastLeader{Name: c.member.Name, Epoch: epochOf(record.Revision)}) {
 		t.OrdersFrom = now.Add(c.timing.HandoverDelay)
