Rely on a leader's changes only within the own epoch

While VMs are updated, a leader with the program of before knows no epochs: its revisions are below all of the new VMs', and it took its changes for complete. A new VM relied on them, and had no change of the configuration for 15 s and more. It now watches the store itself then.

--- a/vm/exchange.go
+++ b/vm/exchange.go
@@ -228,7 +228,7 @@
 		v.fleet.SetRemoteLoads(response.InFlight, response.FullestOnly, now)
 		v.fleet.SetUnloading(response.Unloading, now)
 	}
-	complete := response.ChangesComplete || response.SegmentsComplete
+	complete := (response.ChangesComplete || response.SegmentsComplete) && v.isOfOwnEpoch(response.StoreRevision)
 	if err := unpackChanges(response); err != nil {
 		v.log.Warn("cannot decode changes from the leader; reading the store", zap.Error(err))
 		complete = false
@@ -252,6 +252,14 @@
 	}
 }
 
+// isOfOwnEpoch reports whether a revision is of the epoch that this VM knows. A leader with an older
+// program compares revisions without their epochs, and takes its changes for complete.
+func (v *VM) isOfOwnEpoch(revision uint64) bool {
+	epoch, _ := kumquathitch.SplitRevision(revision)
+	known, _ := kumquathitch.SplitRevision(v.watcher.currentRevision())
+	return epoch == known
+}
+
 // handleExchange answers an exchange of another VM, or of this one when it leads.
 func (v *VM) handleExchange(_ context.Context, request kumquathitch.ExchangeRequest) (kumquathitch.ExchangeResponse, error) {
 	now := time.Now()
@@ -316,8 +324,7 @@
 // when some are no longer kept, when the revision is of another epoch, or when the store does not
 // answer this VM: other VMs must not rely on a leader without the store.
 func (v *VM) changesSince(revision uint64, now time.Time) (changes []kumquathitch.KeyChange, segments [][]byte, ok bool) {
-	asked, _ := kumquathitch.SplitRevision(revision)
-	if known, _ := kumquathitch.SplitRevision(v.watcher.currentRevision()); known != asked || !v.watcher.isUpToDate(now) {
+	if !v.isOfOwnEpoch(revision) || !v.watcher.isUpToDate(now) {
 		return nil, nil, false
 	}
 	return v.feed.changesAfter(revision)
