Keep the revision of a leader's record that was observed first

A store may give each key of a write a revision of its own. When the watch showed the leader's record before the response to its write came, the record was replaced by one with the revision of the write. A weak leader that handed over then could not remove its record, and nobody led until its lease ended, 1.5 s later.

TestHandoverRemovesRecordSeenFirst failed before in 3 of 3 runs and passes; the checker passes.

--- a/election/term.go
+++ b/election/term.go
@@ -120,7 +120,10 @@
 	if !first && last != (LastLeader{Name: c.member.Name, Epoch: epochOf(record.Revision)}) {
 		t.OrdersFrom = now.Add(c.timing.HandoverDelay)
 	}
-	c.leaderRecord, c.term, c.termStarted = record, &t, now
+	if c.leaderRecord.Lease != record.Lease { // Otherwise the record was observed, and has the revision of its key.
+		c.leaderRecord = record
+	}
+	c.term, c.termStarted = &t, now
 	c.restores.ledBefore = true
 	c.mutex.Unlock()
 	c.log.Info("leading", zap.Uint64("fence", t.Fence), zap.Time("orders-from", t.OrdersFrom), zap.String("last-leader", last.Name), zap.Uint64("last-epoch", last.Epoch))
