--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -67,6 +67,7 @@
 	ready   string // Address of the readiness check.
 	peers   string // Address for other VMs.
 	set     *metrics.Set
+	belief  func() vm.Belief
 	stop    context.CancelFunc
 	end     chan error
 }
@@ -106,9 +107,13 @@
 	ctx, stop := context.WithCancel(context.WithoutCancel(p.t.Context()))
 	v.stop = stop
 	v.set = metrics.NewSet()
-	go func() { v.end <- vm.New(environment, zap.NewNop(), v.set, tracing).Run(ctx) }()
+	started := vm.New(environment, zap.NewNop(), v.set, tracing)
+	v.belief = started.Belief
+	go func() { v.end <- started.Run(ctx) }()
 	p.t.Cleanup(func() {
-		stop()
+		for _, other := range p.vms { // All at once, which takes the time of one.
+			other.stop()
+		}
 		select {
 		case err := <-v.end:
 			v.end <- err
--- a/vm/watcher.go
+++ b/vm/watcher.go
@@ -53,14 +53,18 @@
 
 // storeWatcher applies the changes of the store, from its own watch or from the leader.
 type storeWatcher struct {
-	vm *VM
+	vm          *VM
+	firstScan   sync.Once
+	scannedOnce chan struct{} // Closed by the first scan.
 
 	applyMutex   sync.Mutex                      // Serializes changes from the store and from the leader.
 	mutex        sync.Mutex                      // Guards the fields below.
 	instances    map[string]kumquathitch.KeyItem // Entries of instances as written, by key, for VMs without the store.
 	members      map[string]kumquathitch.Member  // By name.
 	lapsed       map[string]time.Time            // When instances with an expired entry are removed, by key.
+	restored     restoredEntries                 // Entries that a restored store has brought back.
 	revision     uint64                          // Revision of the store up to which changes are applied; 0 before the first scan.
+	epoch        uint64                          // Latest epoch of the store whose entries are applied.
 	lastResponse time.Time                       // When the store or the leader's feed last answered.
 	outageEnd    time.Time                       // End of the last outage.
 	scanned      bool                            // The store has answered at least once.
@@ -71,8 +75,8 @@
 
 func newStoreWatcher(v *VM) *storeWatcher {
 	return &storeWatcher{
-		vm: v, instances: map[string]kumquathitch.KeyItem{}, members: map[string]kumquathitch.Member{},
-		lapsed: map[string]time.Time{},
+		vm: v, scannedOnce: make(chan struct{}), instances: map[string]kumquathitch.KeyItem{}, members: map[string]kumquathitch.Member{},
+		lapsed: map[string]time.Time{}, restored: newRestoredEntries(),
 	}
 }
 
@@ -155,7 +159,7 @@
 			case concerns:
 				w.putEvacuation(evacuated, change.Revision, lastKnown)
 			case change.Removed:
-				w.remove(change.Key)
+				w.remove(change.Key, change.Revision)
 			default:
 				w.putItem(change.KeyItem)
 			}
@@ -202,6 +206,7 @@
 	w.recordResponse(time.Now())
 	w.applyMutex.Lock()
 	defer w.applyMutex.Unlock()
+	w.enterEpoch(all.Revision)
 	w.vm.feed.reset(all.Revision)
 	w.vm.replaceEvacuations(w.listEvacuations(all), "scan") // Before instances that it may concern.
 	listed := make(map[string]bool, len(all.Items))
@@ -211,17 +216,44 @@
 	}
 	for _, key := range w.keys() {
 		if !listed[key] {
-			w.remove(key)
+			w.remove(key, all.Revision)
 		}
 	}
+	w.keepRestored(listed)
 	if !slices.ContainsFunc(all.Items, func(item kumquathitch.KeyItem) bool { return election.IsLeaderKey(item.Key) }) {
 		w.vm.candidate.ObserveLeader(kumquathitch.KeyItem{}) // Its removal may be in the history that is lost.
 	}
 	w.vm.guarded("vm.change", w.passMembersOn)
 	w.setRevision(all.Revision)
+	w.firstScan.Do(func() { close(w.scannedOnce) })
 	return nil
 }
 
+// enterEpoch records the epoch of a state that is applied next. In a new one the store was restored from
+// a copy: instances that it does not list have time to write their entries again, as after an outage.
+func (w *storeWatcher) enterEpoch(revision uint64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	epoch, _ := kumquathitch.SplitRevision(revision)
+	w.vm.candidate.ObserveEpoch(revision)
+	before, first := w.epoch, w.revision == 0 && len(w.instances) == 0
+	w.epoch = max(w.epoch, epoch)
+	if first || epoch <= before {
+		return
+	}
+	w.outageEnd = time.Now()
+	w.restored.enter(revision)
+	w.vm.log.Info("store restored", zap.Uint64("epoch", epoch), zap.Uint64("epoch-before", before),
+		zap.Uint64("revision", revision), zap.Uint64("revision-before", w.revision))
+}
+
+// keepRestored forgets what a scan no longer lists of the entries that the copy has brought back.
+func (w *storeWatcher) keepRestored(listed map[string]bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.restored.keep(listed)
+}
+
 // keys returns the keys of all known instances and members.
 func (w *storeWatcher) keys() []string {
 	w.mutex.Lock()
@@ -238,7 +270,7 @@
 	codec := w.vm.environment.Codec
 	switch {
 	case item.Key == codec.DeploymentKey():
-		w.vm.applyDeployment(item.Value, "store")
+		w.vm.applyDeployment(item.Value, item.Revision, "store")
 	case strings.HasPrefix(item.Key, codec.InstancePrefix()):
 		w.putInstance(item)
 	case election.IsLeaderKey(item.Key):
@@ -248,21 +280,33 @@
 	}
 }
 
+// putInstance applies the entry of an instance, unless it is older than what this VM knows.
 func (w *storeWatcher) putInstance(item kumquathitch.KeyItem) {
+	w.applyInstance(item, false)
+}
+
+// applyInstance applies the entry of an instance. Without trusted, it may be one that a restored store
+// has brought back.
+func (w *storeWatcher) applyInstance(item kumquathitch.KeyItem, trusted bool) {
 	instance, err := w.vm.environment.Codec.DecodeInstance(item, time.Now())
 	if err != nil {
 		w.vm.log.Info("cannot decode the entry of an instance", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
+	before, known := w.vm.fleet.Instance(instance.ID)
 	w.mutex.Lock()
-	if item.Revision < w.instances[item.Key].Revision {
+	last := w.instances[item.Key].Revision
+	if item.Revision < last || (!trusted && w.restored.ignores(item, &instance, &before, last, time.Now())) {
 		w.mutex.Unlock()
 		return
 	}
 	w.instances[item.Key] = item
 	delete(w.lapsed, item.Key)
+	unchanged := item.Revision == last || w.restored.isFromCopy(item.Revision, last)
 	w.mutex.Unlock()
-	before, known := w.vm.fleet.Instance(instance.ID)
+	if known && before.Leaving && before.SameIncarnation(&instance) && unchanged {
+		instance.Leaving, instance.GoneBy = true, before.GoneBy
+	}
 	w.vm.fleet.Put(instance, time.Now())
 	if !known || before.Leaving != instance.Leaving || !before.SameIncarnation(&instance) {
 		if known && !before.SameIncarnation(&instance) {
@@ -297,12 +341,13 @@
 	}
 }
 
-// remove applies the removal of one key. An instance whose entry expired around
+// remove applies the removal of one key at a revision. An instance whose entry expired around
 // an outage of the store is kept for reregisterTime, so that it can write it again.
-func (w *storeWatcher) remove(key string) {
+func (w *storeWatcher) remove(key string, revision uint64) {
 	switch {
 	case strings.HasPrefix(key, w.vm.environment.Codec.InstancePrefix()):
 		w.mutex.Lock()
+		w.restored.drop(key)
 		now := time.Now()
 		if until := w.outageEnd.Add(reregisterTime); now.Before(until) {
 			w.lapsed[key] = until
@@ -310,7 +355,7 @@
 			return
 		}
 		w.mutex.Unlock()
-		w.dropInstance(key)
+		w.dropInstance(key, revision)
 	case election.IsLeaderKey(key):
 		w.vm.candidate.ObserveLeader(kumquathitch.KeyItem{})
 	case strings.HasPrefix(key, election.MemberPrefix):
@@ -321,13 +366,16 @@
 	}
 }
 
-func (w *storeWatcher) dropInstance(key string) {
+// dropInstance removes an instance whose entry is gone at a revision.
+func (w *storeWatcher) dropInstance(key string, revision uint64) {
+	id := strings.TrimPrefix(key, w.vm.environment.Codec.InstancePrefix())
+	before, known := w.vm.fleet.Instance(id)
 	w.mutex.Lock()
+	w.restored.remove(key, revision, before, time.Now())
 	delete(w.instances, key)
 	delete(w.lapsed, key)
 	w.mutex.Unlock()
-	id := strings.TrimPrefix(key, w.vm.environment.Codec.InstancePrefix())
-	if before, known := w.vm.fleet.Instance(id); known {
+	if known {
 		w.recordGone(&before)
 	}
 	w.vm.fleet.Remove(id, time.Now())
@@ -346,9 +394,14 @@
 	}
 }
 
-// dropLapsed removes the instances that did not write their entries again in time.
+// dropLapsed removes the instances that did not write their entries again in time, ends the evacuations that were
+// not asked for again, and takes over the entries that the store has kept since it brought them back.
 func (w *storeWatcher) dropLapsed(now time.Time) {
+	for _, change := range w.vm.evacuations.Expire(now) {
+		w.vm.applyEvacuation(change, "restore")
+	}
 	w.mutex.Lock()
+	kept := w.restored.expire(now, w.lastResponse)
 	var gone []string
 	for key, until := range w.lapsed {
 		if !now.Before(until) {
@@ -357,7 +410,10 @@
 	}
 	w.mutex.Unlock()
 	for _, key := range gone {
-		w.dropInstance(key)
+		w.dropInstance(key, w.currentRevision())
+	}
+	for _, item := range kept {
+		w.applyInstance(item, true)
 	}
 }
 
@@ -452,6 +508,7 @@
 	if revision <= w.currentRevision() && len(w.instanceItems()) > 0 {
 		return
 	}
+	w.enterEpoch(revision)
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.Key] = true
@@ -461,7 +518,7 @@
 	}
 	for _, item := range w.instanceItems() {
 		if !listed[item.Key] {
-			w.dropInstance(item.Key)
+			w.remove(item.Key, revision)
 		}
 	}
 }
