--- a/soak/roll_judge_test.go
+++ b/soak/roll_judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -18,6 +19,10 @@
 	lossSlack = 200 * time.Millisecond
 	// deadlineSlack is how long before the deadline VMs end a call.
 	deadlineSlack = 30 * time.Millisecond
+	// maxRuns is the number of attempts that the route allows, and maxOverlap how long an engine may
+	// work on a call after another one has gone on.
+	maxRuns    = 2
+	maxOverlap = 400 * time.Millisecond
 	// oldConnection is the age from which net/http counts a connection without a request as idle.
 	oldConnection = 5 * time.Second
 )
@@ -41,15 +46,17 @@
 // so that each call counts, wherever the signals are.
 func (r *roll) judge(call *rollCall) verdict {
 	switch {
-	case call.err == nil && (call.status != 200 || call.body == r.wholeBody(call.id)):
+	case call.err == nil && call.status == 200 && call.body != r.wholeBody(call.id):
+		return verdictLost // The end is false.
+	case call.err == nil:
 		return verdictAnswered
 	case call.left:
 		return verdictLeft
-	case call.err != nil && !call.ended.Before(call.sent.Add(stockTimeout-deadlineSlack)) && call.ended.Before(call.sent.Add(hangTimeout)):
+	case !call.ended.Before(call.sent.Add(stockTimeout-deadlineSlack)) && call.ended.Before(call.sent.Add(hangTimeout)):
 		return verdictDeadline
 	}
-	runs := r.executions(call.id)
-	if len(runs) == 0 {
+	arrivals := r.arrivals(call.id)
+	if len(arrivals) == 0 {
 		seen := call.lastByte // The caller sees the end of the connection when it reads.
 		if call.readFrom.After(seen) {
 			seen = call.readFrom
@@ -63,15 +70,17 @@
 	if !stopped || call.sent.After(stop.Add(latestCall)) {
 		return verdictLost
 	}
-	for _, run := range runs {
-		if run.ended.After(stop.Add(lastSixth)) && run.began.Before(stop.Add(shutdownGrace)) {
-			if run.resumedAfter > 0 && run.events == 0 && planStream(r.profile, r.seed, call.id).queue > 0 {
-				return verdictQueued
-			}
+	ended := verdictLost
+	for _, run := range arrivals {
+		switch atWork := !run.rejected && run.ended.After(stop.Add(lastSixth)) && run.began.Before(stop.Add(shutdownGrace)); {
+		case !atWork:
+		case run.resumedAfter > 0 && run.events == 0 && planStream(r.profile, r.seed, call.id).queue > 0:
+			ended = verdictQueued
+		default:
 			return verdictGrace
 		}
 	}
-	return verdictLost
+	return ended
 }
 
 func (r *roll) wholeBody(call string) string {
@@ -82,17 +91,13 @@
 	return b.String()
 }
 
-// executions returns the runs of a call that engines did not reject.
-func (r *roll) executions(call string) []engineRun {
-	var runs []engineRun
+// arrivals returns what the engines saw of a call.
+func (r *roll) arrivals(call string) []engineRun {
+	var arrivals []engineRun
 	for _, engine := range r.engines {
-		for _, run := range engine.runsOf(call) {
-			if !run.rejected {
-				runs = append(runs, run)
-			}
-		}
+		arrivals = append(arrivals, engine.runsOf(call)...)
 	}
-	return runs
+	return arrivals
 }
 
 // check judges all calls, counts the verdicts and describes the calls that were lost.
@@ -111,6 +116,9 @@
 		if v == verdictLost {
 			r.t.Errorf("call without a whole answer\n%s", r.describe(call))
 		}
+		if fault := r.fault(call); fault != "" {
+			r.t.Errorf("%s\n%s", fault, r.describe(call))
+		}
 	}
 	r.t.Logf("%d calls: %v, answers by status: %v, crossings: %v", len(r.calls), verdicts, statuses, r.crossings())
 	if statuses[200] == 0 {
@@ -118,6 +126,26 @@
 	}
 }
 
+// fault returns what is wrong with the events or the runs of a call, or an empty string.
+func (r *roll) fault(call *rollCall) string {
+	if call.status == 200 && !strings.HasPrefix(r.wholeBody(call.id), call.body) {
+		return "events missing or repeated"
+	}
+	runs := slices.DeleteFunc(r.arrivals(call.id), func(run engineRun) bool { return run.rejected })
+	if len(runs) > maxRuns {
+		return fmt.Sprintf("%d runs", len(runs))
+	}
+	for _, later := range runs {
+		for _, earlier := range runs {
+			gone := later.first.Add(maxOverlap)
+			if later.resumedAfter > 0 && earlier.resumedAfter == 0 && later.events > 0 && earlier.ended.After(gone) && later.ended.After(gone) {
+				return fmt.Sprintf("%s works on after %s has gone on", earlier.engine, later.engine)
+			}
+		}
+	}
+	return ""
+}
+
 // crossings counts the calls that crossed the close of their connection, by the connection
 // and what the caller saw.
 func (r *roll) crossings() map[string]int {
@@ -152,11 +180,9 @@
 		call.id, call.vm.name, call.kind, call.delay, at(call.sent), at(call.lastByte), at(call.ended), call.status, len(call.body),
 		strings.Count(call.body, "data:"), plan.events, call.err, stopped, stop.Format(time.StampMilli))
 	fmt.Fprintf(&b, "  plan: %+v\n", plan)
-	for _, engine := range r.engines {
-		for _, run := range engine.runsOf(call.id) {
-			fmt.Fprintf(&b, "  %s: %s to %s, after event %d, sent %d events, rejected %t, complete %t\n",
-				run.engine, at(run.began), at(run.ended), run.resumedAfter, run.events, run.rejected, run.complete)
-		}
+	for _, run := range r.arrivals(call.id) {
+		fmt.Fprintf(&b, "  %s: %s to %s, after event %d, sent %d events, rejected %t, complete %t\n",
+			run.engine, at(run.began), at(run.ended), run.resumedAfter, run.events, run.rejected, run.complete)
 	}
 	lines := 0
 	for line := range strings.Lines(call.vm.log.String()) {
