--- a/relay/successor.go
+++ b/relay/successor.go
@@ -100,6 +100,8 @@
 // sendToSuccessor sends the call to another instance. It returns the new attempt, or the result
 // if the instance did not begin to answer.
 func (a *attempt) sendToSuccessor(ctx context.Context, s *search, choice kumquathitch.InstanceChoice) (*attempt, kumquathitch.SendResult) {
+	_, span := a.Tracer.Start(ctx, "send to successor")
+	defer span.End()
 	mayHaveRun := true // Unless the send returns.
 	defer func() {
 		if mayHaveRun {
