--- a/intake/conn.go
+++ b/intake/conn.go
@@ -232,24 +232,30 @@
 		n, err := c.Conn.Write(piece)
 		written += n
 		if err != nil || written == len(p) {
-			c.recordWrite(0)
 			c.recordWritten(int64(written), err)
 			return written, err
 		}
 	}
 }
 
-// recordWritten records what a call of Write has passed to the kernel.
+// recordWrite records that bytes are being written.
+func (c *Conn) recordWrite(bytes int64) {
+	c.shard.mutex.Lock()
+	defer c.shard.mutex.Unlock()
+	c.setWriting(bytes)
+}
+
+// recordWritten records the end of a write, and what it has passed to the kernel.
 func (c *Conn) recordWritten(bytes int64, err error) {
 	c.shard.mutex.Lock()
 	defer c.shard.mutex.Unlock()
+	c.setWriting(0)
 	c.end.Written += bytes
 	c.recordEnd(err)
 }
 
-func (c *Conn) recordWrite(bytes int64) {
-	c.shard.mutex.Lock()
-	defer c.shard.mutex.Unlock()
+// setWriting records how many bytes are being written, which is progress. The shard must be locked.
+func (c *Conn) setWriting(bytes int64) {
 	c.writing = bytes
 	if c.phase == phaseServing {
 		c.since = c.budget.now()
@@ -279,7 +285,7 @@
 	c.end.Unacknowledged, c.end.Unread = unacknowledged, unread
 	c.recordEnd(net.ErrClosed)
 	defer c.logClose(c.end, c.handling)
-	lingers := isSocket && !c.handling && c.end.Cause == EndClosedHere && c.phase != phaseRefused && (c.phase == phaseBody || unread > 0 && unacknowledged > 0)
+	lingers := isSocket && c.lingers()
 	c.shard.mutex.Unlock()
 	if !lingers {
 		c.budget.connections.Add(-1)
@@ -293,6 +299,15 @@
 	return nil
 }
 
+// lingers reports whether the caller is still sending while a response is under way that a reset would
+// cut, of a connection that was just closed here. The shard must be locked.
+func (c *Conn) lingers() bool {
+	if c.handling || c.end.Cause != EndClosedHere || c.phase == phaseRefused {
+		return false
+	}
+	return c.phase == phaseBody || (c.end.Unread > 0 && c.end.Unacknowledged > 0)
+}
+
 // body is the body of a request. It tells the connection when it has been read.
 type body struct {
 	io.ReadCloser
