--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -43,6 +44,7 @@
 	loading   string // Model that is being loaded; its memory is taken.
 	leaving   map[string]bool
 	models    map[string]int64
+	heldMB    map[string]float64 // Of the weights that are held or loaded, by model; a new version may be of another size.
 	adapters  map[string][]string
 	runs      map[string]int // Running streams, by model.
 	onDisk    map[string]bool
@@ -67,8 +69,9 @@
 	if e.onDisk == nil {
 		e.onDisk = map[string]bool{}
 	}
+	e.heldMB = map[string]float64{}
 	for _, m := range models {
-		e.models[m], e.onDisk[m] = 1, true
+		e.models[m], e.onDisk[m], e.heldMB[m] = 1, true, e.modelMB[m]
 	}
 	e.ended = make(chan struct{})
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
@@ -102,6 +105,17 @@
 	}
 }
 
+// release makes a new version of a model known, whose weights have another size. The copies on disk are of the
+// version before.
+func (e *engine) release(model string, sizeMB float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	sizes := maps.Clone(e.modelMB)
+	sizes[model] = sizeMB
+	e.modelMB = sizes
+	delete(e.onDisk, model)
+}
+
 // describe writes the server's entry.
 func (e *engine) describe() {
 	e.mutex.Lock()
@@ -145,10 +159,10 @@
 func (e *engine) usedMB() float64 {
 	used := 0.0
 	for name := range e.models {
-		used += e.modelMB[name] + float64(len(e.adapters[name]))*e.adapterMB[name]
+		used += e.heldMB[name] + float64(len(e.adapters[name]))*e.adapterMB[name]
 	}
 	if e.loading != "" {
-		used += e.modelMB[e.loading]
+		used += e.heldMB[e.loading]
 	}
 	return used
 }
@@ -277,7 +291,7 @@
 	case o.Adapter != "":
 		e.adapters[o.Model] = slices.DeleteFunc(e.adapters[o.Model], func(name string) bool { return name == o.Adapter })
 	case o.Operation == "load":
-		e.loading = o.Model
+		e.loading, e.heldMB[o.Model] = o.Model, e.modelMB[o.Model]
 		go e.finishLoad(o.Model, ended)
 	default:
 		e.leaving[o.Model] = true
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,9 +25,11 @@
 }
 
 var cases = map[string]func(w *world) error{
-	"adapter-list": adapterList,
-	"deadly-part":  deadlyPart,
-	"model-list":   modelList,
+	"adapter-list":  adapterList,
+	"deadly-part":   deadlyPart,
+	"model-version": modelVersion,
+	"hot-tenant":    hotTenant,
+	"model-list":    modelList,
 }
 
 func main() {
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -14,6 +14,7 @@
 	start  time.Time
 	faults int
 	runs   map[string][]string // Servers that ran a request, by its id.
+	ranAt  []time.Duration     // First run of each request.
 }
 
 func newRecord(path string) (*record, error) {
@@ -52,6 +53,9 @@
 func (r *record) run(id, server string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if len(r.runs[id]) == 0 {
+		r.ranAt = append(r.ranAt, time.Since(r.start))
+	}
 	r.runs[id] = append(r.runs[id], server)
 	r.write("run request=%s server=%s", id, server)
 }
@@ -61,3 +65,10 @@
 	defer r.mutex.Unlock()
 	return r.runs[id]
 }
+
+// runTimes returns when each request began to run first.
+func (r *record) runTimes() []time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]time.Duration(nil), r.ranAt...)
+}
