Review case 15: a caller that pauses for ten seconds loses its answer

TCP_USER_TIMEOUT on the connections of callers ends them also while the caller's kernel acknowledges and its window is closed, long before the deadline of the call (LOST).

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -10,7 +10,7 @@
 )
 
 // cases are the cases by name. They report whether the rule was broken.
-var cases = map[string]func(folder string) bool{"names": longNames, "upload": slowUploads, "key": keyRevoked, "timeout": timeoutLowered}
+var cases = map[string]func(folder string) bool{"names": longNames, "upload": slowUploads, "key": keyRevoked, "timeout": timeoutLowered, "pause": pausedReaders}
 
 func main() {
 	os.Exit(run())
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -16,6 +16,9 @@
 // heartbeat is the interval at which servers write their entries.
 const heartbeat = 1200 * time.Millisecond
 
+// largeBytes is the size of the answers of applications below a path with /large.
+const largeBytes = 1 << 20
+
 // model is a model of the configuration.
 type model struct {
 	Name      string  `json:"name"`
@@ -207,7 +210,11 @@
 	if s.listed == nil {
 		time.Sleep(s.work)
 		w.WriteHeader(200)
-		_, _ = w.Write([]byte(strings.Repeat("b", 800)))
+		size := 800
+		if strings.Contains(r.URL.Path, "/large") {
+			size = largeBytes
+		}
+		_, _ = w.Write([]byte(strings.Repeat("b", size)))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
