--- a/review/rig-3/entry.go
+++ b/review/rig-3/entry.go
@@ -127,6 +127,11 @@
 	done := v.done
 	go v.watchMemory(p.Process.Pid, done)
 	go func() {
+		defer func() {
+			if c := recover(); c != nil {
+				v.rec.add("%s is not started again: %v", v.name, c)
+			}
+		}()
 		err := p.Wait()
 		close(done)
 		v.mu.Lock()
--- a/review/rig-3/pause.go
+++ b/review/rig-3/pause.go
@@ -50,10 +50,15 @@
 			begun := time.Now()
 			_ = c.conn.SetDeadline(begun.Add(deadline))
 			s.rec.add("client %d sends %s %s to %s", n, q.id, q.path, v.name)
-			_, err := io.WriteString(c.conn, q.text())
-			check(err)
+			if _, err := io.WriteString(c.conn, q.text()); err != nil {
+				s.rec.add("client %d cannot send %s: %v", n, q.id, err)
+				return
+			}
 			r, err := http.ReadResponse(c.reader, &http.Request{Method: q.method})
-			check(err)
+			if err != nil {
+				s.rec.add("client %d has no head of an answer to %s: %v", n, q.id, err)
+				return
+			}
 			s.rec.add("client %d has the head of the answer to %s, status %d, and pauses for %s", n, q.id, r.StatusCode, pause)
 			time.Sleep(pause)
 			body, err := io.ReadAll(r.Body)
